--- a/apply.go
+++ b/apply.go
@@ -84,6 +84,18 @@
 		return s.applyEndPart(now, c)
 	case ParkJob:
 		return s.applyParkJob(now, c)
+	case PutConfiguration:
+		return s.applyPutConfiguration(c)
+	case Confirm:
+		return s, Outcome{}
+	case SubmitWorkflow:
+		return s.applySubmitWorkflow(now, c)
+	case CancelWorkflow:
+		return s.applyCancelWorkflow(now, c)
+	case Announce:
+		return s.applyAnnounce(c)
+	case Round:
+		return s.applyRound(now, c)
 	}
 	return s, refuse(RefusedField, "command", "unknown command")
 }
@@ -176,9 +188,14 @@
 		return s, refuseField(err)
 	}
 	known, ok := s.centres.get(c.Name)
-	if c.Revision != known.Value.Revision {
+	if c.Revision != known.Value.Revision && !c.Force {
 		return s, refuseRevision(known.Value.Revision)
 	}
+	if c.Force && known.Value.Out == c.Out {
+		return s, Outcome{
+			Revision: known.Value.Revision,
+		}
+	}
 	if !ok && s.centres.len() >= MaxDataCentres {
 		return s, refuse(RefusedFull, "data-centre", "too many data centres")
 	}
--- a/command.go
+++ b/command.go
@@ -38,6 +38,9 @@
 	// Revision is the revision that the edit was made on, zero for one that
 	// was never edited.
 	Revision uint64 `json:"revision"`
+	// Force makes the edit whatever the revision is, for operators whose
+	// orders name none.
+	Force bool `json:"force,omitempty"`
 }
 
 // RegisterWorker adds a worker or changes its registration.
--- /dev/null
+++ b/configuration/check.go
@@ -0,0 +1,77 @@
+package configuration
+
+import (
+	"fmt"
+
+	"github.com/plantainladder/plantainladder/shape"
+)
+
+// MaxQueues bounds the queues of a document.
+const MaxQueues = 20_000
+
+// Check returns a *shape.FieldError for the first fault, nil for none.
+func (d Document) Check() *shape.FieldError {
+	if d.Version == 0 {
+		return newFieldError("version", "must be above 0")
+	}
+	if len(d.Queues) > MaxQueues {
+		return newFieldError("queues", fmt.Sprintf("more than %d", MaxQueues))
+	}
+	if err := d.checkQueues(); err != nil {
+		return err
+	}
+	return d.checkTokens()
+}
+
+func (d Document) checkQueues() *shape.FieldError {
+	pools := make(map[string]bool, len(d.Pools))
+	for _, p := range d.Pools {
+		pools[p.Name] = true
+	}
+	type place struct {
+		host, prefix string
+	}
+	places := make(map[place]string, len(d.Queues))
+	for _, q := range d.Queues {
+		at := place{
+			host:   q.Host,
+			prefix: q.Prefix,
+		}
+		other, taken := places[at]
+		switch {
+		case q.Name == "":
+			return newFieldError("queues.name", "must not be empty")
+		case q.Timeout <= 0:
+			return newFieldError("queues.timeout", fmt.Sprintf("queue %q has no timeout", q.Name))
+		case !pools[q.Pool]:
+			return newFieldError("queues.pool", fmt.Sprintf("queue %q names the unknown pool %q", q.Name, q.Pool))
+		case taken:
+			return newFieldError("queues.prefix", fmt.Sprintf("queues %q and %q share a host and a prefix", other, q.Name))
+		}
+		places[at] = q.Name
+	}
+	return nil
+}
+
+func (d Document) checkTokens() *shape.FieldError {
+	holders := map[string]string{}
+	for _, o := range d.Organisations {
+		if o.Name == "" {
+			return newFieldError("organisations.name", "must not be empty")
+		}
+		for _, t := range o.Tokens {
+			if other, taken := holders[t]; taken && other != o.Name {
+				return newFieldError("organisations.tokens", fmt.Sprintf("%q and %q share a token", other, o.Name))
+			}
+			holders[t] = o.Name
+		}
+	}
+	return nil
+}
+
+func newFieldError(field, problem string) *shape.FieldError {
+	return &shape.FieldError{
+		Field:   field,
+		Problem: problem,
+	}
+}
--- a/control/core.go
+++ b/control/core.go
@@ -10,6 +10,7 @@
 
 	plantainladder "github.com/plantainladder/plantainladder"
 	"github.com/plantainladder/plantainladder/consensus"
+	"github.com/plantainladder/plantainladder/dispatch"
 	"github.com/plantainladder/plantainladder/schedule"
 )
 
@@ -32,6 +33,11 @@
 	KeepEntries uint64
 	// Policy is the scheduler's policy.
 	Policy schedule.Policy
+	// Dispatch bounds the decisions on workflows; its zero value turns them off.
+	Dispatch dispatch.Config
+	// Voters is the number of voters that the group fills itself up to with
+	// controllers that ask to join; zero if operators bring members in.
+	Voters int
 }
 
 // waiter is a request that waits for its entry to be committed.
@@ -96,6 +102,11 @@
 
 // Step returns the core after an event and what is to be done.
 func (c Core) Step(now time.Time, e Event) (Core, []Effect) {
+	c, out := c.step(now, e)
+	return c.runDispatch(now, e, out)
+}
+
+func (c Core) step(now time.Time, e Event) (Core, []Effect) {
 	switch e := e.(type) {
 	case Tick:
 		c, out := c.stepReplica(now, consensus.Tick{
@@ -109,6 +120,14 @@
 			Letter: e.Letter,
 		})
 	case Submit:
+		if !c.isOpen(now) {
+			return c, []Effect{
+				Reply{
+					Token:  e.Token,
+					Answer: Busy{},
+				},
+			}
+		}
 		return c.stepSubmit(now, e)
 	case Ask:
 		return c.stepAsk(now, e)
@@ -136,6 +155,10 @@
 		return c.stepReplica(now, consensus.Transfer{})
 	case Pushed:
 		return c.stepPushed(e), nil
+	case Observe:
+		return c.stepObserve(now, e), nil
+	case Join:
+		return c.stepJoin(now, e)
 	}
 	return c, nil
 }
@@ -348,7 +371,7 @@
 	}
 	if c.replica.IsLeader() {
 		if c.lead == nil || c.lead.term != f.Term {
-			c.lead = newLead(now, f.Term)
+			c.lead = newLead(now, f.Term, c.cfg.Dispatch)
 		}
 		return c, out
 	}
--- /dev/null
+++ b/control/dispatch.go
@@ -0,0 +1,74 @@
+package control
+
+import (
+	"time"
+
+	plantainladder "github.com/plantainladder/plantainladder"
+	"github.com/plantainladder/plantainladder/dispatch"
+)
+
+// Observe brings what was learned of a pool's worker.
+type Observe struct {
+	// Observation is what was learned.
+	Observation dispatch.Observation
+}
+
+func (Observe) event() {}
+
+// SendOrder sends an order to a pool's worker. The answer comes as an Observe.
+type SendOrder struct {
+	// Order is the order.
+	Order dispatch.Order
+}
+
+// Explain tells the log of the process what was decided about a run.
+type Explain struct {
+	// Note is the decision.
+	Note dispatch.Note
+}
+
+func (SendOrder) effect() {}
+func (Explain) effect()   {}
+
+func (c Core) stepObserve(now time.Time, e Observe) Core {
+	if c.lead == nil {
+		return c
+	}
+	l := *c.lead
+	l.board = l.board.With(now, e.Observation)
+	c.lead = &l
+	return c
+}
+
+// runDispatch decides on workflows, if something happened or time has passed.
+// Only a leader with a lease does: a leader that may have been deposed must not
+// renew the leases of workers.
+func (c Core) runDispatch(now time.Time, e Event, out []Effect) (Core, []Effect) {
+	if c.lead == nil || !c.cfg.Dispatch.IsEnabled() || !c.HasLease(now) {
+		return c, out
+	}
+	if _, isTick := e.(Tick); !isTick && !c.lead.board.IsDirty() {
+		return c, out
+	}
+	board, plan := c.lead.board.Sweep(now, dispatch.NewScene(c.state), func(r plantainladder.Round) dispatch.Scene {
+		return dispatch.NewScene(c.state.WithRound(now, r))
+	})
+	l := *c.lead
+	l.board = board
+	c.lead = &l
+	for _, o := range plan.Orders {
+		out = append(out, SendOrder{
+			Order: o,
+		})
+	}
+	for _, n := range plan.Notes {
+		out = append(out, Explain{
+			Note: n,
+		})
+	}
+	if plan.Round == nil {
+		return c, out
+	}
+	c, more := c.propose(now, *plan.Round)
+	return c, append(out, more...)
+}
--- a/control/lead.go
+++ b/control/lead.go
@@ -5,6 +5,7 @@
 
 	"github.com/benbjohnson/immutable"
 
+	"github.com/plantainladder/plantainladder/dispatch"
 	"github.com/plantainladder/plantainladder/lease"
 	"github.com/plantainladder/plantainladder/minion"
 	"github.com/plantainladder/plantainladder/schedule"
@@ -29,6 +30,8 @@
 	settled bool
 	sweepAt time.Time
 	planAt  time.Time
+	// board is what is known of the workers of pools.
+	board dispatch.Board
 }
 
 // A gateway is what the leader knows of a gateway.
@@ -75,7 +78,7 @@
 	return a == b
 }
 
-func newLead(now time.Time, term uint64) *lead {
+func newLead(now time.Time, term uint64, cfg dispatch.Config) *lead {
 	return &lead{
 		term:     term,
 		since:    now,
@@ -86,6 +89,7 @@
 		digests:  immutable.NewMap[uint64, string](nil),
 		orders:   immutable.NewMap[orderKey, time.Time](refHasher{}),
 		dirty:    true,
+		board:    dispatch.NewBoard(now, cfg, term),
 	}
 }
 
@@ -112,11 +116,12 @@
 }
 
 func (l *lead) withDirty() *lead {
-	if l.dirty {
+	if l.dirty && l.board.IsDirty() {
 		return l
 	}
 	next := *l
 	next.dirty = true
+	next.board = next.board.WithDirty()
 	return &next
 }
 
--- a/controller/gateway/server.go
+++ b/controller/gateway/server.go
@@ -40,6 +40,7 @@
 	rpc.Handle(s, wire.MethodPoll, g.poll)
 	rpc.Handle(s, wire.MethodCommand, g.command)
 	g.registerQueries(s)
+	g.registerWorkflows(s)
 	return g
 }
 
--- /dev/null
+++ b/controller/gateway/workflow.go
@@ -0,0 +1,244 @@
+package gateway
+
+import (
+	"context"
+	"strings"
+
+	plantainladder "github.com/plantainladder/plantainladder"
+	"github.com/plantainladder/plantainladder/configuration"
+	"github.com/plantainladder/plantainladder/control"
+	"github.com/plantainladder/plantainladder/dispatch"
+	"github.com/plantainladder/plantainladder/rpc"
+	"github.com/plantainladder/plantainladder/wire"
+)
+
+func (g *Server) registerWorkflows(s *rpc.Server) {
+	rpc.Handle(s, wire.MethodSubmit, g.submit)
+	rpc.Handle(s, wire.MethodCancel, g.cancel)
+	rpc.Handle(s, wire.MethodLook, g.look)
+	rpc.Handle(s, wire.MethodConfiguration, g.configuration)
+	rpc.Handle(s, wire.MethodReport, g.report)
+	rpc.Handle(s, wire.MethodJoin, g.join)
+}
+
+// route finds the queue of a call and the identifier in its path. The second
+// result is false if the verdict is final.
+func route(d configuration.Document, c wire.Call) (configuration.Queue, wire.Verdict, bool) {
+	if d.IsZero() {
+		return configuration.Queue{}, wire.Verdict{
+			Kind: wire.VerdictUnconfigured,
+		}, false
+	}
+	q, ok := d.QueueAt(c.Host, c.Path)
+	if !ok {
+		return q, wire.Verdict{
+			Kind: wire.VerdictNoQueue,
+		}, false
+	}
+	v := wire.Verdict{
+		Kind:  wire.VerdictDone,
+		Queue: q.Name,
+		ID:    strings.TrimPrefix(c.Path, q.Prefix),
+	}
+	if _, known := d.Holder(c.Token); !known && !q.Public {
+		v.Kind = wire.VerdictBadToken
+		return q, v, false
+	}
+	return q, v, true
+}
+
+// verdicts maps the reasons of refused commands.
+var verdicts = map[plantainladder.Reason]wire.VerdictKind{
+	plantainladder.RefusedField:        wire.VerdictBadField,
+	plantainladder.RefusedOrganisation: wire.VerdictBadToken,
+	plantainladder.RefusedNotOwner:     wire.VerdictTaken,
+	plantainladder.RefusedFull:         wire.VerdictFull,
+}
+
+// judge completes a verdict by a command's outcome.
+func judge(v wire.Verdict, o plantainladder.Outcome) wire.Verdict {
+	v.Field, v.Detail = o.Field, o.Detail
+	switch kind, ok := verdicts[o.Reason]; {
+	case o.IsAccepted():
+		v.Kind = wire.VerdictDone
+	case o.Reason == plantainladder.RefusedUnknown && o.Field == "queue":
+		v.Kind = wire.VerdictNoQueue
+	case o.Reason == plantainladder.RefusedUnknown:
+		v.Kind = wire.VerdictNoWorkflow
+	case ok:
+		v.Kind = kind
+	default:
+		v.Kind = wire.VerdictFull
+	}
+	return v
+}
+
+// commit replicates a command. Without an outcome the caller is to ask again:
+// every command here may be repeated.
+func (g *Server) commit(ctx context.Context, c plantainladder.Command) (o plantainladder.Outcome, again wire.Answer[wire.Verdict], ok bool) {
+	a := g.ask(ctx, func(token uint64) control.Event {
+		return control.Submit{
+			Token:   token,
+			Command: c,
+		}
+	})
+	switch a := a.(type) {
+	case control.Done:
+		return a.Outcome, again, true
+	case control.NotLeader:
+		again.Redirect = a.Redirect
+	case control.Busy, control.Lost, control.Refused, control.Polled:
+	}
+	return o, again, false
+}
+
+func verdict(v wire.Verdict) wire.Answer[wire.Verdict] {
+	return wire.Answer[wire.Verdict]{
+		Leader: true,
+		Body:   v,
+	}
+}
+
+// leaderOnly returns the published state of a leader with a lease, or where
+// else to ask.
+func (g *Server) leaderOnly() (core control.Core, elsewhere string, ok bool) {
+	core = g.cfg.Core()
+	return core, core.LeaderAddress(), core.HasLease(g.cfg.Clock())
+}
+
+func (g *Server) submit(ctx context.Context, s wire.Submission) (answer wire.Answer[wire.Verdict], err error) {
+	core, elsewhere, ok := g.leaderOnly()
+	if !ok {
+		answer.Redirect = elsewhere
+		return answer, nil
+	}
+	q, v, ok := route(core.State().Configuration(), s.Call)
+	switch {
+	case !ok:
+		return verdict(v), nil
+	case q.IsAdvised:
+		v.Kind = wire.VerdictUnsupported
+		v.Detail = "queues with advice are not served"
+		return verdict(v), nil
+	}
+	s.Spec.ID, s.Spec.Queue = v.ID, v.Queue
+	o, again, ok := g.commit(ctx, plantainladder.SubmitWorkflow{
+		Spec:  s.Spec,
+		Token: s.Token,
+	})
+	if !ok {
+		return again, nil
+	}
+	return verdict(judge(v, o)), nil
+}
+
+func (g *Server) cancel(ctx context.Context, c wire.Call) (answer wire.Answer[wire.Verdict], err error) {
+	core, elsewhere, ok := g.leaderOnly()
+	if !ok {
+		answer.Redirect = elsewhere
+		return answer, nil
+	}
+	_, v, ok := route(core.State().Configuration(), c)
+	if !ok {
+		return verdict(v), nil
+	}
+	o, again, ok := g.commit(ctx, plantainladder.CancelWorkflow{
+		ID:    v.ID,
+		Queue: v.Queue,
+		Token: c.Token,
+	})
+	if !ok {
+		return again, nil
+	}
+	return verdict(judge(v, o)), nil
+}
+
+// look answers what a workflow's state is, or how many of a queue's workflows
+// wait, if the path names no workflow.
+func (g *Server) look(_ context.Context, c wire.Call) (answer wire.Answer[wire.Verdict], err error) {
+	core, elsewhere, ok := g.leaderOnly()
+	if !ok {
+		answer.Redirect = elsewhere
+		return answer, nil
+	}
+	state := core.State()
+	_, v, ok := route(state.Configuration(), c)
+	if !ok {
+		return verdict(v), nil
+	}
+	if v.ID == "" {
+		v.Pending = state.PendingWorkflows(v.Queue)
+		return verdict(v), nil
+	}
+	holder, _ := state.Configuration().Holder(c.Token)
+	w, ok := state.Workflow(v.ID)
+	if !ok || w.Spec.Organisation != holder.Name {
+		v.Kind = wire.VerdictNoWorkflow
+		return verdict(v), nil
+	}
+	v.Status = w.Status()
+	return verdict(v), nil
+}
+
+// configuration answers with the newest document. The leader commits an entry
+// first: one that was frozen and deposed would answer with an old document.
+func (g *Server) configuration(ctx context.Context, _ wire.Nothing) (answer wire.Answer[wire.Document], err error) {
+	_, again, ok := g.commit(ctx, plantainladder.Confirm{})
+	if !ok {
+		answer.Redirect = again.Redirect
+		return answer, nil
+	}
+	d := g.cfg.Core().State().Configuration()
+	return wire.Answer[wire.Document]{
+		Leader: true,
+		Body: wire.Document{
+			Version: d.Version,
+			Source:  d.Source,
+		},
+	}, nil
+}
+
+// report takes a worker's announcement. One that brings something new is
+// committed before it is acknowledged, so that every later leader knows it.
+func (g *Server) report(ctx context.Context, r wire.Report) (answer wire.Answer[wire.Verdict], err error) {
+	core, elsewhere, ok := g.leaderOnly()
+	if !ok {
+		answer.Redirect = elsewhere
+		return answer, nil
+	}
+	known, ok := core.State().PoolWorker(r.Worker.ID)
+	if !ok || r.Worker.Supersedes(known) {
+		if _, again, ok := g.commit(ctx, plantainladder.Announce{
+			Worker: r.Worker,
+		}); !ok {
+			return again, nil
+		}
+	}
+	err = g.cfg.Post(ctx, control.Observe{
+		Observation: dispatch.Reported{
+			Worker:   r.Worker,
+			Sequence: r.Sequence,
+			ClockMS:  r.ClockMS,
+		},
+	})
+	return verdict(wire.Verdict{
+		Kind: wire.VerdictDone,
+	}), err
+}
+
+// join asks the leader to bring a controller in. There is no answer to wait
+// for: the controller hears from the leader, or asks again.
+func (g *Server) join(ctx context.Context, j wire.Joiner) (answer wire.Answer[wire.Nothing], err error) {
+	core, elsewhere, ok := g.leaderOnly()
+	if !ok {
+		answer.Redirect = elsewhere
+		return answer, nil
+	}
+	answer.Leader = true
+	if _, known := core.Replica().Members().Get(j.Member.ID); known {
+		return answer, nil
+	}
+	return answer, g.cfg.Post(ctx, control.Join{
+		Member: j.Member,
+	})
+}
--- a/controller/main.go
+++ b/controller/main.go
@@ -9,6 +9,8 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/plantainladder/plantainladder/controller/node"
+	"github.com/plantainladder/plantainladder/member"
 	"github.com/plantainladder/plantainladder/util"
 )
 
@@ -33,6 +35,9 @@
 	logLevel      string
 	memoryMB      int
 	snapshotEvery int
+	voters        int
+	form          bool
+	seeds         []string
 }
 
 func loadSettings() settings {
@@ -47,7 +52,13 @@
 	s.Flags.IntVar(&cfg.memoryMB, "memory-mb", util.DefaultMemoryMB, "memory that the collector keeps to, in megabytes")
 	s.Flags.StringVar(&cfg.logLevel, "log-level", "info", "debug, info, warn or error")
 	s.Flags.IntVar(&cfg.snapshotEvery, "snapshot-every", defaultSnapshotEvery, "entries between two snapshots")
+	s.Flags.IntVar(&cfg.voters, "voters", 0, "number of voters that the group fills itself up to; 0 leaves it to operators")
+	s.Flags.BoolVar(&cfg.form, "form", false, "form the group, if this controller belongs to none; for one controller only")
+	seeds := s.Flags.String("seeds", "", "addresses of controllers to ask for being brought in, with commas")
 	s.MustLoad(func() {
+		cfg.seeds = util.SplitList(*seeds)
+		s.Require(cfg.voters >= 0 && cfg.voters <= member.MaxMembers, "voters: must be from 0 to %d", member.MaxMembers)
+		s.Require(cfg.voters > 0 || (!cfg.form && len(cfg.seeds) == 0), "voters: must be set with form and seeds")
 		s.Require(cfg.dataDir != "", "data-dir: must be set")
 		s.Require(cfg.clusterToken != "" || cfg.insecure, "cluster-token: must be set, or insecure-no-tokens given")
 		s.Require(cfg.workerToken != "" || cfg.insecure, "worker-token: must be set, or insecure-no-tokens given")
@@ -69,7 +80,20 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	n, err := newNode(ctx, cfg, logger)
+	n, err := node.New(ctx, node.Config{
+		Listen:        cfg.listen,
+		DataDir:       cfg.dataDir,
+		ClusterToken:  cfg.clusterToken,
+		WorkerToken:   cfg.workerToken,
+		Source:        cfg.source,
+		SnapshotEvery: cfg.snapshotEvery,
+		Voters:        cfg.voters,
+		Form:          cfg.form,
+		Seeds: func() []string {
+			return cfg.seeds
+		},
+		Logger: logger,
+	})
 	if err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, err)
 		os.Exit(util.ExitFailure)
@@ -81,7 +105,7 @@
 		<-stop
 		close(stopping)
 	}()
-	if err = n.run(ctx, stopping); err != nil {
+	if err = n.Run(ctx, stopping); err != nil {
 		logger.Error().Str("part", "controller").Err(err).Msg("Controller ends.")
 		os.Exit(util.ExitFailure)
 	}
--- a/controller/meters.go
+++ b/controller/node/meters.go
@@ -1,4 +1,4 @@
-package main
+package node
 
 import (
 	"fmt"
@@ -92,6 +92,9 @@
 		"controller_active_jobs":  float64(counts.Active),
 		"controller_claims":       float64(counts.Claims),
 		"controller_outcomes":     float64(counts.Outcomes),
+		"controller_workflows":    float64(counts.Workflows),
+		"controller_unsettled":    float64(counts.Unsettled),
+		"controller_pool_workers": float64(counts.PoolWorkers),
 	} {
 		metrics.GetOrCreateGauge(name, nil).Set(v)
 	}
--- a/controller/node.go
+++ b/controller/node/node.go
@@ -1,4 +1,6 @@
-package main
+// Package node composes a controller: the control state, its disk, the other
+// controllers, and those who ask it.
+package node
 
 import (
 	"context"
@@ -20,6 +22,7 @@
 	"github.com/plantainladder/plantainladder/controller/replica"
 	"github.com/plantainladder/plantainladder/controller/worker"
 	"github.com/plantainladder/plantainladder/loop"
+	"github.com/plantainladder/plantainladder/member"
 	"github.com/plantainladder/plantainladder/rpc"
 	"github.com/plantainladder/plantainladder/schedule"
 	"github.com/plantainladder/plantainladder/util"
@@ -41,9 +44,9 @@
 	stopTimeout     = 3 * time.Second
 )
 
-// A node is one running controller.
-type node struct {
-	cfg     settings
+// A Node is one running controller.
+type Node struct {
+	cfg     Config
 	logger  zerolog.Logger
 	folder  *disk.Folder
 	log     *disk.Log
@@ -56,10 +59,10 @@
 	ctx     context.Context
 }
 
-// newNode returns a controller as its data folder remembers it.
-func newNode(ctx context.Context, cfg settings, logger zerolog.Logger) (n *node, err error) {
+// New returns a controller as its data folder remembers it.
+func New(ctx context.Context, cfg Config) (n *Node, err error) {
 	defer util.Annotate(&err, "controller: start")
-	folder, err := disk.OpenFolder(cfg.dataDir)
+	folder, err := disk.OpenFolder(cfg.DataDir)
 	if err != nil {
 		return nil, err
 	}
@@ -71,15 +74,18 @@
 	if err != nil {
 		return nil, errors.Join(err, folder.Close())
 	}
-	n = &node{
+	n = &Node{
 		cfg:     cfg,
-		logger:  util.ForPart(logger, "controller"),
+		logger:  util.ForPart(cfg.Logger, "controller"),
 		folder:  folder,
 		log:     log,
 		tickets: gateway.NewTickets(),
 		meters:  newMeters(),
 		ctx:     ctx,
 	}
+	if n.cfg.Advertise == "" {
+		n.cfg.Advertise = cfg.Listen
+	}
 	n.loop = loop.New(loop.Config[control.Core, control.Event, control.Effect]{
 		Initial: core,
 		Step:    control.Core.Step,
@@ -87,14 +93,14 @@
 		Clock:   time.Now,
 		Queue:   eventQueue,
 	})
-	n.connect(logger)
+	n.connect(cfg.Logger)
 	n.logger.Info().Str("id", folder.ID()).Int("entries", len(recovered.Saved.Entries)).
 		Uint64("snapshot", recovered.Saved.Snapshot.Index).Int64("torn-bytes", recovered.Torn).
 		Msg("Data folder is read.")
 	return n, nil
 }
 
-func newCore(cfg settings, id string, r disk.Recovered) (c control.Core, err error) {
+func newCore(cfg Config, id string, r disk.Recovered) (c control.Core, err error) {
 	state := plantainladder.NewState()
 	if r.State != nil {
 		if state, err = wire.UnmarshalState(r.State); err != nil {
@@ -114,14 +120,16 @@
 			Encode: wire.MarshalEnvelope,
 			Decode: wire.UnmarshalEnvelope,
 		},
-		SnapshotEvery: uint64(cfg.snapshotEvery),
+		SnapshotEvery: uint64(cfg.SnapshotEvery),
 		KeepEntries:   keepEntries,
 		Policy:        schedule.Guaranteed{},
+		Dispatch:      cfg.Dispatch,
+		Voters:        cfg.Voters,
 	}, rep, state), nil
 }
 
 // connect makes the parts that do the control state's work.
-func (n *node) connect(logger zerolog.Logger) {
+func (n *Node) connect(logger zerolog.Logger) {
 	n.writer = disk.NewWriter(disk.WriterConfig{
 		Folder: n.folder,
 		Log:    n.log,
@@ -135,16 +143,16 @@
 		Queue:   diskQueue,
 	})
 	n.peers = replica.NewPeers(replica.Config{
-		Token:  n.cfg.clusterToken,
-		Source: n.cfg.source,
+		Token:  n.cfg.ClusterToken,
+		Source: n.cfg.Source,
 		Self:   n.folder.ID(),
 		Folder: n.folder,
 		Logger: util.ForPart(logger, "controller/replica"),
 		Count:  n.meters.countBytes,
 	})
 	n.pusher = worker.NewPusher(worker.Config{
-		Token:  n.cfg.workerToken,
-		Source: n.cfg.source,
+		Token:  n.cfg.WorkerToken,
+		Source: n.cfg.Source,
 		Logger: util.ForPart(logger, "controller/worker"),
 		Pushed: func(e control.Pushed) {
 			_ = n.loop.Post(n.ctx, e)
@@ -152,80 +160,30 @@
 	})
 }
 
-// perform carries out one effect of the control state. It never blocks but for
-// a full disk queue.
-func (n *node) perform(f control.Effect) {
-	switch f := f.(type) {
-	case control.Write:
-		n.writer.Put(n.ctx, disk.Append{
-			Persist: f.Persist,
-		})
-	case control.Post:
-		n.post(f)
-	case control.StreamSnapshot:
-		n.peers.Stream(f.Address, f.Send)
-	case control.SaveSnapshot:
-		go n.saveSnapshot(f)
-	case control.AdoptSnapshot:
-		n.writer.Put(n.ctx, disk.Rewrite{
-			Snapshot: disk.Snapshot{
-				Meta:  f.Meta,
-				State: f.Encoded,
-			},
-			KeepAfter: disk.KeepNone,
-			Done:      func() {},
-		})
-	case control.Reply:
-		n.tickets.Answer(f.Token, f.Answer)
-	case control.Push:
-		n.pusher.Push(n.ctx, f)
-	case control.Note:
-		n.logger.Info().Msg(f.Text)
-	case control.Count:
-		n.meters.count(f)
-	}
-}
-
-func (n *node) post(f control.Post) {
-	if !f.AfterSync {
-		n.peers.Post(f.Address, f.ReturnTo, f.Letter)
-		return
-	}
-	n.writer.Put(n.ctx, disk.After{
-		Run: func() {
-			n.peers.Post(f.Address, f.ReturnTo, f.Letter)
+// joiner returns what brings this controller into the group by itself.
+func (n *Node) joiner() *replica.Joiner {
+	return replica.NewJoiner(replica.JoinConfig{
+		Peers: replica.Config{
+			Token:  n.cfg.ClusterToken,
+			Source: n.cfg.Source,
+			Logger: util.ForPart(n.cfg.Logger, "controller/replica"),
+			Count:  n.meters.countBytes,
 		},
-	})
-}
-
-// saveSnapshot encodes a state outside the control goroutine, which goes on
-// changing its own value meanwhile.
-func (n *node) saveSnapshot(f control.SaveSnapshot) {
-	began := time.Now()
-	state, err := wire.MarshalState(f.State)
-	if err != nil {
-		n.logger.Error().Err(err).Msg("Snapshot cannot be encoded.")
-		return
-	}
-	n.meters.observeSnapshot(len(state), time.Since(began))
-	n.writer.Put(n.ctx, disk.Rewrite{
-		Snapshot: disk.Snapshot{
-			Meta:  f.Meta,
-			State: state,
-		},
-		KeepAfter: f.KeepAfter,
-		Done: func() {
-			_ = n.loop.Post(n.ctx, control.SnapshotSaved{
-				Index: f.Meta.Index,
-			})
+		Self: member.Member{
+			ID:      n.folder.ID(),
+			Address: n.cfg.Advertise,
 		},
+		Form:  n.cfg.Form,
+		Seeds: n.cfg.Seeds,
+		Post:  n.loop.Post,
+		Core:  n.loop.State,
 	})
 }
 
 // handler returns the controller's HTTP interface for the system's processes.
-func (n *node) handler() http.Handler {
+func (n *Node) handler() http.Handler {
 	s := rpc.NewServer(rpc.ServerConfig{
-		Token:    n.cfg.clusterToken,
+		Token:    n.cfg.ClusterToken,
 		MaxCalls: maxCalls,
 		Count:    n.meters.countBytes,
 	})
@@ -244,8 +202,8 @@
 		Core:    n.loop.State,
 		Tickets: n.tickets,
 		ID:      n.folder.ID(),
-		Token:   n.cfg.clusterToken,
-		Source:  n.cfg.source,
+		Token:   n.cfg.ClusterToken,
+		Source:  n.cfg.Source,
 	})
 	mux := http.NewServeMux()
 	mux.Handle("/rpc", s)
@@ -261,7 +219,7 @@
 }
 
 // serveReady answers 200 once the controller knows a leader.
-func (n *node) serveReady(w http.ResponseWriter, _ *http.Request) {
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if n.loop.State().Replica().Leader() == "" {
 		http.Error(w, "no leader is known", http.StatusServiceUnavailable)
 		return
@@ -269,11 +227,11 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// run serves until ctx ends or the disk fails. Before a planned stop it hands
+// Run serves until ctx ends or the disk fails. Before a planned stop it hands
 // the leadership over.
-func (n *node) run(ctx context.Context, stopping <-chan struct{}) (err error) {
+func (n *Node) Run(ctx context.Context, stopping <-chan struct{}) (err error) {
 	defer util.Annotate(&err, "controller: run")
-	listener, err := net.Listen("tcp", n.cfg.listen)
+	listener, err := net.Listen("tcp", n.cfg.Listen)
 	if err != nil {
 		return err
 	}
@@ -291,6 +249,9 @@
 			Jitter: rand.N(electionTimeout),
 		}
 	})
+	if n.cfg.Voters > 0 {
+		go n.joiner().Run(ctx)
+	}
 	n.logger.Info().Str("address", listener.Addr().String()).Msg("Controller serves.")
 	select {
 	case err = <-failed:
@@ -302,7 +263,7 @@
 }
 
 // leave hands the leadership over and waits until another controller leads.
-func (n *node) leave(ctx context.Context) {
+func (n *Node) leave(ctx context.Context) {
 	n.logger.Info().Msg("Controller is stopping.")
 	_ = n.loop.Post(ctx, control.Leave{})
 	deadline := time.NewTimer(stopTimeout)
--- /dev/null
+++ b/controller/node/perform.go
@@ -0,0 +1,115 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/plantainladder/plantainladder/control"
+	"github.com/plantainladder/plantainladder/controller/disk"
+	"github.com/plantainladder/plantainladder/dispatch"
+	"github.com/plantainladder/plantainladder/wire"
+)
+
+// perform carries out one effect of the control state. It never blocks but for
+// a full disk queue.
+func (n *Node) perform(f control.Effect) {
+	switch f := f.(type) {
+	case control.Write:
+		n.writer.Put(n.ctx, disk.Append{
+			Persist: f.Persist,
+		})
+	case control.Post:
+		n.post(f)
+	case control.StreamSnapshot:
+		n.peers.Stream(f.Address, f.Send)
+	case control.SaveSnapshot:
+		go n.saveSnapshot(f)
+	case control.AdoptSnapshot:
+		n.writer.Put(n.ctx, disk.Rewrite{
+			Snapshot: disk.Snapshot{
+				Meta:  f.Meta,
+				State: f.Encoded,
+			},
+			KeepAfter: disk.KeepNone,
+			Done:      func() {},
+		})
+	case control.Reply:
+		n.tickets.Answer(f.Token, f.Answer)
+	case control.Push:
+		n.pusher.Push(n.ctx, f)
+	case control.SendOrder:
+		n.cfg.Send(f.Order, n.observe)
+	case control.Explain:
+		n.explain(f.Note)
+	case control.Note:
+		n.logger.Info().Msg(f.Text)
+	case control.Count:
+		n.meters.count(f)
+	}
+}
+
+// observe hands the answer of a pool's worker to the control state.
+func (n *Node) observe(a dispatch.Answered) {
+	_ = n.loop.Post(n.ctx, control.Observe{
+		Observation: a,
+	})
+}
+
+// explain logs a decision on a run.
+func (n *Node) explain(d dispatch.Note) {
+	line := n.logger.Info().Str("reason", d.Reason)
+	if d.Ref.Workflow != "" {
+		line = line.Str("workflow", d.Ref.Workflow).Int("occurrence", d.Ref.Occurrence).
+			Int("step", d.Ref.Step).Int("index", d.Ref.Index).Int("run", d.Ref.Run)
+	}
+	if d.Worker != "" {
+		line = line.Str("worker", d.Worker)
+	}
+	line.Dur("age", d.Age).Msg(d.Text)
+}
+
+// Post queues an event of the control state.
+func (n *Node) Post(ctx context.Context, e control.Event) error {
+	return n.loop.Post(ctx, e)
+}
+
+// Core returns the published control state.
+func (n *Node) Core() control.Core {
+	return n.loop.State()
+}
+
+func (n *Node) post(f control.Post) {
+	if !f.AfterSync {
+		n.peers.Post(f.Address, f.ReturnTo, f.Letter)
+		return
+	}
+	n.writer.Put(n.ctx, disk.After{
+		Run: func() {
+			n.peers.Post(f.Address, f.ReturnTo, f.Letter)
+		},
+	})
+}
+
+// saveSnapshot encodes a state outside the control goroutine, which goes on
+// changing its own value meanwhile.
+func (n *Node) saveSnapshot(f control.SaveSnapshot) {
+	began := time.Now()
+	state, err := wire.MarshalState(f.State)
+	if err != nil {
+		n.logger.Error().Err(err).Msg("Snapshot cannot be encoded.")
+		return
+	}
+	n.meters.observeSnapshot(len(state), time.Since(began))
+	n.writer.Put(n.ctx, disk.Rewrite{
+		Snapshot: disk.Snapshot{
+			Meta:  f.Meta,
+			State: state,
+		},
+		KeepAfter: f.KeepAfter,
+		Done: func() {
+			_ = n.loop.Post(n.ctx, control.SnapshotSaved{
+				Index: f.Meta.Index,
+			})
+		},
+	})
+}
--- a/controller/replica/peers.go
+++ b/controller/replica/peers.go
@@ -93,7 +93,7 @@
 // Run sends until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
 	go p.runStreams(ctx)
-	clients := rpc.NewPool(p.clientConfig())
+	clients := rpc.NewPool(p.cfg.clientConfig())
 	defer clients.Close()
 	for {
 		select {
@@ -108,13 +108,13 @@
 	}
 }
 
-func (p *Peers) clientConfig() rpc.ClientConfig {
+func (cfg Config) clientConfig() rpc.ClientConfig {
 	return rpc.ClientConfig{
-		Token:       p.cfg.Token,
-		Source:      p.cfg.Source,
+		Token:       cfg.Token,
+		Source:      cfg.Source,
 		DialTimeout: dialTimeout,
 		Queue:       queueLength,
-		Count:       p.cfg.Count,
+		Count:       cfg.Count,
 	}
 }
 
@@ -138,7 +138,7 @@
 		return err
 	}
 	defer func() { _ = file.Close() }()
-	c := rpc.NewClient(p.clientConfig().WithAddress(s.address))
+	c := rpc.NewClient(p.cfg.clientConfig().WithAddress(s.address))
 	defer c.Close()
 	last := false
 	for offset := int64(0); !last; {
--- /dev/null
+++ b/dispatch/board.go
@@ -0,0 +1,184 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/benbjohnson/immutable"
+
+	plantainladder "github.com/plantainladder/plantainladder"
+	"github.com/plantainladder/plantainladder/pool"
+	"github.com/plantainladder/plantainladder/workflow"
+)
+
+// A Config bounds the decisions of a Board.
+type Config struct {
+	// Lease is how long a worker runs on without hearing from a leader. Source:
+	// the workers' longest lease, less the time of two renewals.
+	Lease time.Duration
+	// ReportEvery is the period of workers' announcements.
+	ReportEvery time.Duration
+	// StopTakes is the longest that a worker takes to stop a run.
+	StopTakes time.Duration
+	// OffRackFactor is how many times longer a task takes away from its data,
+	// or a gang that is bound to a rack on several.
+	OffRackFactor float64
+}
+
+// IsEnabled reports whether workflows are dispatched at all.
+func (cfg Config) IsEnabled() bool {
+	return cfg.Lease > 0
+}
+
+// Timing of orders.
+const (
+	// leaseMargin covers the time between a worker's clock and its timers.
+	leaseMargin = 100 * time.Millisecond
+	// startRetry is how long an answer to a start may take before it is sent
+	// again: several times the longest round trip between data centres.
+	startRetry = 300 * time.Millisecond
+	// startPatience is how long a start is tried. A gang's other members wait
+	// three seconds for it.
+	startPatience = 1200 * time.Millisecond
+	// stopRetry is as startRetry, for stops.
+	stopRetry = 300 * time.Millisecond
+	// HoldWait is the longest that a worker may wait for an end before it
+	// answers. Source: the workers' contract.
+	HoldWait = 2 * time.Second
+	// holdRetry is the pause after a hold without an answer.
+	holdRetry = 250 * time.Millisecond
+	// renewEvery bounds the time between two renewals of a lease while the
+	// ends of a worker wait for their commit.
+	renewEvery = 1500 * time.Millisecond
+	// trustSilence is how long a silent worker's lease is renewed on: longer
+	// and its tasks could never be given up.
+	trustSilence = 2500 * time.Millisecond
+	// brokenGrace is how long the members of a broken gang may take to end by
+	// themselves.
+	brokenGrace = 400 * time.Millisecond
+	// roundPatience is how long a round may take to be committed before its
+	// contents are proposed again.
+	roundPatience = 3 * time.Second
+)
+
+// A pendingRound is a round that was proposed and is not committed yet.
+type pendingRound struct {
+	id         uint64
+	at         time.Time
+	cursors    map[string]uint64
+	placements []workflow.Placement
+}
+
+// A Board is what a leader knows of workers.
+type Board struct {
+	cfg     Config
+	term    uint64
+	since   time.Time
+	views   *immutable.SortedMap[string, view]
+	pending *pendingRound
+	rounds  uint64
+	// isDirty is true if something happened since the last sweep.
+	isDirty bool
+}
+
+// roundsPerTerm separates the round numbers of two terms.
+const roundsPerTerm = 1 << 32
+
+// NewBoard returns the board of a leader whose term begins now.
+func NewBoard(now time.Time, cfg Config, term uint64) Board {
+	return Board{
+		cfg:     cfg,
+		term:    term,
+		since:   now,
+		views:   immutable.NewSortedMap[string, view](nil),
+		rounds:  term * roundsPerTerm,
+		isDirty: true,
+	}
+}
+
+// WithDirty returns b marked for a sweep.
+func (b Board) WithDirty() Board {
+	b.isDirty = true
+	return b
+}
+
+// IsDirty reports whether something happened since the last sweep.
+func (b Board) IsDirty() bool {
+	return b.isDirty
+}
+
+// IsWaiting reports whether a round is on its way to be committed.
+func (b Board) IsWaiting() bool {
+	return b.pending != nil
+}
+
+func (b Board) withView(v view) Board {
+	b.views = b.views.Set(v.worker.ID, v)
+	return b
+}
+
+// With returns b after an observation.
+func (b Board) With(now time.Time, o Observation) Board {
+	switch o := o.(type) {
+	case Reported:
+		return b.withReport(now, o)
+	case Answered:
+		return b.withAnswer(now, o)
+	}
+	return b
+}
+
+func (b Board) withReport(now time.Time, r Reported) Board {
+	v, ok := b.views.Get(r.Worker.ID)
+	switch {
+	case !ok || r.Worker.Born > v.worker.Born:
+		v = newView(r.Worker)
+		b.isDirty = true
+	case r.Worker.Born < v.worker.Born || r.Sequence <= v.sequence:
+		return b
+	case r.Worker.Supersedes(v.worker):
+		v.worker = r.Worker
+		b.isDirty = true
+	}
+	v.sequence = r.Sequence
+	v.heard = now
+	v = v.withClock(now, b.cfg, r.ClockMS, false)
+	return b.withView(v)
+}
+
+// withClock returns v after a reading of its clock. Leaders before this one may
+// have given a lease of full length right before the first reading.
+func (v view) withClock(now time.Time, cfg Config, ms int64, direct bool) view {
+	if ms != 0 && !v.clock.isKnown() {
+		v.promised = max(v.promised, ms+cfg.Lease.Milliseconds()+leaseMargin.Milliseconds())
+	}
+	v.clock = v.clock.withReading(now, ms, direct)
+	return v
+}
+
+// A Scene is the committed state as far as it concerns workflows.
+type Scene struct {
+	// Workflows holds the unsettled workflows in the order of submission.
+	Workflows []workflow.Workflow
+	// Workers holds the committed announcements.
+	Workers []pool.Worker
+	// IsOut reports whether a data centre is out of service.
+	IsOut func(dataCentre string) bool
+	// Guaranteed returns the accelerators that an organisation is guaranteed.
+	Guaranteed func(organisation string) int
+	// LastRound is the last round that was committed.
+	LastRound uint64
+}
+
+// NewScene returns the scene of a state.
+func NewScene(s plantainladder.State) Scene {
+	return Scene{
+		Workflows: s.UnsettledWorkflows(),
+		Workers:   s.PoolWorkers(),
+		IsOut:     s.IsOut,
+		Guaranteed: func(organisation string) int {
+			o, _ := s.Configuration().Organisation(organisation)
+			return o.GuaranteedAccelerators
+		},
+		LastRound: s.LastRound(),
+	}
+}
--- /dev/null
+++ b/dispatch/fleet.go
@@ -0,0 +1,165 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/plantainladder/plantainladder/pool"
+	"github.com/plantainladder/plantainladder/workflow"
+)
+
+// A node is a worker in a plan. Plans change their own nodes only.
+type node struct {
+	worker pool.Worker
+	// free is the room that nothing holds.
+	free pool.Room
+	// coming is the room of runs that are being stopped.
+	coming pool.Room
+	// holders are the runs that hold the rest.
+	holders []holder
+	// keptUntil keeps the node for a gang that waits for room; others may use
+	// it for tasks that end before. The zero time keeps it for nobody.
+	keptUntil time.Time
+}
+
+// A holder is a run that holds room on a node.
+type holder struct {
+	task     workflow.PlacedTask
+	priority int
+	// endsAt is when it is expected to end.
+	endsAt time.Time
+	// lost is the work, in weighted core-seconds, that a stop throws away.
+	lost float64
+	// isStopping is true if it is being stopped already.
+	isStopping bool
+}
+
+// A fleet is the nodes of one pool.
+type fleet struct {
+	nodes []*node
+	racks []*rack
+}
+
+// A rack is the nodes of one rack.
+type rack struct {
+	name  string
+	nodes []*node
+}
+
+// fleets returns the usable workers by pool.
+func (s *sweeper) fleets(scene Scene) map[string]*fleet {
+	holders := s.holders(scene)
+	m := map[string]*fleet{}
+	for _, w := range scene.Workers {
+		v, ok := s.board.views.Get(w.ID)
+		if !ok || !s.isUsable(w, v) {
+			continue
+		}
+		n := &node{
+			worker:  w,
+			free:    w.Capacity,
+			holders: holders[w.ID],
+		}
+		for _, h := range n.holders {
+			n.free = n.free.Minus(h.task.Terms.Each)
+			if h.isStopping {
+				n.coming = n.coming.Plus(h.task.Terms.Each)
+			}
+		}
+		if m[w.Pool] == nil {
+			m[w.Pool] = &fleet{}
+		}
+		m[w.Pool].nodes = append(m[w.Pool].nodes, n)
+	}
+	for _, f := range m {
+		f.racks = racksOf(f.nodes)
+	}
+	return m
+}
+
+// heardWithin is the number of announcements that a worker may miss before it
+// gets no new tasks.
+const heardWithin = 3
+
+// isUsable reports whether new tasks may go to a worker.
+func (s *sweeper) isUsable(w pool.Worker, v view) bool {
+	isCurrent := v.worker.Born == w.Born && v.clock.isKnown()
+	isHeard := s.now.Sub(v.heard) < heardWithin*s.board.cfg.ReportEvery
+	isStaying := !w.Leaving && !v.worker.Leaving && !s.scene.IsOut(w.DataCentre)
+	return isCurrent && isHeard && isStaying && !s.now.Before(v.avoidUntil)
+}
+
+func racksOf(nodes []*node) []*rack {
+	byName := map[string]*rack{}
+	var list []*rack
+	for _, n := range nodes {
+		name := n.worker.Rack()
+		r, ok := byName[name]
+		if !ok {
+			r = &rack{
+				name: name,
+			}
+			byName[name] = r
+			list = append(list, r)
+		}
+		r.nodes = append(r.nodes, n)
+	}
+	slices.SortFunc(list, func(a, b *rack) int {
+		return cmp.Compare(a.name, b.name)
+	})
+	return list
+}
+
+// holders returns the runs that hold room, by worker.
+func (s *sweeper) holders(scene Scene) map[string][]holder {
+	m := map[string][]holder{}
+	for _, w := range scene.Workflows {
+		for _, t := range w.PlacedTasks() {
+			v, _ := s.board.views.Get(t.Worker)
+			r := v.runs[t.Ref]
+			m[t.Worker] = append(m[t.Worker], holder{
+				task:       t,
+				priority:   w.Terms.Priority,
+				endsAt:     s.expectedEnd(v, t),
+				lost:       s.lostWork(v, t),
+				isStopping: r.unwanted != "" || !t.IsWanted,
+			})
+		}
+	}
+	return m
+}
+
+// overrun is how long a run that has outlived its estimate is expected to go
+// on, as a part of the estimate.
+const overrun = 4
+
+// expectedEnd returns when a run should end, by its progress if it is known.
+func (s *sweeper) expectedEnd(v view, t workflow.PlacedTask) time.Time {
+	end := t.At.Add(t.Terms.Estimate)
+	r, listed := v.runs[t.Ref], v.listed[t.Ref]
+	if listed.Percent > 0 && !r.accepted.IsZero() {
+		elapsed := v.listedAt.Sub(r.accepted)
+		end = r.accepted.Add(elapsed * 100 / time.Duration(listed.Percent))
+	}
+	if end.Before(s.now) {
+		return s.now.Add(t.Terms.Estimate / overrun)
+	}
+	return end
+}
+
+// savedWithin is how much work, at most, a run that saves its progress loses
+// when it is stopped.
+const savedWithin = 500 * time.Millisecond
+
+func (s *sweeper) lostWork(v view, t workflow.PlacedTask) float64 {
+	since := t.At
+	if r, ok := v.runs[t.Ref]; ok && !r.accepted.IsZero() {
+		since = r.accepted
+	}
+	elapsed := max(s.now.Sub(since), 0)
+	if t.Terms.Checkpoints {
+		elapsed = min(elapsed, savedWithin)
+	}
+	return elapsed.Seconds() * t.Terms.Each.WeightedCores()
+}
--- /dev/null
+++ b/dispatch/run.go
@@ -0,0 +1,156 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/plantainladder/plantainladder/workflow"
+)
+
+// sweepRun decides what a worker is told about one run that has a place there.
+func (s *sweeper) sweepRun(v view, t workflow.PlacedTask) view {
+	r := v.runs[t.Ref]
+	mayHaveStarted := !r.isOurs || r.starts > 0
+	if mayHaveStarted && v.worker.Born == t.Born && v.isLeaseOver(s.now) {
+		s.end(t, workflow.EndedLost, "lease-over", s.now.Sub(v.answered))
+		return v
+	}
+	if v.hasFinish(t.Ref) {
+		return v
+	}
+	if r.unwanted == "" {
+		r = s.judge(v, t, r)
+	}
+	if r.unwanted != "" {
+		return s.stopRun(v, t, r)
+	}
+	return s.startRun(v, t, r)
+}
+
+// judge returns r marked with the reason to end it, if there is one.
+func (s *sweeper) judge(v view, t workflow.PlacedTask, r run) run {
+	isStarted := !r.accepted.IsZero()
+	_, isListed := v.listed[t.Ref]
+	switch {
+	case !t.IsWanted:
+		r.unwanted = reasonDecided
+	case v.worker.Born != t.Born:
+		r.unwanted = reasonReborn
+	case s.isBroken[t.Ref]:
+		if r.brokenAt.IsZero() {
+			r.brokenAt = s.now
+		}
+		if s.now.Sub(r.brokenAt) >= brokenGrace || !isStarted {
+			r.unwanted = reasonBroken
+		}
+	case r.isRefused:
+		r.unwanted = reasonRefused
+	case !isStarted && v.worker.Leaving:
+		r.unwanted = reasonLeaving
+	case !isStarted && s.scene.IsOut(v.worker.DataCentre):
+		r.unwanted = reasonOut
+	case !isStarted && r.starts > 0 && s.now.Sub(r.firstStart) >= startPatience:
+		r.unwanted = reasonNoAnswer
+	case isStarted && v.listedAt.After(r.accepted) && !isListed:
+		r.unwanted = reasonVanished
+	}
+	if r.unwanted != "" {
+		s.note(Note{
+			Text:   "Run is to end.",
+			Ref:    t.Ref,
+			Worker: v.worker.ID,
+			Reason: string(r.unwanted),
+			Age:    s.now.Sub(v.heard),
+		})
+	}
+	return r
+}
+
+// startRun sends a start until it is answered. A run that an earlier leader
+// placed may be there: the worker is asked first.
+func (s *sweeper) startRun(v view, t workflow.PlacedTask, r run) view {
+	isAsked := r.isOurs || !v.listedAt.IsZero()
+	if !r.accepted.IsZero() || !isAsked || !v.clock.isKnown() || s.now.Sub(r.lastStart) < startRetry {
+		return v.withRun(t.Ref, r)
+	}
+	if r.starts == 0 {
+		r.firstStart = s.now
+	}
+	r.lastStart = s.now
+	r.starts++
+	r.open++
+	lease := v.clock.now(s.now) + s.board.cfg.Lease.Milliseconds()
+	v.promised = max(v.promised, lease)
+	w := s.workflow(t.Workflow)
+	s.send(Start{
+		Target:     s.target(v),
+		Ref:        t.Ref,
+		Payload:    w.Spec.Payload,
+		Checkpoint: w.StartCheckpoint(t.Key),
+		LeaseUntil: lease,
+	})
+	return v.withRun(t.Ref, r)
+}
+
+func (s *sweeper) workflow(id string) workflow.Workflow {
+	for _, w := range s.scene.Workflows {
+		if w.Spec.ID == id {
+			return w
+		}
+	}
+	return workflow.Workflow{}
+}
+
+// stopRun sends a stop until it is obeyed, and ends the run once the worker
+// does not list it any more. A run that no start can have reached ends at once.
+func (s *sweeper) stopRun(v view, t workflow.PlacedTask, r run) view {
+	isUntouched := r.isOurs && r.starts == 0
+	isDeclined := r.isOurs && r.isRefused && r.starts == 1
+	if isUntouched || isDeclined {
+		s.end(t, workflow.EndedUnstarted, string(r.unwanted), 0)
+		return v.withRun(t.Ref, r)
+	}
+	if r.stopped.IsZero() {
+		return s.sendStop(v, t.Ref, r)
+	}
+	_, isListed := v.listed[t.Ref]
+	switch {
+	case v.listedAt.After(r.stopped) && !isListed:
+		s.end(t, workflow.EndedLost, string(r.unwanted), s.now.Sub(v.listedAt))
+	case isListed && s.now.Sub(r.stopped) > s.board.cfg.StopTakes+time.Second:
+		return s.sendStop(v, t.Ref, r)
+	}
+	return v.withRun(t.Ref, r)
+}
+
+func (s *sweeper) sendStop(v view, ref workflow.Ref, r run) view {
+	if s.now.Sub(r.lastStop) >= stopRetry {
+		r.lastStop = s.now
+		s.send(Stop{
+			Target: s.target(v),
+			Ref:    ref,
+		})
+	}
+	return v.withRun(ref, r)
+}
+
+// stopGhosts stops runs that a worker lists though they have no place there.
+func (s *sweeper) stopGhosts(v view) view {
+	for ref := range v.listed {
+		if s.refs[ref] || v.hasFinish(ref) {
+			continue
+		}
+		s.send(Stop{
+			Target: s.target(v),
+			Ref:    ref,
+		})
+		s.note(Note{
+			Text:   "Worker runs what has no place there.",
+			Ref:    ref,
+			Worker: v.worker.ID,
+			Reason: "stopped",
+			Age:    s.now.Sub(v.listedAt),
+		})
+		v = v.withoutListed(ref)
+	}
+	return v
+}
--- /dev/null
+++ b/dispatch/sweep.go
@@ -0,0 +1,285 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	plantainladder "github.com/plantainladder/plantainladder"
+	"github.com/plantainladder/plantainladder/pool"
+	"github.com/plantainladder/plantainladder/workflow"
+)
+
+// A Note is a decision for the log.
+type Note struct {
+	// Text is a short sentence.
+	Text string
+	// Ref names the run that the decision is about; empty for none.
+	Ref workflow.Ref
+	// Worker is the worker that it is about; empty for none.
+	Worker string
+	// Reason says what decided it.
+	Reason string
+	// Age is how old the knowledge that decided it is.
+	Age time.Duration
+}
+
+// A Plan is what a sweep decided.
+type Plan struct {
+	// Orders are to be sent to workers.
+	Orders []Order
+	// Round is to be committed; nil for nothing.
+	Round *plantainladder.Round
+	// Notes are for the log.
+	Notes []Note
+}
+
+// sweeper is the working copy of one sweep.
+type sweeper struct {
+	board     Board
+	now       time.Time
+	scene     Scene
+	plan      Plan
+	committed map[string]pool.Worker
+	placed    map[string][]workflow.PlacedTask
+	refs      map[workflow.Ref]bool
+	// isBroken holds the gang runs of which some member has no place any more.
+	isBroken map[workflow.Ref]bool
+	ends     []workflow.End
+}
+
+// Sweep returns the board after it has looked at everything: which orders are
+// due, which runs have ended, and what to place. After returns the scene as it
+// will be once a round is committed.
+func (b Board) Sweep(now time.Time, scene Scene, after func(r plantainladder.Round) Scene) (Board, Plan) {
+	b.isDirty = false
+	s := &sweeper{
+		board:     b,
+		now:       now,
+		scene:     scene,
+		committed: map[string]pool.Worker{},
+		placed:    map[string][]workflow.PlacedTask{},
+		refs:      map[workflow.Ref]bool{},
+		isBroken:  map[workflow.Ref]bool{},
+	}
+	s.settle()
+	s.index()
+	for _, id := range s.workerIDs() {
+		s.sweepWorker(id)
+	}
+	if !s.board.IsWaiting() {
+		s.propose(after)
+	}
+	return s.board, s.plan
+}
+
+// settle takes note of a round that was committed.
+func (s *sweeper) settle() {
+	p := s.board.pending
+	if p == nil {
+		return
+	}
+	if s.scene.LastRound != p.id {
+		if s.now.Sub(p.at) > roundPatience {
+			s.board.pending = nil
+			s.note(Note{
+				Text:   "Round was not committed in time.",
+				Reason: "proposed-again",
+				Age:    s.now.Sub(p.at),
+			})
+		}
+		return
+	}
+	s.board.pending = nil
+	for id, n := range p.cursors {
+		if v, ok := s.board.views.Get(id); ok {
+			s.board = s.board.withView(v.withCursor(n))
+		}
+	}
+	for _, place := range p.placements {
+		v, ok := s.board.views.Get(place.Worker)
+		if ok && v.worker.Born == place.Born {
+			s.board = s.board.withView(v.withRun(place.Ref, run{
+				isOurs: true,
+			}))
+		}
+	}
+}
+
+func (s *sweeper) index() {
+	for _, w := range s.scene.Workers {
+		s.committed[w.ID] = w
+	}
+	for _, w := range s.scene.Workflows {
+		for _, t := range w.PlacedTasks() {
+			s.placed[t.Worker] = append(s.placed[t.Worker], t)
+			s.refs[t.Ref] = true
+			if t.Terms.IsGang && w.IsOpen() {
+				s.indexGang(w, t)
+			}
+		}
+	}
+}
+
+// indexGang notes a gang's run as broken unless all members have places in it.
+func (s *sweeper) indexGang(w workflow.Workflow, t workflow.PlacedTask) {
+	r := w.Occurrences[t.Occurrence].Steps[t.Key.Step]
+	if r.IsDone(t.Terms) {
+		return
+	}
+	for _, other := range r.Tasks {
+		if _, ok := other.Place(); !ok || other.Run != t.Run {
+			s.isBroken[t.Ref] = true
+			return
+		}
+	}
+}
+
+func (s *sweeper) workerIDs() []string {
+	ids := map[string]bool{}
+	for id := range s.placed {
+		ids[id] = true
+	}
+	for itr := s.board.views.Iterator(); !itr.Done(); {
+		id, _, _ := itr.Next()
+		ids[id] = true
+	}
+	return slices.Sorted(maps.Keys(ids))
+}
+
+// sweepWorker decides what one worker is told.
+func (s *sweeper) sweepWorker(id string) {
+	tasks := s.placed[id]
+	v, ok := s.board.views.Get(id)
+	if !ok {
+		w, known := s.committed[id]
+		if !known || s.now.Sub(s.board.since) > s.unheardPatience() {
+			s.giveUp(tasks)
+			return
+		}
+		v = newView(w)
+	}
+	v = v.withoutOldRuns(func(ref workflow.Ref) bool {
+		return s.refs[ref]
+	})
+	for _, t := range tasks {
+		v = s.sweepRun(v, t)
+	}
+	v = s.stopGhosts(v)
+	v = s.hold(v, tasks)
+	s.board = s.board.withView(v)
+}
+
+// unheardPatience is how long a lease that a leader before gave can last.
+func (s *sweeper) unheardPatience() time.Duration {
+	return s.board.cfg.Lease*100/slowestClockPercent + leaseMargin + time.Second
+}
+
+// giveUp ends runs on a worker that nobody knows any more.
+func (s *sweeper) giveUp(tasks []workflow.PlacedTask) {
+	for _, t := range tasks {
+		s.end(t, workflow.EndedLost, "worker-unknown", s.now.Sub(s.board.since))
+	}
+}
+
+func (s *sweeper) end(t workflow.PlacedTask, ending workflow.Ending, why string, age time.Duration) {
+	s.ends = append(s.ends, workflow.End{
+		Ref:    t.Ref,
+		Ending: ending,
+	})
+	if s.board.IsWaiting() {
+		return
+	}
+	s.note(Note{
+		Text:   "Run is over without an end seen.",
+		Ref:    t.Ref,
+		Worker: t.Worker,
+		Reason: why,
+		Age:    age,
+	})
+}
+
+func (s *sweeper) note(n Note) {
+	s.plan.Notes = append(s.plan.Notes, n)
+}
+
+func (s *sweeper) target(v view) Target {
+	return Target{
+		Worker:  v.worker.ID,
+		Born:    v.worker.Born,
+		Address: v.worker.Address,
+		Fence:   s.board.term,
+	}
+}
+
+func (s *sweeper) send(o Order) {
+	s.plan.Orders = append(s.plan.Orders, o)
+}
+
+// propose makes a round of everything that is to be committed.
+func (s *sweeper) propose(after func(r plantainladder.Round) Scene) {
+	r := plantainladder.Round{
+		ID:   s.board.rounds + 1,
+		Ends: s.ends,
+	}
+	cursors := map[string]uint64{}
+	for itr := s.board.views.Iterator(); !itr.Done(); {
+		id, v, _ := itr.Next()
+		for _, f := range v.finished {
+			cursors[id] = max(cursors[id], f.Number)
+			if s.refs[f.Ref] {
+				r.Ends = append(r.Ends, f.End)
+				s.noteFinish(id, f)
+			}
+		}
+	}
+	r.Forgotten = s.forgotten()
+	r.Placements = s.place(after(r))
+	if r.IsEmpty() && len(cursors) == 0 {
+		return
+	}
+	if r.IsEmpty() {
+		// The ends belong to runs that are settled: nothing is to be committed.
+		for id, n := range cursors {
+			v, _ := s.board.views.Get(id)
+			s.board = s.board.withView(v.withCursor(n))
+		}
+		return
+	}
+	s.board.rounds++
+	s.board.pending = &pendingRound{
+		id:         r.ID,
+		at:         s.now,
+		cursors:    cursors,
+		placements: r.Placements,
+	}
+	s.plan.Round = &r
+}
+
+func (s *sweeper) noteFinish(worker string, f Finish) {
+	s.note(Note{
+		Text:   "Run has ended.",
+		Ref:    f.Ref,
+		Worker: worker,
+		Reason: string(f.Ending),
+	})
+}
+
+// forgetAfter is how long a worker that holds nothing is remembered without a
+// word from it.
+const forgetAfter = 30 * time.Second
+
+func (s *sweeper) forgotten() (ids []string) {
+	for _, w := range s.scene.Workers {
+		if len(s.placed[w.ID]) > 0 || s.now.Sub(s.board.since) < forgetAfter {
+			continue
+		}
+		v, ok := s.board.views.Get(w.ID)
+		if ok && s.now.Sub(v.heard) < forgetAfter {
+			continue
+		}
+		ids = append(ids, w.ID)
+		s.board.views = s.board.views.Delete(w.ID)
+	}
+	return ids
+}
--- a/expiry.go
+++ b/expiry.go
@@ -15,6 +15,8 @@
 	expireClaim   expiryKind = "claim"
 	expireOutcome expiryKind = "outcome"
 	expireJob     expiryKind = "job"
+
+	expireWorkflow expiryKind = "workflow"
 )
 
 // An expiry names a record that is forgotten at a time.
@@ -26,7 +28,7 @@
 
 // orderKey sorts expiries by time.
 func (e expiry) orderKey() string {
-	return fmt.Sprintf("%020d/%s/%s", e.At.UnixNano(), e.Kind, e.Key)
+	return timeKey(e.At, string(e.Kind)+"/"+e.Key)
 }
 
 // expiriesPerCommand bounds the records that one command forgets. It is above
@@ -65,6 +67,10 @@
 		if j, ok := s.jobs.get(e.Key); ok && j.HasEnded() {
 			s.jobs = s.jobs.without(e.Key)
 		}
+	case expireWorkflow:
+		if w, ok := s.workflows.get(e.Key); ok && w.IsSettled() {
+			s.workflows = s.workflows.without(e.Key)
+		}
 	}
 	return s
 }
@@ -94,5 +100,10 @@
 
 // activeKey sorts jobs by submission.
 func activeKey(j job.Job) string {
-	return fmt.Sprintf("%020d/%s", j.Submitted.UnixNano(), j.Spec.ID)
+	return timeKey(j.Submitted, j.Spec.ID)
+}
+
+// timeKey sorts records by a time, and those of the same time by their names.
+func timeKey(t time.Time, name string) string {
+	return fmt.Sprintf("%020d/%s", t.UnixNano(), name)
 }
--- a/gateway/controller/link.go
+++ b/gateway/controller/link.go
@@ -67,7 +67,7 @@
 		lookups: make(chan lookup),
 	}
 	l.leader.Store(&cfg.Addresses[0])
-	l.setMembers(nil)
+	l.SetMembers(nil)
 	for _, method := range []string{wire.MethodPoll, wire.MethodCommand} {
 		retryCounter(method, retryNoAnswer)
 		retryCounter(method, retryNotLeader)
@@ -119,10 +119,10 @@
 	}
 }
 
-// setMembers tells the link the addresses of all controllers. The configured
+// SetMembers tells the link the addresses of all controllers. The configured
 // ones stay in the ring behind them: a group that was just formed names only
 // its first member, which may be gone before the next poll.
-func (l *Link) setMembers(addresses []string) {
+func (l *Link) SetMembers(addresses []string) {
 	var ring []string
 	for _, a := range slices.Concat(addresses, l.cfg.Addresses) {
 		if !slices.Contains(ring, a) {
--- a/gateway/controller/poller.go
+++ b/gateway/controller/poller.go
@@ -168,7 +168,7 @@
 }
 
 func (p *Poller) take(sent time.Time, reply control.PollReply) {
-	p.cfg.Link.setMembers(reply.Addresses)
+	p.cfg.Link.SetMembers(reply.Addresses)
 	if len(p.digests) > maxDigests {
 		clear(p.digests)
 	}
--- a/records.go
+++ b/records.go
@@ -4,11 +4,14 @@
 	"time"
 
 	"github.com/plantainladder/plantainladder/claim"
+	"github.com/plantainladder/plantainladder/configuration"
 	"github.com/plantainladder/plantainladder/contract"
 	"github.com/plantainladder/plantainladder/datacentre"
 	"github.com/plantainladder/plantainladder/job"
+	"github.com/plantainladder/plantainladder/pool"
 	"github.com/plantainladder/plantainladder/schedule"
 	"github.com/plantainladder/plantainladder/worker"
+	"github.com/plantainladder/plantainladder/workflow"
 )
 
 // Records are a State as plain lists, for a snapshot.
@@ -27,6 +30,13 @@
 	Outcomes []KeptOutcome
 	// Estimates holds what was learned of run times.
 	Estimates map[string]schedule.Estimate
+	// Configuration is the configuration in force.
+	Configuration configuration.Document
+	// PoolWorkers and Workflows hold the tables of these names.
+	PoolWorkers []pool.Worker
+	Workflows   []workflow.Workflow
+	// LastRound is the identifier of the last round.
+	LastRound uint64
 }
 
 // A KeptOutcome is the outcome of a command, kept for a resend.
@@ -50,6 +60,11 @@
 		Claims:      s.claims.all(),
 		Jobs:        s.jobs.all(),
 		Estimates:   s.Estimates(),
+
+		Configuration: s.configuration,
+		PoolWorkers:   s.poolWorkers.all(),
+		Workflows:     s.workflows.all(),
+		LastRound:     s.lastRound,
 	}
 	for id, kept := range s.outcomes.entries() {
 		r.Outcomes = append(r.Outcomes, KeptOutcome{
@@ -86,6 +101,13 @@
 	for k, e := range r.Estimates {
 		s.estimates = s.estimates.with(k, e)
 	}
+	s.configuration, s.lastRound = r.Configuration, r.LastRound
+	for _, w := range r.PoolWorkers {
+		s.poolWorkers = s.poolWorkers.with(w.ID, w)
+	}
+	for _, w := range r.Workflows {
+		s = s.withRestoredWorkflow(w)
+	}
 	return s
 }
 
--- a/state.go
+++ b/state.go
@@ -8,11 +8,14 @@
 	"time"
 
 	"github.com/plantainladder/plantainladder/claim"
+	"github.com/plantainladder/plantainladder/configuration"
 	"github.com/plantainladder/plantainladder/contract"
 	"github.com/plantainladder/plantainladder/datacentre"
 	"github.com/plantainladder/plantainladder/job"
+	"github.com/plantainladder/plantainladder/pool"
 	"github.com/plantainladder/plantainladder/schedule"
 	"github.com/plantainladder/plantainladder/worker"
+	"github.com/plantainladder/plantainladder/workflow"
 )
 
 // Bounds of the tables of a State.
@@ -64,6 +67,12 @@
 	outcomes    table[keptOutcome]
 	expiries    table[expiry]
 	estimates   table[schedule.Estimate]
+
+	configuration configuration.Document
+	poolWorkers   table[pool.Worker]
+	workflows     table[workflow.Workflow]
+	unsettled     table[string]
+	lastRound     uint64
 }
 
 // NewState returns the empty control state.
@@ -79,6 +88,9 @@
 		outcomes:    newTable[keptOutcome](),
 		expiries:    newTable[expiry](),
 		estimates:   newTable[schedule.Estimate](),
+		poolWorkers: newTable[pool.Worker](),
+		workflows:   newTable[workflow.Workflow](),
+		unsettled:   newTable[string](),
 	}
 }
 
@@ -188,9 +200,9 @@
 
 // Counts are the sizes of a State's tables.
 type Counts struct {
-	// Contracts, DataCentres, Workers, Claims, Jobs, Active and Outcomes count
-	// the records of each table.
-	Contracts, DataCentres, Workers, Claims, Jobs, Active, Outcomes int
+	// Contracts, DataCentres, Workers, Claims, Jobs, Active, Outcomes,
+	// Workflows, Unsettled and PoolWorkers count the records of each table.
+	Contracts, DataCentres, Workers, Claims, Jobs, Active, Outcomes, Workflows, Unsettled, PoolWorkers int
 }
 
 // Counts returns the sizes of the tables.
@@ -203,6 +215,9 @@
 		Jobs:        s.jobs.len(),
 		Active:      s.active.len(),
 		Outcomes:    s.outcomes.len(),
+		Workflows:   s.workflows.len(),
+		Unsettled:   s.unsettled.len(),
+		PoolWorkers: s.poolWorkers.len(),
 	}
 }
 
--- a/wire/command.go
+++ b/wire/command.go
@@ -27,6 +27,12 @@
 	codec.Of[plantainladder.Command, plantainladder.StopJob](),
 	codec.Of[plantainladder.Command, plantainladder.EndPart](),
 	codec.Of[plantainladder.Command, plantainladder.ParkJob](),
+	codec.Of[plantainladder.Command, plantainladder.PutConfiguration](),
+	codec.Of[plantainladder.Command, plantainladder.Confirm](),
+	codec.Of[plantainladder.Command, plantainladder.SubmitWorkflow](),
+	codec.Of[plantainladder.Command, plantainladder.CancelWorkflow](),
+	codec.Of[plantainladder.Command, plantainladder.Announce](),
+	codec.Of[plantainladder.Command, plantainladder.Round](),
 )
 
 type envelope struct {
--- a/wire/snapshot.go
+++ b/wire/snapshot.go
@@ -6,11 +6,14 @@
 	plantainladder "github.com/plantainladder/plantainladder"
 	"github.com/plantainladder/plantainladder/claim"
 	"github.com/plantainladder/plantainladder/codec"
+	"github.com/plantainladder/plantainladder/configuration"
 	"github.com/plantainladder/plantainladder/contract"
 	"github.com/plantainladder/plantainladder/datacentre"
 	"github.com/plantainladder/plantainladder/job"
+	"github.com/plantainladder/plantainladder/pool"
 	"github.com/plantainladder/plantainladder/schedule"
 	"github.com/plantainladder/plantainladder/worker"
+	"github.com/plantainladder/plantainladder/workflow"
 )
 
 var phases = codec.NewUnion(
@@ -47,6 +50,11 @@
 	Jobs        []jobRecord                                       `json:"jobs"`
 	Outcomes    []plantainladder.KeptOutcome                      `json:"outcomes"`
 	Estimates   map[string]schedule.Estimate                      `json:"estimates"`
+
+	Configuration configuration.Document `json:"configuration"`
+	PoolWorkers   []pool.Worker          `json:"pool-workers"`
+	Workflows     []workflowRecord       `json:"workflows"`
+	LastRound     uint64                 `json:"last-round"`
 }
 
 // MarshalState returns a state as a snapshot holds it.
@@ -62,12 +70,22 @@
 		Jobs:        make([]jobRecord, len(r.Jobs)),
 		Outcomes:    r.Outcomes,
 		Estimates:   r.Estimates,
+
+		Configuration: r.Configuration,
+		PoolWorkers:   r.PoolWorkers,
+		Workflows:     make([]workflowRecord, len(r.Workflows)),
+		LastRound:     r.LastRound,
 	}
 	for i, j := range r.Jobs {
 		if out.Jobs[i], err = fromJob(j); err != nil {
 			return nil, err
 		}
 	}
+	for i, w := range r.Workflows {
+		if out.Workflows[i], err = fromWorkflow(w); err != nil {
+			return nil, err
+		}
+	}
 	return codec.Marshal(out)
 }
 
@@ -87,12 +105,22 @@
 		Jobs:        make([]job.Job, len(in.Jobs)),
 		Outcomes:    in.Outcomes,
 		Estimates:   in.Estimates,
+
+		Configuration: in.Configuration,
+		PoolWorkers:   in.PoolWorkers,
+		Workflows:     make([]workflow.Workflow, len(in.Workflows)),
+		LastRound:     in.LastRound,
 	}
 	for i, j := range in.Jobs {
 		if r.Jobs[i], err = j.toJob(); err != nil {
 			return s, err
 		}
 	}
+	for i, w := range in.Workflows {
+		if r.Workflows[i], err = w.toWorkflow(); err != nil {
+			return s, err
+		}
+	}
 	return plantainladder.FromRecords(r), nil
 }
 
--- /dev/null
+++ b/wire/workflow.go
@@ -0,0 +1,145 @@
+package wire
+
+import (
+	"time"
+
+	"github.com/plantainladder/plantainladder/codec"
+	"github.com/plantainladder/plantainladder/workflow"
+)
+
+var workflowPhases = codec.NewUnion(
+	codec.Of[workflow.Phase, workflow.Open](),
+	codec.Of[workflow.Phase, workflow.Completed](),
+	codec.Of[workflow.Phase, workflow.Failed](),
+	codec.Of[workflow.Phase, workflow.Cancelled](),
+)
+
+// workflowRecord is a workflow with its phase and its tasks encoded.
+type workflowRecord struct {
+	Spec        workflow.Spec      `json:"spec"`
+	Terms       workflow.Terms     `json:"terms"`
+	Submitted   time.Time          `json:"submitted"`
+	Phase       []byte             `json:"phase"`
+	HasBegun    bool               `json:"has-begun"`
+	Occurrences []occurrenceRecord `json:"occurrences"`
+}
+
+type occurrenceRecord struct {
+	Steps []stepRecord `json:"steps"`
+}
+
+type stepRecord struct {
+	Tasks      []taskRecord `json:"tasks"`
+	Failures   int          `json:"failures,omitempty"`
+	FailedRun  int          `json:"failed-run,omitempty"`
+	Checkpoint string       `json:"checkpoint,omitempty"`
+}
+
+type taskRecord struct {
+	Run        int       `json:"run,omitempty"`
+	Failures   int       `json:"failures,omitempty"`
+	Checkpoint string    `json:"checkpoint,omitempty"`
+	Finished   bool      `json:"finished,omitempty"`
+	Worker     string    `json:"worker,omitempty"`
+	Born       int64     `json:"born,omitempty"`
+	At         time.Time `json:"at,omitzero"`
+}
+
+func fromWorkflow(w workflow.Workflow) (r workflowRecord, err error) {
+	phase, err := workflowPhases.Marshal(w.Phase)
+	r = workflowRecord{
+		Spec:      w.Spec,
+		Terms:     w.Terms,
+		Submitted: w.Submitted,
+		Phase:     phase,
+		HasBegun:  w.HasBegun,
+	}
+	for _, o := range w.Occurrences {
+		var record occurrenceRecord
+		for _, s := range o.Steps {
+			record.Steps = append(record.Steps, fromStepRun(s))
+		}
+		r.Occurrences = append(r.Occurrences, record)
+	}
+	return r, err
+}
+
+func fromStepRun(s workflow.StepRun) stepRecord {
+	r := stepRecord{
+		Tasks:      make([]taskRecord, len(s.Tasks)),
+		Failures:   s.Failures,
+		FailedRun:  s.FailedRun,
+		Checkpoint: s.Checkpoint,
+	}
+	for i, t := range s.Tasks {
+		r.Tasks[i] = fromTask(t)
+	}
+	return r
+}
+
+func fromTask(t workflow.Task) taskRecord {
+	r := taskRecord{
+		Run:        t.Run,
+		Failures:   t.Failures,
+		Checkpoint: t.Checkpoint,
+	}
+	switch p := t.Progress.(type) {
+	case workflow.Waiting:
+	case workflow.Placed:
+		r.Worker, r.Born, r.At = p.Worker, p.Born, p.At
+	case workflow.Finished:
+		r.Finished = true
+	}
+	return r
+}
+
+func (r workflowRecord) toWorkflow() (w workflow.Workflow, err error) {
+	phase, err := workflowPhases.Unmarshal(r.Phase)
+	w = workflow.Workflow{
+		Spec:      r.Spec,
+		Terms:     r.Terms,
+		Submitted: r.Submitted,
+		Phase:     phase,
+		HasBegun:  r.HasBegun,
+	}
+	for _, o := range r.Occurrences {
+		var occurrence workflow.Occurrence
+		for _, s := range o.Steps {
+			occurrence.Steps = append(occurrence.Steps, s.toStepRun())
+		}
+		w.Occurrences = append(w.Occurrences, occurrence)
+	}
+	return w, err
+}
+
+func (r stepRecord) toStepRun() workflow.StepRun {
+	s := workflow.StepRun{
+		Tasks:      make([]workflow.Task, len(r.Tasks)),
+		Failures:   r.Failures,
+		FailedRun:  r.FailedRun,
+		Checkpoint: r.Checkpoint,
+	}
+	for i, t := range r.Tasks {
+		s.Tasks[i] = t.toTask()
+	}
+	return s
+}
+
+func (r taskRecord) toTask() workflow.Task {
+	t := workflow.Task{
+		Run:        r.Run,
+		Failures:   r.Failures,
+		Checkpoint: r.Checkpoint,
+	}
+	switch {
+	case r.Finished:
+		return t.WithProgress(workflow.Finished{})
+	case r.Worker != "":
+		return t.WithProgress(workflow.Placed{
+			Worker: r.Worker,
+			Born:   r.Born,
+			At:     r.At,
+		})
+	}
+	return t.WithProgress(workflow.Waiting{})
+}
--- /dev/null
+++ b/workflow/rules.go
@@ -0,0 +1,173 @@
+package workflow
+
+import (
+	"slices"
+	"time"
+)
+
+// CanPlace reports whether a task may get a place now: its workflow is open,
+// its occurrence is due, the steps before have ended well, and no other run of
+// it, or of its gang, can be going on.
+func (w Workflow) CanPlace(now time.Time, k Key) bool {
+	if !w.IsOpen() || k.Occurrence >= w.Spec.Count() || !w.IsDue(now, k.Occurrence) || k.Step >= len(w.Spec.Steps) {
+		return false
+	}
+	o := w.Occurrence(k.Occurrence)
+	if !o.IsReady(w.Spec, k.Step) {
+		return false
+	}
+	r := o.Steps[k.Step]
+	if w.Spec.Steps[k.Step].IsGang {
+		return !r.HasPlaced() && !r.IsDone(w.Spec.Steps[k.Step])
+	}
+	return k.Index < len(r.Tasks) && r.Tasks[k.Index].IsWaiting()
+}
+
+// NextRun returns the number of a task's next run, which is one for all
+// members of a gang.
+func (w Workflow) NextRun(k Key) int {
+	r := w.Occurrence(k.Occurrence).Steps[k.Step]
+	if w.Spec.Steps[k.Step].IsGang {
+		return r.MaxRun() + 1
+	}
+	return r.Tasks[k.Index].Run + 1
+}
+
+// WithPlacements returns w with places for tasks of one step, all of them or,
+// if any is not allowed, none; it reports which. The members of a gang are
+// placed together.
+func (w Workflow) WithPlacements(now time.Time, list []Placement) (Workflow, bool) {
+	for _, p := range list {
+		if !w.CanPlace(now, p.Key) || p.Run != w.NextRun(p.Key) {
+			return w, false
+		}
+	}
+	if s := list[0].Step; w.Spec.Steps[s].IsGang && len(list) != w.Spec.Steps[s].Tasks {
+		return w, false
+	}
+	for _, p := range list {
+		w = w.withTask(p.Key, func(t Task) Task {
+			return t.WithPlace(p.Run, Placed{
+				Worker: p.Worker,
+				Born:   p.Born,
+				At:     now,
+			})
+		})
+	}
+	w.HasBegun = true
+	return w, true
+}
+
+func (w Workflow) withTask(k Key, change func(t Task) Task) Workflow {
+	return w.withStep(k, func(r StepRun) StepRun {
+		return r.WithTask(k.Index, change(r.Tasks[k.Index]))
+	})
+}
+
+func (w Workflow) withStep(k Key, change func(r StepRun) StepRun) Workflow {
+	w.Occurrences = slices.Clone(w.Occurrences)
+	for len(w.Occurrences) <= k.Occurrence {
+		w.Occurrences = append(w.Occurrences, newOccurrence(w.Spec))
+	}
+	o := w.Occurrences[k.Occurrence]
+	w.Occurrences[k.Occurrence] = o.WithStep(k.Step, change(o.Steps[k.Step]))
+	return w
+}
+
+// Expects reports whether an end belongs to a run that has a place.
+func (w Workflow) Expects(e End) bool {
+	t, ok := w.Task(e.Key)
+	if !ok || t.Run != e.Run {
+		return false
+	}
+	_, placed := t.Place()
+	return placed
+}
+
+// WithEnd returns w after the end of a run. An end that is not expected
+// changes nothing.
+func (w Workflow) WithEnd(now time.Time, e End) Workflow {
+	if !w.Expects(e) {
+		return w
+	}
+	isGang := w.Spec.Steps[e.Step].IsGang
+	w = w.withStep(e.Key, func(r StepRun) StepRun {
+		if isGang {
+			r = r.withGangEnd(e)
+		}
+		return r.WithTask(e.Index, r.Tasks[e.Index].withEnd(e))
+	})
+	return w.decided(now, e)
+}
+
+func (t Task) withEnd(e End) Task {
+	if e.Checkpoint != "" {
+		t.Checkpoint = e.Checkpoint
+	}
+	switch e.Ending {
+	case EndedDone:
+		return t.WithProgress(Finished{})
+	case EndedFailed:
+		t.Failures++
+	case EndedStopped, EndedLapsed, EndedBroken, EndedAlone, EndedLost, EndedUnstarted:
+	}
+	return t.WithProgress(Waiting{})
+}
+
+// withGangEnd keeps what counts for the gang as a whole. Members that fail in
+// the same run count once.
+func (r StepRun) withGangEnd(e End) StepRun {
+	if e.Checkpoint != "" {
+		r.Checkpoint = e.Checkpoint
+	}
+	if e.Ending == EndedFailed && r.FailedRun != e.Run {
+		r.FailedRun = e.Run
+		r.Failures++
+	}
+	return r
+}
+
+// decided returns w in the phase that an end leads to.
+func (w Workflow) decided(now time.Time, e End) Workflow {
+	if !w.IsOpen() {
+		return w
+	}
+	r := w.Occurrences[e.Occurrence].Steps[e.Step]
+	failures := r.Tasks[e.Index].Failures
+	if w.Spec.Steps[e.Step].IsGang {
+		failures = r.Failures
+	}
+	if failures >= w.Terms.MaxAttempts && e.Ending == EndedFailed && !r.IsDone(w.Spec.Steps[e.Step]) {
+		w.Phase = Failed{
+			At: now,
+		}
+		return w
+	}
+	if w.doneOccurrences() == w.Spec.Count() {
+		w.Phase = Completed{
+			At: now,
+		}
+	}
+	return w
+}
+
+func (w Workflow) doneOccurrences() int {
+	n := 0
+	for _, o := range w.Occurrences {
+		if o.IsDone(w.Spec) {
+			n++
+		}
+	}
+	return n
+}
+
+// WithCancelled returns w as given up by its caller; a workflow that is decided
+// stays as it is.
+func (w Workflow) WithCancelled(now time.Time) Workflow {
+	if w.IsOpen() {
+		w.Phase = Cancelled{
+			At: now,
+		}
+	}
+	return w
+}
--- /dev/null
+++ b/workflow/spec.go
@@ -0,0 +1,162 @@
+// Package workflow holds the aggregate of a workflow: steps of tasks that
+// depend on each other, run once or at set times, each task with its runs and
+// its last checkpoint.
+package workflow
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/plantainladder/plantainladder/pool"
+	"github.com/plantainladder/plantainladder/shape"
+)
+
+// Bounds of a workflow.
+const (
+	// MaxSteps is the largest number of steps.
+	MaxSteps = 64
+	// MaxTasks is the largest number of tasks of a step.
+	MaxTasks = 4_096
+	// MaxTimes is the largest number of occurrences.
+	MaxTimes = 1_000
+	// MaxPayload is the longest payload in bytes.
+	MaxPayload = 4_000
+)
+
+// A Step is a set of equal tasks.
+type Step struct {
+	// Tasks is the number of tasks.
+	Tasks int `json:"tasks"`
+	// Each is what one task needs.
+	Each pool.Room `json:"each"`
+	// Estimate is the declared run time of a task; it may be far off.
+	Estimate time.Duration `json:"estimate"`
+	// After lists the steps, counted from 0, that must be done before.
+	After []int `json:"after,omitempty"`
+	// IsGang is true if the tasks work only together.
+	IsGang bool `json:"is-gang,omitempty"`
+	// IsRackBound is true if the tasks are slow on more than one rack.
+	IsRackBound bool `json:"is-rack-bound,omitempty"`
+	// Checkpoints is true if the tasks save their progress.
+	Checkpoints bool `json:"checkpoints,omitempty"`
+	// Label must be carried by the worker; empty for any.
+	Label string `json:"label,omitempty"`
+	// DataRack is the rack off which the tasks are slow; empty for none.
+	DataRack string `json:"data-rack,omitempty"`
+	// MaxPerWorker bounds the tasks of one occurrence on one worker; zero for
+	// no bound.
+	MaxPerWorker int `json:"max-per-worker,omitempty"`
+}
+
+// A Spec is a workflow as its caller submitted it.
+type Spec struct {
+	// ID is the caller's identifier.
+	ID string `json:"id"`
+	// Queue is the name of the queue.
+	Queue string `json:"queue"`
+	// Organisation is the owner; empty on a public queue.
+	Organisation string `json:"organisation"`
+	// Payload is handed to every task as it is.
+	Payload string `json:"payload"`
+	// Steps holds the steps.
+	Steps []Step `json:"steps"`
+	// Times is the number of occurrences, zero for one that is due at once.
+	Times int `json:"times,omitempty"`
+	// FirstAt is when the first occurrence is due.
+	FirstAt time.Time `json:"first-at"`
+	// Every is the time between two occurrences.
+	Every time.Duration `json:"every,omitempty"`
+}
+
+// IsTimed reports whether the occurrences have due times.
+func (s Spec) IsTimed() bool {
+	return s.Times > 0
+}
+
+// Count returns the number of occurrences.
+func (s Spec) Count() int {
+	return max(s.Times, 1)
+}
+
+// DueAt returns when an occurrence may start; the zero time for at once.
+func (s Spec) DueAt(occurrence int) time.Time {
+	if !s.IsTimed() {
+		return time.Time{}
+	}
+	return s.FirstAt.Add(time.Duration(occurrence) * s.Every)
+}
+
+// Chain returns the longest chain of declared run times through the steps.
+func (s Spec) Chain() time.Duration {
+	longest := time.Duration(0)
+	ends := make([]time.Duration, len(s.Steps))
+	for i, step := range s.Steps {
+		for _, before := range step.After {
+			ends[i] = max(ends[i], ends[before])
+		}
+		ends[i] += step.Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// Work returns the declared work of one occurrence in weighted core-seconds.
+func (s Spec) Work() float64 {
+	sum := 0.0
+	for _, step := range s.Steps {
+		sum += float64(step.Tasks) * step.Each.WeightedCores() * step.Estimate.Seconds()
+	}
+	return sum
+}
+
+// Check returns a *shape.FieldError for the first field that is out of bounds,
+// nil for none.
+func (s Spec) Check() *shape.FieldError {
+	switch {
+	case s.ID == "":
+		return newFieldError("id", "must not be empty")
+	case len(s.Payload) > MaxPayload:
+		return newFieldError("payload", fmt.Sprintf("must have at most %d bytes", MaxPayload))
+	case len(s.Steps) == 0 || len(s.Steps) > MaxSteps:
+		return newFieldError("steps", fmt.Sprintf("must be from 1 to %d", MaxSteps))
+	case s.Times < 0 || s.Times > MaxTimes:
+		return newFieldError("times", fmt.Sprintf("must be from 0 to %d", MaxTimes))
+	case s.Every < 0:
+		return newFieldError("every", "must not be negative")
+	}
+	for i, step := range s.Steps {
+		if err := step.check(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s Step) check(number int) *shape.FieldError {
+	field := func(name string) string {
+		return fmt.Sprintf("steps[%d].%s", number, name)
+	}
+	switch {
+	case s.Tasks < 1 || s.Tasks > MaxTasks:
+		return newFieldError(field("tasks"), fmt.Sprintf("must be from 1 to %d", MaxTasks))
+	case s.Each.IsNegative():
+		return newFieldError(field("each"), "must not be negative")
+	case s.Estimate < 0:
+		return newFieldError(field("estimate"), "must not be negative")
+	case s.MaxPerWorker < 0:
+		return newFieldError(field("max-per-worker"), "must not be negative")
+	}
+	for _, before := range s.After {
+		if before < 0 || before >= number {
+			return newFieldError(field("after"), "must name earlier steps")
+		}
+	}
+	return nil
+}
+
+func newFieldError(field, problem string) *shape.FieldError {
+	return &shape.FieldError{
+		Field:   field,
+		Problem: problem,
+	}
+}
--- /dev/null
+++ b/workflow/workflow.go
@@ -0,0 +1,229 @@
+package workflow
+
+import (
+	"slices"
+	"time"
+)
+
+// Terms are what a workflow's queue promised when it was accepted.
+type Terms struct {
+	// Pool names the workers that run its tasks.
+	Pool string `json:"pool"`
+	// Priority is 0 for the most urgent.
+	Priority int `json:"priority"`
+	// MaxAttempts is how often a task may fail.
+	MaxAttempts int `json:"max-attempts"`
+	// Stretch and Target are the objective; see configuration.Queue.
+	Stretch float64       `json:"stretch"`
+	Target  time.Duration `json:"target"`
+}
+
+// A Phase is where a workflow is in its life: Open, Completed, Failed or
+// Cancelled.
+type Phase interface {
+	phase()
+}
+
+// Open is not decided yet.
+type Open struct{}
+
+// Completed has done all its tasks.
+type Completed struct {
+	// At is when that was known.
+	At time.Time
+}
+
+// Failed has a task that failed too often.
+type Failed struct {
+	// At is when that was known.
+	At time.Time
+}
+
+// Cancelled was given up by its caller.
+type Cancelled struct {
+	// At is when that was asked for.
+	At time.Time
+}
+
+func (Open) phase()      {}
+func (Completed) phase() {}
+func (Failed) phase()    {}
+func (Cancelled) phase() {}
+
+// A Workflow is a workflow and all that is known of its tasks.
+type Workflow struct {
+	// Spec is what the caller submitted.
+	Spec Spec
+	// Terms are what its queue promised.
+	Terms Terms
+	// Submitted is when it was accepted.
+	Submitted time.Time
+	// Phase is where it is in its life.
+	Phase Phase
+	// HasBegun is true once a task was placed.
+	HasBegun bool
+	// Occurrences holds those that were opened, by number.
+	Occurrences []Occurrence
+}
+
+// New returns an accepted workflow.
+func New(now time.Time, spec Spec, terms Terms) Workflow {
+	return Workflow{
+		Spec:      spec,
+		Terms:     terms,
+		Submitted: now,
+		Phase:     Open{},
+	}
+}
+
+// IsOpen reports whether the workflow is not decided yet.
+func (w Workflow) IsOpen() bool {
+	_, ok := w.Phase.(Open)
+	return ok
+}
+
+// IsSettled reports whether the workflow is decided and none of its tasks has a
+// place any more.
+func (w Workflow) IsSettled() bool {
+	return !w.IsOpen() && !slices.ContainsFunc(w.Occurrences, Occurrence.HasPlaced)
+}
+
+// EndedAt returns when the workflow was decided, the zero time for an open one.
+func (w Workflow) EndedAt() time.Time {
+	switch p := w.Phase.(type) {
+	case Completed:
+		return p.At
+	case Failed:
+		return p.At
+	case Cancelled:
+		return p.At
+	case Open:
+	}
+	return time.Time{}
+}
+
+// Status is a workflow's state in a word.
+type Status string
+
+// Statuses of a workflow.
+const (
+	StatusPending   Status = "pending"
+	StatusRunning   Status = "running"
+	StatusCompleted Status = "completed"
+	StatusFailed    Status = "failed"
+	StatusCancelled Status = "cancelled"
+)
+
+// Status returns the workflow's state in a word.
+func (w Workflow) Status() Status {
+	switch w.Phase.(type) {
+	case Completed:
+		return StatusCompleted
+	case Failed:
+		return StatusFailed
+	case Cancelled:
+		return StatusCancelled
+	case Open:
+	}
+	if w.HasBegun {
+		return StatusRunning
+	}
+	return StatusPending
+}
+
+// Occurrence returns an occurrence, a new one if it was not opened yet.
+func (w Workflow) Occurrence(number int) Occurrence {
+	if number < len(w.Occurrences) {
+		return w.Occurrences[number]
+	}
+	return newOccurrence(w.Spec)
+}
+
+// IsDue reports whether an occurrence may start.
+func (w Workflow) IsDue(now time.Time, occurrence int) bool {
+	return !now.Before(w.Spec.DueAt(occurrence))
+}
+
+// Due returns the number of occurrences that may start.
+func (w Workflow) Due(now time.Time) int {
+	n := 0
+	for n < w.Spec.Count() && w.IsDue(now, n) {
+		n++
+	}
+	return n
+}
+
+// Objective returns when an occurrence should have completed.
+func (w Workflow) Objective(occurrence int) time.Time {
+	from := w.Spec.DueAt(occurrence)
+	if from.IsZero() {
+		from = w.Submitted
+	}
+	return from.Add(w.Allowance())
+}
+
+// Allowance returns how long an occurrence may take to be in time.
+func (w Workflow) Allowance() time.Duration {
+	return time.Duration(float64(w.Spec.Chain())*w.Terms.Stretch) + w.Terms.Target
+}
+
+// Task returns a task.
+func (w Workflow) Task(k Key) (t Task, ok bool) {
+	if k.Occurrence < 0 || k.Occurrence >= len(w.Occurrences) {
+		return t, false
+	}
+	o := w.Occurrences[k.Occurrence]
+	if k.Step < 0 || k.Step >= len(o.Steps) || k.Index < 0 || k.Index >= len(o.Steps[k.Step].Tasks) {
+		return t, false
+	}
+	return o.Steps[k.Step].Tasks[k.Index], true
+}
+
+// A PlacedTask is a task with its place.
+type PlacedTask struct {
+	Ref
+	Placed
+	// Terms are the terms of its step.
+	Terms Step
+	// IsWanted is false if nothing waits for the task any more.
+	IsWanted bool
+}
+
+// PlacedTasks returns all tasks that have a place.
+func (w Workflow) PlacedTasks() []PlacedTask {
+	var list []PlacedTask
+	for k, o := range w.Occurrences {
+		for s, r := range o.Steps {
+			for i, t := range r.Tasks {
+				p, ok := t.Place()
+				if !ok {
+					continue
+				}
+				list = append(list, PlacedTask{
+					Ref: Ref{
+						Key: Key{
+							Workflow:   w.Spec.ID,
+							Occurrence: k,
+							Step:       s,
+							Index:      i,
+						},
+						Run: t.Run,
+					},
+					Placed:   p,
+					Terms:    w.Spec.Steps[s],
+					IsWanted: w.IsOpen() || r.IsDone(w.Spec.Steps[s]),
+				})
+			}
+		}
+	}
+	return list
+}
+
+// StartCheckpoint returns what a start of a task resumes from.
+func (w Workflow) StartCheckpoint(k Key) string {
+	r := w.Occurrence(k.Occurrence).Steps[k.Step]
+	if w.Spec.Steps[k.Step].IsGang {
+		return r.Checkpoint
+	}
+	return r.Tasks[k.Index].Checkpoint
+}
