Give up runs on workers that a new leader never hears; replay random troubles

Ruled out: the planner (the gang's other members had ended as broken). Change: an unheard worker's leases end by the bound that any leader before kept to.

--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -10,7 +10,7 @@
 func (s *sweeper) sweepRun(v view, t workflow.PlacedTask) view {
 	r := v.runs[t.Ref]
 	mayHaveStarted := !r.isOurs || r.starts > 0
-	if mayHaveStarted && v.worker.Born == t.Born && v.isLeaseOver(s.now) {
+	if mayHaveStarted && v.worker.Born == t.Born && s.isLeaseOver(v) {
 		s.end(t, workflow.EndedLost, "lease-over", s.now.Sub(v.answered))
 		return v
 	}
@@ -26,6 +26,16 @@
 	return s.startRun(v, t, r)
 }
 
+// isLeaseOver reports whether everything on a worker has surely been killed. A
+// worker that was never heard is bounded by what a leader before can have
+// promised.
+func (s *sweeper) isLeaseOver(v view) bool {
+	if !v.clock.isKnown() {
+		return s.now.Sub(s.board.since) > s.unheardPatience()
+	}
+	return v.isLeaseOver(s.now)
+}
+
 // judge returns r marked with the reason to end it, if there is one.
 func (s *sweeper) judge(v view, t workflow.PlacedTask, r run) run {
 	isStarted := !r.accepted.IsZero()
--- a/dispatch/sweep.go
+++ b/dispatch/sweep.go
@@ -123,7 +123,7 @@
 
 // indexGang notes a gang's run as broken unless all members have places in it.
 func (s *sweeper) indexGang(w workflow.Workflow, t workflow.PlacedTask) {
-	r := w.Occurrences[t.Occurrence].Steps[t.Key.Step]
+	r := w.Occurrences[t.Occurrence].Steps[t.Step]
 	if r.IsDone(t.Terms) {
 		return
 	}
@@ -153,7 +153,7 @@
 	v, ok := s.board.views.Get(id)
 	if !ok {
 		w, known := s.committed[id]
-		if !known || s.now.Sub(s.board.since) > s.unheardPatience() {
+		if !known {
 			s.giveUp(tasks)
 			return
 		}
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -147,12 +147,7 @@
 // isLeaseOver reports whether everything that was started under leases has
 // surely been killed by the worker itself.
 func (v view) isLeaseOver(now time.Time) bool {
-	return v.clock.isKnown() && v.clock.floor(now) > v.promised+leaseMargin.Milliseconds()
-}
-
-// isTalking reports whether the worker answers orders as far as is known.
-func (v view) isTalking() bool {
-	return v.silence == 0
+	return v.clock.floor(now) > v.promised+leaseMargin.Milliseconds()
 }
 
 // hasFinish reports whether the end of a run is listed and not committed.
--- a/prove/check/main.go
+++ b/prove/check/main.go
@@ -41,6 +41,10 @@
 	{
 		folder: "ladder",
 	},
+	{
+		folder: "platform",
+		race:   true,
+	},
 	{
 		folder: "standin",
 	},
--- /dev/null
+++ b/replay/network.go
@@ -0,0 +1,286 @@
+package replay
+
+import (
+	"cmp"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	plantainladder "github.com/plantainladder/plantainladder"
+	"github.com/plantainladder/plantainladder/dispatch"
+	"github.com/plantainladder/plantainladder/pool"
+	"github.com/plantainladder/plantainladder/workflow"
+)
+
+const (
+	silentAfter = 700 * time.Millisecond
+	latest      = 12 * time.Second
+	earliest    = 2 * time.Second
+)
+
+// report lets a worker announce itself again and again.
+func (w *simWorker) report(now time.Duration) {
+	if w.gone {
+		return
+	}
+	w.world.later(now+reportEvery, w.report)
+	if w.trouble(now).Cut {
+		return
+	}
+	w.sequence++
+	r := dispatch.Reported{
+		Worker:   w.pool,
+		Sequence: w.sequence,
+		ClockMS:  w.clock(now),
+	}
+	known, ok := w.world.state.PoolWorker(w.pool.ID)
+	if !ok || w.pool.Supersedes(known) {
+		w.world.apply(now, plantainladder.Announce{
+			Worker: w.pool,
+		})
+	}
+	w.world.observe(r)
+}
+
+func (w *World) observe(o dispatch.Observation) {
+	w.board = w.board.With(w.at(w.now), o)
+}
+
+// send carries an order to its worker and the answer back.
+func (w *World) send(o dispatch.Order) {
+	sent, term := w.now, w.term
+	id, wait := addressee(o)
+	s := w.byID[id]
+	answer := func(now time.Duration, a dispatch.Answered) {
+		a.SentAt = w.at(sent)
+		w.later(now+tripTakes, func(time.Duration) {
+			if term == w.term {
+				w.observe(a)
+			}
+		})
+	}
+	silent := dispatch.Answered{
+		Order:  o,
+		Result: dispatch.Silent{},
+	}
+	t := s.trouble(sent)
+	switch {
+	case s.gone || t.Cut:
+		answer(sent+silentAfter+wait, silent)
+	case t.Late > 0 && w.rng.Float64() < t.Late:
+		answer(sent+silentAfter+wait, silent)
+		at := sent + earliest + time.Duration(w.rng.Int64N(int64(latest-earliest)))
+		w.later(at, func(now time.Duration) {
+			if !s.gone && !s.trouble(now).Cut {
+				s.obey(now, o)
+			}
+		})
+	default:
+		w.later(sent+tripTakes, func(now time.Duration) {
+			w.deliver(now, s, o, now+wait, answer)
+		})
+	}
+}
+
+// deliver lets a worker obey; a hold waits for an end until a time.
+func (w *World) deliver(now time.Duration, s *simWorker, o dispatch.Order, until time.Duration, answer func(now time.Duration, a dispatch.Answered)) {
+	if s.gone || s.trouble(now).Cut {
+		answer(now+silentAfter, dispatch.Answered{
+			Order:  o,
+			Result: dispatch.Silent{},
+		})
+		return
+	}
+	a := s.obey(now, o)
+	_, isHold := o.(dispatch.Hold)
+	if _, obeyed := a.Result.(dispatch.Obeyed); isHold && obeyed && len(s.finished) == 0 && now < until {
+		w.later(now+step, func(now time.Duration) {
+			w.deliver(now, s, withoutLease(o), until, answer)
+		})
+		return
+	}
+	answer(now, a)
+}
+
+// withoutLease keeps a hold that waits from renewing the lease again.
+func withoutLease(o dispatch.Order) dispatch.Order {
+	h, ok := o.(dispatch.Hold)
+	if ok {
+		h.LeaseUntil = 0
+		return h
+	}
+	return o
+}
+
+func addressee(o dispatch.Order) (id string, wait time.Duration) {
+	switch o := o.(type) {
+	case dispatch.Start:
+		return o.Worker, 0
+	case dispatch.Stop:
+		return o.Worker, 0
+	case dispatch.Hold:
+		return o.Worker, o.Wait
+	}
+	return "", 0
+}
+
+// begin notes the start of a run and checks the promises about starts.
+func (w *World) begin(now time.Duration, s *simWorker, ref workflow.Ref) *execution {
+	a := w.arrivals[ref.Workflow]
+	terms := a.Spec.Steps[ref.Step]
+	if w.isNoted[ref.Key] {
+		w.fault(now, "%v starts after its end was noted", ref)
+	}
+	if ended, ok := w.done[ref.Key]; ok {
+		w.again[ended] = true
+	}
+	for other, where := range w.running[ref.Key] {
+		w.fault(now, "%v starts on %s beside %v on %s", ref, s.pool.ID, other, where)
+	}
+	used := terms.Each
+	for _, e := range s.runs {
+		used = used.Plus(e.each)
+	}
+	if !used.Fits(s.pool.Capacity) {
+		w.fault(now, "%v starts on %s beyond its capacity", ref, s.pool.ID)
+	}
+	if w.running[ref.Key] == nil {
+		w.running[ref.Key] = map[workflow.Ref]string{}
+	}
+	w.running[ref.Key][ref] = s.pool.ID
+	if r := w.records[ref.Workflow]; r.Began < 0 {
+		r.Began = now
+	}
+	total := a.Work[ref.Step]
+	if terms.DataRack != "" && !s.pool.HasLabel(terms.DataRack) {
+		total = time.Duration(float64(total) * w.cfg.OffRackFactor)
+	}
+	return &execution{
+		ref:     ref,
+		left:    total,
+		total:   total,
+		each:    terms.Each,
+		isGang:  terms.IsGang,
+		members: terms.Tasks,
+		since:   now,
+
+		isHopeless: a.IsHopeless,
+	}
+}
+
+// noted takes note of an end that was acknowledged.
+func (w *World) noted(now time.Duration, ref workflow.Ref) {
+	w.isNoted[ref.Key] = true
+	if w.again[ref] {
+		w.fault(now, "%v started again after an end that is noted now", ref)
+	}
+}
+
+// ended takes note of the end of a run. The other members of a gang end with it.
+func (w *World) ended(now time.Duration, ref workflow.Ref, how workflow.Ending) {
+	delete(w.running[ref.Key], ref)
+	if how == workflow.EndedDone {
+		w.done[ref.Key] = ref
+	}
+	terms := w.arrivals[ref.Workflow].Spec.Steps[ref.Step]
+	if !terms.IsGang || how == workflow.EndedAlone {
+		return
+	}
+	if how != workflow.EndedDone {
+		how = workflow.EndedBroken
+	}
+	for i := range terms.Tasks {
+		member := ref
+		member.Index = i
+		if where, ok := w.running[member.Key][member]; ok && !w.byID[where].trouble(now).Cut {
+			w.byID[where].end(now, member, how)
+		}
+	}
+}
+
+// isComplete reports whether all members of a gang's run are running.
+func (w *World) isComplete(ref workflow.Ref, members int) bool {
+	n := 0
+	for i := range members {
+		k := ref.Key
+		k.Index = i
+		member := workflow.Ref{
+			Key: k,
+			Run: ref.Run,
+		}
+		if _, ok := w.running[k][member]; ok || w.done[k].Run > 0 {
+			n++
+		}
+	}
+	return n == members
+}
+
+func (w *World) saves(ref workflow.Ref) bool {
+	return w.arrivals[ref.Workflow].Spec.Steps[ref.Step].Checkpoints
+}
+
+// record takes note of workflows that were decided.
+func (w *World) record() {
+	for id, r := range w.records {
+		if r.Ended >= 0 {
+			continue
+		}
+		f, ok := w.state.Workflow(id)
+		if !ok {
+			continue
+		}
+		r.Status = f.Status()
+		if !f.IsOpen() {
+			r.Ended = f.EndedAt().Sub(epoch)
+		}
+	}
+}
+
+func (w *World) fault(now time.Duration, format string, args ...any) {
+	w.faults = append(w.faults, fmt.Sprintf("%v: ", now)+fmt.Sprintf(format, args...))
+}
+
+// Faults lists the promises that were broken.
+func (w *World) Faults() []string {
+	return w.faults
+}
+
+// Record returns what became of a workflow.
+func (w *World) Record(id string) Record {
+	return *w.records[id]
+}
+
+// Held returns the room that runs hold on a worker.
+func (w *World) Held(id string) (sum pool.Room) {
+	for _, e := range w.byID[id].runs {
+		sum = sum.Plus(e.each)
+	}
+	return sum
+}
+
+func checkpoint(left time.Duration) string {
+	return strconv.FormatInt(int64(left), 10)
+}
+
+// savedWork returns the work that is left behind a checkpoint.
+func savedWork(saved string, total time.Duration) time.Duration {
+	n, err := strconv.ParseInt(strings.TrimSpace(saved), 10, 64)
+	if err != nil {
+		return total
+	}
+	return time.Duration(n)
+}
+
+func compareRefs(a, b workflow.Ref) int {
+	return cmp.Or(
+		cmp.Compare(a.Workflow, b.Workflow), cmp.Compare(a.Occurrence, b.Occurrence),
+		cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index), cmp.Compare(a.Run, b.Run),
+	)
+}
+
+// Placed returns how many tasks of a workflow have places.
+func (w *World) Placed(id string) int {
+	f, _ := w.state.Workflow(id)
+	return len(f.PlacedTasks())
+}
--- /dev/null
+++ b/replay/replay_suite_test.go
@@ -0,0 +1,219 @@
+package replay_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainladder/plantainladder/configuration"
+	"github.com/plantainladder/plantainladder/pool"
+	"github.com/plantainladder/plantainladder/replay"
+	"github.com/plantainladder/plantainladder/workflow"
+)
+
+func TestReplay(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "replay")
+}
+
+func newConfig(seed uint64) replay.Config {
+	queue := func(name string, priority int, stretch float64, target time.Duration) configuration.Queue {
+		return configuration.Queue{
+			Name:        name,
+			Host:        "h",
+			Prefix:      "/" + name + "/",
+			Pool:        "pool",
+			Priority:    priority,
+			MaxAttempts: 4,
+			Stretch:     stretch,
+			Target:      target,
+			Timeout:     time.Second,
+		}
+	}
+	return replay.Config{
+		Seed:           seed,
+		DataCentres:    2,
+		Racks:          4,
+		WorkersPerRack: 4,
+		Capacity: pool.Room{
+			MilliCores:   32_000,
+			MemoryMB:     128_000,
+			Accelerators: 8,
+		},
+		Queues: []configuration.Queue{
+			queue("urgent", 0, 1.5, 250*time.Millisecond),
+			queue("normal", 1, 3, time.Second),
+			queue("batch", 2, 3, 3*time.Second),
+		},
+		Organisations: []configuration.Organisation{
+			{
+				Name:                   "mill",
+				Tokens:                 []string{"mill"},
+				GuaranteedAccelerators: 64,
+			},
+		},
+		StopTakes:     200 * time.Millisecond,
+		OffRackFactor: 3,
+	}
+}
+
+func gang(tasks, accelerators int, estimate time.Duration) workflow.Step {
+	return workflow.Step{
+		Tasks: tasks,
+		Each: pool.Room{
+			MilliCores:   1000,
+			MemoryMB:     1000,
+			Accelerators: accelerators,
+		},
+		Estimate:    estimate,
+		IsGang:      true,
+		IsRackBound: true,
+	}
+}
+
+func set(tasks, accelerators int, estimate time.Duration) workflow.Step {
+	s := gang(tasks, accelerators, estimate)
+	s.IsGang, s.IsRackBound = false, false
+	return s
+}
+
+func arrival(at time.Duration, queue string, step workflow.Step) replay.Arrival {
+	return replay.Arrival{
+		At:           at,
+		Queue:        queue,
+		Organisation: "mill",
+		Spec: workflow.Spec{
+			Steps: []workflow.Step{
+				step,
+			},
+		},
+		Work: []time.Duration{
+			step.Estimate,
+		},
+	}
+}
+
+var _ = Describe("The dispatcher", func() {
+	It("runs a gang and a set at once where there is room", func() {
+		w := replay.NewWorld(newConfig(1))
+		w.HandIn("a", arrival(3*time.Second, "normal", gang(4, 8, 2*time.Second)))
+		w.HandIn("b", arrival(3*time.Second, "batch", set(20, 1, time.Second)))
+		w.Run(10 * time.Second)
+		Expect(w.Faults()).To(BeEmpty())
+		for _, id := range []string{"a", "b"} {
+			r := w.Record(id)
+			Expect(r.Status).To(Equal(workflow.StatusCompleted), id)
+			Expect(r.Began-r.Arrival.At).To(BeNumerically("<", 150*time.Millisecond), id)
+		}
+	})
+
+	It("gives up runs on a worker that a new leader never hears", func() {
+		w := replay.NewWorld(newConfig(2))
+		w.HandIn("a", arrival(3*time.Second, "normal", gang(16, 8, 4*time.Second)))
+		w.Run(4 * time.Second)
+		for _, id := range w.Workers()[:2] {
+			w.Plague(id, replay.Trouble{
+				From:  4 * time.Second,
+				Until: time.Hour,
+				Cut:   true,
+			})
+		}
+		w.ChangeLeader(5 * time.Second)
+		w.HandIn("b", arrival(6*time.Second, "normal", set(4, 1, time.Second)))
+		w.Run(25 * time.Second)
+		// The gang needs all workers and has to wait, but holds nothing.
+		for _, id := range w.Workers()[2:] {
+			Expect(w.Held(id).Accelerators).To(BeZero(), id)
+		}
+		Expect(w.Placed("a")).To(BeZero())
+		Expect(w.Record("b").Status).To(Equal(workflow.StatusCompleted))
+		Expect(w.Faults()).To(BeEmpty())
+	})
+
+	It("preempts less urgent work for urgent work at once", func() {
+		w := replay.NewWorld(newConfig(3))
+		for i := range 16 {
+			w.HandIn(fmt.Sprintf("batch-%02d", i), arrival(3*time.Second, "batch", set(8, 1, 20*time.Second)))
+		}
+		w.HandIn("urgent", arrival(6*time.Second, "urgent", gang(4, 8, time.Second)))
+		w.Run(20 * time.Second)
+		Expect(w.Faults()).To(BeEmpty())
+		r := w.Record("urgent")
+		Expect(r.Began - r.Arrival.At).To(BeNumerically("<", 1700*time.Millisecond))
+		Expect(r.Status).To(Equal(workflow.StatusCompleted))
+	})
+
+	for seed := range uint64(24) {
+		It(fmt.Sprintf("keeps its promises under random troubles, seed %d", seed), func() {
+			w, ids := randomWorld(seed)
+			w.Run(70 * time.Second)
+			Expect(w.Faults()).To(BeEmpty())
+			for _, id := range ids {
+				Expect(w.Record(id).Ended).To(BeNumerically(">=", 0), id)
+			}
+		})
+	}
+})
+
+// randomWorld returns a fleet with random work and random troubles, all of
+// which end in time for everything to be decided.
+func randomWorld(seed uint64) (w *replay.World, ids []string) {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	w = replay.NewWorld(newConfig(seed))
+	queues := []string{"urgent", "normal", "batch"}
+	for i := range 40 {
+		id := fmt.Sprintf("f-%02d", i)
+		at := 2*time.Second + time.Duration(rng.IntN(20_000))*time.Millisecond
+		step := set(1+rng.IntN(12), 1, time.Duration(500+rng.IntN(4000))*time.Millisecond)
+		if rng.IntN(2) == 0 {
+			step = gang(1+rng.IntN(5), 1<<rng.IntN(4), step.Estimate)
+		}
+		step.Checkpoints = rng.IntN(2) == 0
+		a := arrival(at, queues[rng.IntN(3)], step)
+		a.IsHopeless = rng.IntN(20) == 0
+		if rng.IntN(8) == 0 {
+			a.CancelAfter = time.Duration(rng.IntN(3000)+100) * time.Millisecond
+		}
+		w.HandIn(id, a)
+		ids = append(ids, id)
+	}
+	for _, id := range w.Workers() {
+		if rng.IntN(2) == 0 {
+			from := 3*time.Second + time.Duration(rng.IntN(20_000))*time.Millisecond
+			w.Plague(id, randomTrouble(rng, from))
+		}
+	}
+	for range rng.IntN(3) {
+		w.ChangeLeader(4*time.Second + time.Duration(rng.IntN(20_000))*time.Millisecond)
+	}
+	out := 3*time.Second + time.Duration(rng.IntN(10_000))*time.Millisecond
+	w.TakeOut(out, "dc-0", true)
+	w.TakeOut(out+5*time.Second, "dc-0", false)
+	return w, ids
+}
+
+func randomTrouble(rng *rand.Rand, from time.Duration) replay.Trouble {
+	t := replay.Trouble{
+		From:  from,
+		Until: from + time.Duration(500+rng.IntN(6000))*time.Millisecond,
+	}
+	switch rng.IntN(6) {
+	case 0:
+		t.Cut = true
+	case 1:
+		t.Cut, t.Restarts = true, true
+	case 2:
+		t.Restarts = true
+	case 3:
+		t.Late = 0.3
+	case 4:
+		t.Fails = true
+	case 5:
+		t.Slow = 3
+	}
+	return t
+}
--- /dev/null
+++ b/replay/worker.go
@@ -0,0 +1,257 @@
+package replay
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/plantainladder/plantainladder/dispatch"
+	"github.com/plantainladder/plantainladder/pool"
+	"github.com/plantainladder/plantainladder/workflow"
+)
+
+// A Trouble is what is wrong with a simulated worker for a while.
+type Trouble struct {
+	// From and Until bound it.
+	From, Until time.Duration
+	// Cut is true if nothing reaches the worker and it reaches nobody.
+	Cut bool
+	// Hangs is true if its tasks stand still.
+	Hangs bool
+	// Fails is true if all that it starts fails after half a second.
+	Fails bool
+	// Slow is how many times longer its tasks take, zero for once.
+	Slow float64
+	// Late is the part of the orders that are carried out seconds later and
+	// get no answer, from 0 to 1.
+	Late float64
+	// Restarts is true if the worker starts anew at Until.
+	Restarts bool
+	// Leaves is true if the worker announces at From that it will end, and ends
+	// at Until.
+	Leaves bool
+}
+
+// execution is a run on a simulated worker.
+type execution struct {
+	ref workflow.Ref
+	// left is the work that is left; total is all of it.
+	left, total time.Duration
+	each        pool.Room
+	isGang      bool
+	members     int
+	stopAt      time.Duration
+	since       time.Duration
+	isHopeless  bool
+}
+
+// simWorker is a simulated worker.
+type simWorker struct {
+	world    *World
+	pool     pool.Worker
+	troubles []Trouble
+	offset   time.Duration
+	sequence uint64
+	fence    uint64
+	lease    int64
+	runs     map[workflow.Ref]*execution
+	blocked  map[workflow.Key]int
+	finished []dispatch.Finish
+	number   uint64
+	gone     bool
+	// endedAt holds when each listed end took place; lapsedAt is when the lease
+	// last was over.
+	endedAt  map[uint64]time.Duration
+	lapsedAt time.Duration
+}
+
+func (w *simWorker) trouble(now time.Duration) (t Trouble) {
+	for _, known := range w.troubles {
+		if now >= known.From && now < known.Until {
+			return known
+		}
+	}
+	return t
+}
+
+func (w *simWorker) clock(now time.Duration) int64 {
+	return (now + w.offset).Milliseconds()
+}
+
+// restart begins a new life that knows nothing.
+func (w *simWorker) restart(now time.Duration) {
+	w.pool.Born += now.Milliseconds() + 1
+	w.pool.Leaving = false
+	w.sequence, w.fence, w.lease, w.number = 0, 0, 0, 0
+	w.offset = -now
+	for _, ref := range w.sortedRuns() {
+		delete(w.runs, ref)
+		w.world.ended(now, ref, workflow.EndedLost)
+	}
+	w.blocked = map[workflow.Key]int{}
+	w.finished = nil
+}
+
+// obey carries an order out and returns the answer.
+func (w *simWorker) obey(now time.Duration, o dispatch.Order) dispatch.Answered {
+	a := dispatch.Answered{
+		Order:   o,
+		Born:    w.pool.Born,
+		ClockMS: w.clock(now),
+	}
+	switch o := o.(type) {
+	case dispatch.Start:
+		a.Result = w.start(now, o)
+	case dispatch.Stop:
+		a.Result = w.stop(now, o)
+	case dispatch.Hold:
+		a.Result = w.hold(now, o)
+		a.Listing = w.listing()
+	}
+	return a
+}
+
+func (w *simWorker) isFenced(fence uint64) bool {
+	w.fence = max(w.fence, fence)
+	return fence < w.fence
+}
+
+func rejected(r dispatch.Rejection) dispatch.Result {
+	return dispatch.Rejected{
+		Reason: r,
+	}
+}
+
+func (w *simWorker) start(now time.Duration, o dispatch.Start) dispatch.Result {
+	_, isThere := w.runs[o.Ref]
+	switch {
+	case w.isFenced(o.Fence):
+		return rejected(dispatch.RejectedFence)
+	case o.LeaseUntil < w.clock(now):
+		return rejected(dispatch.RejectedLate)
+	}
+	w.lease = max(w.lease, o.LeaseUntil)
+	if isThere {
+		return dispatch.Obeyed{}
+	}
+	if o.Run <= w.blocked[o.Key] {
+		return rejected(dispatch.RejectedOld)
+	}
+	e := w.world.begin(now, w, o.Ref)
+	if o.Checkpoint != "" {
+		e.left = min(e.left, savedWork(o.Checkpoint, e.total))
+	}
+	w.runs[o.Ref] = e
+	return dispatch.Obeyed{}
+}
+
+func (w *simWorker) stop(now time.Duration, o dispatch.Stop) dispatch.Result {
+	if w.isFenced(o.Fence) {
+		return rejected(dispatch.RejectedFence)
+	}
+	w.blocked[o.Key] = max(w.blocked[o.Key], o.Run)
+	if e, ok := w.runs[o.Ref]; ok && e.stopAt == 0 {
+		e.stopAt = now + w.world.cfg.StopTakes
+	}
+	return dispatch.Obeyed{}
+}
+
+func (w *simWorker) hold(now time.Duration, o dispatch.Hold) dispatch.Result {
+	if w.isFenced(o.Fence) {
+		return rejected(dispatch.RejectedFence)
+	}
+	w.lease = max(w.lease, o.LeaseUntil)
+	w.finished = slices.DeleteFunc(w.finished, func(f dispatch.Finish) bool {
+		isNoted := f.Number <= o.Cursor
+		if isNoted && f.Ending == workflow.EndedDone && w.lapsedAt <= w.endedAt[f.Number] {
+			w.world.noted(now, f.Ref)
+		}
+		return isNoted
+	})
+	return dispatch.Obeyed{}
+}
+
+func (w *simWorker) listing() (l dispatch.Listing) {
+	for _, ref := range w.sortedRuns() {
+		e := w.runs[ref]
+		l.Running = append(l.Running, dispatch.Running{
+			Ref:     ref,
+			Percent: int(100 * (e.total - e.left) / e.total),
+		})
+	}
+	l.Finished = slices.Clone(w.finished)
+	return l
+}
+
+func (w *simWorker) sortedRuns() []workflow.Ref {
+	return slices.SortedFunc(maps.Keys(w.runs), compareRefs)
+}
+
+// end lists the end of a run.
+func (w *simWorker) end(now time.Duration, ref workflow.Ref, how workflow.Ending) {
+	e, ok := w.runs[ref]
+	if !ok {
+		return
+	}
+	delete(w.runs, ref)
+	w.blocked[ref.Key] = max(w.blocked[ref.Key], ref.Run)
+	w.number++
+	f := dispatch.Finish{
+		End: workflow.End{
+			Ref:    ref,
+			Ending: how,
+		},
+		Number: w.number,
+	}
+	if how == workflow.EndedStopped && w.world.saves(ref) {
+		f.Checkpoint = checkpoint(e.left)
+	}
+	w.finished = append(w.finished, f)
+	w.endedAt[w.number] = now
+	w.world.ended(now, ref, how)
+}
+
+// work lets a step of time pass.
+func (w *simWorker) work(now, step time.Duration) {
+	t := w.trouble(now)
+	if w.lease < w.clock(now) {
+		w.lapsedAt = now
+	}
+	for _, ref := range w.sortedRuns() {
+		e, ok := w.runs[ref]
+		switch {
+		case !ok:
+		case w.lease < w.clock(now):
+			w.end(now, ref, workflow.EndedLapsed)
+		case e.stopAt > 0 && now >= e.stopAt:
+			w.end(now, ref, workflow.EndedStopped)
+		case t.Fails && now-e.since >= failAfter:
+			w.end(now, ref, workflow.EndedFailed)
+		case e.isGang && !w.world.isComplete(ref, e.members):
+			if now-e.since > gangPatience {
+				w.end(now, ref, workflow.EndedAlone)
+			}
+		case !t.Hangs:
+			w.advance(now, e, step, t.Slow)
+		}
+	}
+}
+
+const (
+	failAfter    = 500 * time.Millisecond
+	gangPatience = 3 * time.Second
+)
+
+func (w *simWorker) advance(now time.Duration, e *execution, step time.Duration, slow float64) {
+	if slow > 0 {
+		step = time.Duration(float64(step) / slow)
+	}
+	e.left -= step
+	switch {
+	case e.left > 0:
+	case e.isHopeless:
+		w.end(now, e.ref, workflow.EndedFailed)
+	default:
+		w.end(now, e.ref, workflow.EndedDone)
+	}
+}
--- /dev/null
+++ b/replay/world.go
@@ -0,0 +1,324 @@
+// Package replay plays a load against the real decisions on workflows: its own
+// model of workers, racks and arrivals drives a dispatch.Board in simulated
+// time. It finds broken promises and compares policies; it is no simulator of
+// the controllers.
+package replay
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	plantainladder "github.com/plantainladder/plantainladder"
+	"github.com/plantainladder/plantainladder/configuration"
+	"github.com/plantainladder/plantainladder/dispatch"
+	"github.com/plantainladder/plantainladder/pool"
+	"github.com/plantainladder/plantainladder/workflow"
+)
+
+// A Config describes a World.
+type Config struct {
+	// Seed decides all luck.
+	Seed uint64
+	// DataCentres, Racks and WorkersPerRack shape the fleet; racks are spread
+	// over the data centres.
+	DataCentres, Racks, WorkersPerRack int
+	// Capacity is each worker's.
+	Capacity pool.Room
+	// Queues are the queues of the one pool.
+	Queues []configuration.Queue
+	// Organisations are the organisations.
+	Organisations []configuration.Organisation
+	// StopTakes is how long a worker takes to stop a run.
+	StopTakes time.Duration
+	// OffRackFactor is as in dispatch.Config.
+	OffRackFactor float64
+}
+
+// Timing of the model.
+const (
+	step        = 10 * time.Millisecond
+	commitTakes = 20 * time.Millisecond
+	tripTakes   = 5 * time.Millisecond
+	reportEvery = 1500 * time.Millisecond
+	leaseTime   = 8500 * time.Millisecond
+	poolName    = "pool"
+)
+
+// epoch is when the simulated time begins.
+var epoch = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+// An Arrival is a workflow that is handed in.
+type Arrival struct {
+	// At is when.
+	At time.Duration
+	// Queue and Organisation name where and by whom.
+	Queue, Organisation string
+	// Spec is the workflow without identifier.
+	Spec workflow.Spec
+	// Work holds the true run time of each step's tasks.
+	Work []time.Duration
+	// IsHopeless is true if all its runs fail.
+	IsHopeless bool
+	// CancelAfter is when it is given up after it was handed in; zero for never.
+	CancelAfter time.Duration
+}
+
+// A happening is something that takes place at a time.
+type happening struct {
+	at  time.Duration
+	seq int
+	do  func(now time.Duration)
+}
+
+// A World is a simulated fleet.
+type World struct {
+	cfg      Config
+	rng      *rand.Rand
+	now      time.Duration
+	state    plantainladder.State
+	board    dispatch.Board
+	index    uint64
+	workers  []*simWorker
+	byID     map[string]*simWorker
+	queue    []happening
+	sequence int
+	arrivals map[string]Arrival
+	running  map[workflow.Key]map[workflow.Ref]string
+	// done holds the run by which a task ended well; isNoted the tasks whose end
+	// was acknowledged; again the runs that ended well, without that being
+	// acknowledged, before their task started again.
+	done    map[workflow.Key]workflow.Ref
+	isNoted map[workflow.Key]bool
+	again   map[workflow.Ref]bool
+	faults  []string
+	term    uint64
+	records map[string]*Record
+}
+
+// A Record is what became of one workflow.
+type Record struct {
+	// Arrival is what was handed in.
+	Arrival Arrival
+	// Began and Ended are when it first ran and was decided, negative for never.
+	Began, Ended time.Duration
+	// Status is its last state.
+	Status workflow.Status
+}
+
+// NewWorld returns a fleet at rest.
+func NewWorld(cfg Config) *World {
+	w := &World{
+		cfg:      cfg,
+		rng:      rand.New(rand.NewPCG(cfg.Seed, cfg.Seed+1)),
+		state:    plantainladder.NewState(),
+		byID:     map[string]*simWorker{},
+		arrivals: map[string]Arrival{},
+		running:  map[workflow.Key]map[workflow.Ref]string{},
+		done:     map[workflow.Key]workflow.Ref{},
+		isNoted:  map[workflow.Key]bool{},
+		again:    map[workflow.Ref]bool{},
+		records:  map[string]*Record{},
+		term:     1,
+	}
+	w.board = w.newBoard(0)
+	for r := range cfg.Racks {
+		for n := range cfg.WorkersPerRack {
+			w.addWorker(r, n)
+		}
+	}
+	w.apply(0, plantainladder.PutConfiguration{
+		Document: configuration.Document{
+			Version: 1,
+			Queues:  cfg.Queues,
+			Pools: []configuration.Pool{
+				{
+					Name: poolName,
+				},
+			},
+			Organisations: cfg.Organisations,
+		},
+	})
+	return w
+}
+
+func (w *World) newBoard(now time.Duration) dispatch.Board {
+	return dispatch.NewBoard(w.at(now), dispatch.Config{
+		Lease:         leaseTime,
+		ReportEvery:   reportEvery,
+		StopTakes:     w.cfg.StopTakes,
+		OffRackFactor: w.cfg.OffRackFactor,
+	}, w.term)
+}
+
+func (w *World) addWorker(rack, n int) {
+	s := &simWorker{
+		world: w,
+		pool: pool.Worker{
+			ID:         fmt.Sprintf("w-%02d-%02d", rack, n),
+			Born:       1,
+			Pool:       poolName,
+			Address:    fmt.Sprintf("10.0.%d.%d:1", rack, n),
+			DataCentre: "dc-" + strconv.Itoa(rack%w.cfg.DataCentres),
+			Labels: []string{
+				"kind", "rack-" + strconv.Itoa(rack),
+			},
+			Capacity: w.cfg.Capacity,
+		},
+		offset:  time.Duration(w.rng.IntN(100_000)) * time.Millisecond,
+		runs:    map[workflow.Ref]*execution{},
+		blocked: map[workflow.Key]int{},
+		endedAt: map[uint64]time.Duration{},
+	}
+	w.workers = append(w.workers, s)
+	w.byID[s.pool.ID] = s
+	w.later(time.Duration(w.rng.IntN(int(reportEvery))), s.report)
+}
+
+func (w *World) at(now time.Duration) time.Time {
+	return epoch.Add(now)
+}
+
+func (w *World) later(at time.Duration, do func(now time.Duration)) {
+	w.sequence++
+	w.queue = append(w.queue, happening{
+		at:  at,
+		seq: w.sequence,
+		do:  do,
+	})
+}
+
+// Workers returns the identifiers of the workers.
+func (w *World) Workers() (ids []string) {
+	for _, s := range w.workers {
+		ids = append(ids, s.pool.ID)
+	}
+	return ids
+}
+
+// Plague gives a worker a trouble.
+func (w *World) Plague(id string, t Trouble) {
+	s := w.byID[id]
+	s.troubles = append(s.troubles, t)
+	if t.Restarts {
+		w.later(t.Until, s.restart)
+	}
+	if t.Leaves {
+		w.later(t.From, func(time.Duration) { s.pool.Leaving = true })
+		w.later(t.Until, func(now time.Duration) {
+			for _, ref := range s.sortedRuns() {
+				w.ended(now, ref, workflow.EndedLost)
+			}
+			s.gone = true
+		})
+	}
+}
+
+// ChangeLeader replaces the leader at a time: the new one knows what is
+// committed and nothing else.
+func (w *World) ChangeLeader(at time.Duration) {
+	w.later(at, func(now time.Duration) {
+		w.term++
+		w.board = w.newBoard(now)
+	})
+}
+
+// TakeOut takes a data centre out of service or brings it back.
+func (w *World) TakeOut(at time.Duration, name string, out bool) {
+	w.later(at, func(now time.Duration) {
+		w.apply(now, plantainladder.SetDataCentre{
+			Name:  name,
+			Out:   out,
+			Force: true,
+		})
+	})
+}
+
+// HandIn lets a workflow arrive.
+func (w *World) HandIn(id string, a Arrival) {
+	w.arrivals[id] = a
+	w.records[id] = &Record{
+		Arrival: a,
+		Began:   -1,
+		Ended:   -1,
+	}
+	a.Spec.ID, a.Spec.Queue = id, a.Queue
+	w.later(a.At+commitTakes, func(now time.Duration) {
+		w.apply(now, plantainladder.SubmitWorkflow{
+			Spec:  a.Spec,
+			Token: a.Organisation,
+		})
+	})
+	if a.CancelAfter > 0 {
+		w.later(a.At+a.CancelAfter, func(now time.Duration) {
+			w.apply(now, plantainladder.CancelWorkflow{
+				ID:    id,
+				Queue: a.Queue,
+				Token: a.Organisation,
+			})
+		})
+	}
+}
+
+func (w *World) apply(now time.Duration, c plantainladder.Command) {
+	w.index++
+	next, o := w.state.Apply(w.index, plantainladder.Envelope{
+		At:      w.at(now),
+		Command: c,
+	})
+	if !o.IsAccepted() {
+		w.fault(now, "command refused: %s %s", o.Reason, o.Detail)
+	}
+	w.state = next
+	w.board = w.board.WithDirty()
+}
+
+// Run lets time pass.
+func (w *World) Run(until time.Duration) {
+	for ; w.now < until; w.now += step {
+		w.happen()
+		for _, s := range w.workers {
+			if !s.gone {
+				s.work(w.now, step)
+			}
+		}
+		if w.board.IsDirty() || w.now%(5*step) == 0 {
+			w.sweep()
+		}
+		w.record()
+	}
+}
+
+func (w *World) happen() {
+	slices.SortFunc(w.queue, func(a, b happening) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.seq, b.seq))
+	})
+	for len(w.queue) > 0 && w.queue[0].at <= w.now {
+		next := w.queue[0]
+		w.queue = w.queue[1:]
+		next.do(w.now)
+	}
+}
+
+func (w *World) sweep() {
+	now := w.at(w.now)
+	board, plan := w.board.Sweep(now, dispatch.NewScene(w.state), func(r plantainladder.Round) dispatch.Scene {
+		return dispatch.NewScene(w.state.WithRound(now, r))
+	})
+	w.board = board
+	for _, o := range plan.Orders {
+		w.send(o)
+	}
+	if plan.Round == nil {
+		return
+	}
+	r, term := *plan.Round, w.term
+	w.later(w.now+commitTakes, func(now time.Duration) {
+		if term == w.term {
+			w.apply(now, r)
+		}
+	})
+}
