--- a/rpc/client.go
+++ b/rpc/client.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -48,6 +48,19 @@
 type call struct {
 	frame  frame
 	result chan result
+	// fate is nil for a message without an answer.
+	fate *fate
+}
+
+// A fate is decided once: by the owner of the connection when it sends the
+// call, or by the caller when it gives the call up.
+type fate struct {
+	isDecided atomic.Bool
+}
+
+// decide reports whether the caller of this method was the first.
+func (f *fate) decide() bool {
+	return f == nil || f.isDecided.CompareAndSwap(false, true)
 }
 
 type result struct {
@@ -132,6 +145,7 @@
 			Body:   body,
 		},
 		result: make(chan result, 1),
+		fate:   &fate{},
 	}
 	select {
 	case c.calls <- k:
@@ -149,10 +163,13 @@
 		return r
 	case <-c.done:
 	case <-ctx.Done():
+	}
+	isUnsent := k.fate.decide()
+	if !isUnsent {
 		c.reportSilence(k.result)
 	}
 	return result{
-		sent: true,
+		sent: !isUnsent,
 		err:  context.DeadlineExceeded,
 	}
 }
@@ -166,16 +183,6 @@
 	}
 }
 
-// A session is one connection and the calls that wait on it. Only the
-// client's goroutine touches it.
-type session struct {
-	conn     *websocket.Conn
-	incoming chan frame
-	pending  map[uint64]chan result
-	heard    time.Time
-	cancel   context.CancelFunc
-}
-
 // Keep-alive of connections: a client pings, since messages without an answer
 // cannot show that a connection has gone silent.
 const (
@@ -184,10 +191,19 @@
 	silenceLimit = 700 * time.Millisecond
 )
 
+// A dialled value is the end of an attempt to open a connection.
+type dialled struct {
+	session *session
+	err     error
+}
+
+// run owns the connection. Calls wait while one is being opened.
 func (c *Client) run(ctx context.Context) {
 	defer close(c.done)
 	var s *session
 	var lastID uint64
+	var queued []call
+	var dialling chan dialled
 	for {
 		var incoming chan frame
 		if s != nil {
@@ -198,8 +214,27 @@
 			s.close()
 			return
 		case k := <-c.calls:
+			if s == nil {
+				queued = append(queued, k)
+				break
+			}
 			lastID++
 			s = c.begin(ctx, s, k, lastID)
+		case d := <-dialling:
+			var rest []call
+			dialling, s = nil, d.session
+			for _, k := range queued {
+				switch {
+				case d.err != nil:
+					k.fail(d.err)
+				case s == nil:
+					rest = append(rest, k)
+				default:
+					lastID++
+					s = c.begin(ctx, s, k, lastID)
+				}
+			}
+			queued = rest
 		case f, ok := <-incoming:
 			if !ok {
 				s.close()
@@ -210,16 +245,34 @@
 		case waiting := <-c.abandoned:
 			s = s.without(waiting)
 		}
+		if s == nil && dialling == nil && len(queued) > 0 {
+			dialling = c.startDial(ctx)
+		}
 	}
 }
 
-func (c *Client) begin(ctx context.Context, s *session, k call, id uint64) *session {
-	if s == nil {
-		var err error
-		if s, err = c.dial(ctx); err != nil {
-			k.fail(false, err)
-			return nil
+// startDial opens a connection beside the owner, which goes on.
+func (c *Client) startDial(ctx context.Context) chan dialled {
+	done := make(chan dialled, 1)
+	go func() {
+		s, err := c.dial(ctx)
+		if ctx.Err() != nil {
+			s.close()
+			return
 		}
+		done <- dialled{
+			session: s,
+			err:     err,
+		}
+	}()
+	return done
+}
+
+// begin sends a call and returns the connection, nil if it broke. A call whose
+// caller has given up is not sent.
+func (c *Client) begin(ctx context.Context, s *session, k call, id uint64) *session {
+	if !k.fate.decide() {
+		return s
 	}
 	if k.result != nil {
 		k.frame.ID = id
@@ -234,11 +287,11 @@
 	return s
 }
 
-func (k call) fail(sent bool, err error) {
-	if k.result != nil {
+// fail tells a caller that its call was never sent.
+func (k call) fail(err error) {
+	if k.result != nil && k.fate.decide() {
 		k.result <- result{
-			sent: sent,
-			err:  err,
+			err: err,
 		}
 	}
 }
@@ -310,46 +363,3 @@
 		c.cfg.Count(written, read)
 	}
 }
-
-func (s *session) deliver(f frame) {
-	s.heard = time.Now()
-	waiting, ok := s.pending[f.ID]
-	if !ok {
-		return
-	}
-	delete(s.pending, f.ID)
-	waiting <- result{
-		frame: f,
-		sent:  true,
-	}
-}
-
-// without returns the session without a call that was abandoned, nil if it has
-// gone silent.
-func (s *session) without(waiting chan result) *session {
-	if s == nil {
-		return nil
-	}
-	maps.DeleteFunc(s.pending, func(_ uint64, ch chan result) bool {
-		return ch == waiting
-	})
-	if time.Since(s.heard) > silenceLimit {
-		s.close()
-		return nil
-	}
-	return s
-}
-
-func (s *session) close() {
-	if s == nil {
-		return
-	}
-	s.cancel()
-	_ = s.conn.CloseNow()
-	for _, waiting := range s.pending {
-		waiting <- result{
-			sent: true,
-			err:  context.Canceled,
-		}
-	}
-}
--- a/rpc/rpc_suite_test.go
+++ b/rpc/rpc_suite_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -66,6 +67,32 @@
 		})
 	})
 
+	It("gives up calls to a dark server in time, and knows that they were not sent", func() {
+		dark, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = dark.Close() }()
+		c := rpc.NewClient(rpc.ClientConfig{
+			DialTimeout: 200 * time.Millisecond,
+			Queue:       64,
+		}.WithAddress(dark.Addr().String()))
+		defer c.Close()
+		var wg sync.WaitGroup
+		began := time.Now()
+		for range 20 {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				ctx, cancel := context.WithTimeout(context.Background(), 600*time.Millisecond)
+				defer cancel()
+				_, err := rpc.Call[int, int](ctx, c, "double", 4)
+				var none *rpc.UnreachableError
+				Expect(errors.As(err, &none)).To(BeTrue())
+				Expect(none.Sent).To(BeFalse())
+			})
+		}
+		wg.Wait()
+		Expect(time.Since(began)).To(BeNumerically("<", 900*time.Millisecond))
+	})
+
 	It("reaches a server without a token, if it has none itself", func() {
 		server, dial := startWith("")
 		defer server.Close()
