--- a/control/core.go
+++ b/control/core.go
@@ -159,6 +159,7 @@
 		return c.stepObserve(now, e), nil
 	case Join:
 		return c.stepJoin(now, e)
+	case Woken:
 	}
 	return c, nil
 }
--- a/control/dispatch.go
+++ b/control/dispatch.go
@@ -27,8 +27,24 @@
 	Note dispatch.Note
 }
 
+// WakeAfter asks for a Woken event.
+type WakeAfter struct {
+	// Delay is how long to wait.
+	Delay time.Duration
+}
+
+// Woken follows a WakeAfter.
+type Woken struct{}
+
+func (Woken) event() {}
+
 func (SendOrder) effect() {}
 func (Explain) effect()   {}
+func (WakeAfter) effect() {}
+
+// boardEvery bounds the sweeps of a busy leader: what happens within it is
+// decided together.
+const boardEvery = 8 * time.Millisecond
 
 func (c Core) stepObserve(now time.Time, e Observe) Core {
 	if c.lead == nil {
@@ -50,10 +66,24 @@
 	if _, isTick := e.(Tick); !isTick && !c.lead.board.IsDirty() {
 		return c, out
 	}
-	board, plan := c.lead.board.Sweep(now, dispatch.NewScene(c.state), func(r plantainladder.Round) dispatch.Scene {
+	l := *c.lead
+	if _, isWoken := e.(Woken); isWoken {
+		l.isWaking = false
+	}
+	if now.Sub(l.sweptAt) < boardEvery {
+		if !l.isWaking {
+			l.isWaking = true
+			out = append(out, WakeAfter{
+				Delay: boardEvery,
+			})
+		}
+		c.lead = &l
+		return c, out
+	}
+	l.sweptAt = now
+	board, plan := l.board.Sweep(now, dispatch.NewScene(c.state), func(r plantainladder.Round) dispatch.Scene {
 		return dispatch.NewScene(c.state.WithRound(now, r))
 	})
-	l := *c.lead
 	l.board = board
 	c.lead = &l
 	for _, o := range plan.Orders {
--- a/control/lead.go
+++ b/control/lead.go
@@ -32,6 +32,10 @@
 	planAt  time.Time
 	// board is what is known of the workers of pools.
 	board dispatch.Board
+	// sweptAt is when the board last looked at everything; isWaking is true if
+	// a Woken event is on its way.
+	sweptAt  time.Time
+	isWaking bool
 }
 
 // A gateway is what the leader knows of a gateway.
--- a/controller/node/perform.go
+++ b/controller/node/perform.go
@@ -39,6 +39,10 @@
 		n.pusher.Push(n.ctx, f)
 	case control.SendOrder:
 		n.cfg.Send(f.Order, n.observe)
+	case control.WakeAfter:
+		time.AfterFunc(f.Delay, func() {
+			_ = n.loop.Post(n.ctx, control.Woken{})
+		})
 	case control.Explain:
 		n.explain(f.Note)
 	case control.Note:
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -21,7 +21,7 @@
 
 func (b Board) withAnswer(now time.Time, a Answered) Board {
 	t := targetOf(a.Order)
-	v, ok := b.views.Get(t.Worker)
+	v, ok := b.view(t.Worker)
 	if !ok || v.worker.Born != t.Born {
 		return b
 	}
--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -73,11 +73,17 @@
 	cfg     Config
 	term    uint64
 	since   time.Time
-	views   *immutable.SortedMap[string, view]
+	views   *immutable.SortedMap[string, *view]
 	pending *pendingRound
 	rounds  uint64
 	// isDirty is true if something happened since the last sweep.
 	isDirty bool
+	// index is derived from the last scene.
+	index *sceneIndex
+	// plannedAt and plannedFor are when places were last given, and for which
+	// scene.
+	plannedAt  time.Time
+	plannedFor uint64
 }
 
 // roundsPerTerm separates the round numbers of two terms.
@@ -89,7 +95,7 @@
 		cfg:     cfg,
 		term:    term,
 		since:   now,
-		views:   immutable.NewSortedMap[string, view](nil),
+		views:   immutable.NewSortedMap[string, *view](nil),
 		rounds:  term * roundsPerTerm,
 		isDirty: true,
 	}
@@ -111,11 +117,23 @@
 	return b.pending != nil
 }
 
+// withView returns b with a view written. Views are held by pointer, since a
+// change copies a node of the map; nothing writes through the pointers.
 func (b Board) withView(v view) Board {
-	b.views = b.views.Set(v.worker.ID, v)
+	v.isChanged = false
+	b.views = b.views.Set(v.worker.ID, &v)
 	return b
 }
 
+// view returns what is known of a worker.
+func (b Board) view(id string) (v view, ok bool) {
+	p, ok := b.views.Get(id)
+	if !ok {
+		return v, false
+	}
+	return *p, true
+}
+
 // With returns b after an observation.
 func (b Board) With(now time.Time, o Observation) Board {
 	switch o := o.(type) {
@@ -128,7 +146,7 @@
 }
 
 func (b Board) withReport(now time.Time, r Reported) Board {
-	v, ok := b.views.Get(r.Worker.ID)
+	v, ok := b.view(r.Worker.ID)
 	switch {
 	case !ok || r.Worker.Born > v.worker.Born:
 		v = newView(r.Worker)
@@ -157,6 +175,9 @@
 
 // A Scene is the committed state as far as it concerns workflows.
 type Scene struct {
+	// Version rises with each change of the state; zero for a scene that is not
+	// committed.
+	Version uint64
 	// Workflows holds the unsettled workflows in the order of submission.
 	Workflows []workflow.Workflow
 	// Workers holds the committed announcements.
@@ -172,6 +193,7 @@
 // NewScene returns the scene of a state.
 func NewScene(s plantainladder.State) Scene {
 	return Scene{
+		Version:   s.Index(),
 		Workflows: s.UnsettledWorkflows(),
 		Workers:   s.PoolWorkers(),
 		IsOut:     s.IsOut,
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -49,17 +49,20 @@
 
 // fleets returns the usable workers by pool.
 func (s *sweeper) fleets(scene Scene) map[string]*fleet {
-	holders := s.holders(scene)
+	x := s.index
+	if x.version != scene.Version {
+		x = newSceneIndex(scene)
+	}
 	m := map[string]*fleet{}
 	for _, w := range scene.Workers {
-		v, ok := s.board.views.Get(w.ID)
+		v, ok := s.board.view(w.ID)
 		if !ok || !s.isUsable(w, v) {
 			continue
 		}
 		n := &node{
 			worker:  w,
 			free:    w.Capacity,
-			holders: holders[w.ID],
+			holders: s.holders(x, w, v),
 		}
 		for _, h := range n.holders {
 			n.free = n.free.Minus(h.task.Terms.Each)
@@ -111,23 +114,23 @@
 	return list
 }
 
-// holders returns the runs that hold room, by worker.
-func (s *sweeper) holders(scene Scene) map[string][]holder {
-	m := map[string][]holder{}
-	for _, w := range scene.Workflows {
-		for _, t := range w.PlacedTasks() {
-			v, _ := s.board.views.Get(t.Worker)
-			r := v.runs[t.Ref]
-			m[t.Worker] = append(m[t.Worker], holder{
-				task:       t,
-				priority:   w.Terms.Priority,
-				endsAt:     s.expectedEnd(v, t),
-				lost:       s.lostWork(v, t),
-				isStopping: r.unwanted != "" || !t.IsWanted,
-			})
+// holders returns the runs that hold room on a worker in a scene.
+func (s *sweeper) holders(x *sceneIndex, w pool.Worker, v view) []holder {
+	tasks := x.placed[w.ID]
+	if len(tasks) == 0 {
+		return nil
+	}
+	list := make([]holder, len(tasks))
+	for i, t := range tasks {
+		list[i] = holder{
+			task:       t,
+			priority:   x.flows[t.Workflow].Terms.Priority,
+			endsAt:     s.expectedEnd(v, t),
+			lost:       s.lostWork(v, t),
+			isStopping: v.runs[t.Ref].unwanted != "" || !t.IsWanted,
 		}
 	}
-	return m
+	return list
 }
 
 // overrun is how long a run that has outlived its estimate is expected to go
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -63,6 +63,7 @@
 		lease = v.clock.now(s.now) + s.board.cfg.Lease.Milliseconds()
 		v.promised = max(v.promised, lease)
 	}
+	v.isChanged = true
 	v.holdSent = s.now
 	v.holds++
 	s.send(Hold{
@@ -84,6 +85,7 @@
 }
 
 func (v view) withoutListed(ref workflow.Ref) view {
+	v.isChanged = true
 	v.listed = maps.Clone(v.listed)
 	delete(v.listed, ref)
 	return v
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -13,6 +13,10 @@
 // work that could have run there meanwhile.
 const maxKept = 3
 
+// planEvery is the period of plans while nothing is committed: only time and
+// what workers said can have changed.
+const planEvery = 50 * time.Millisecond
+
 // planner is the working copy of one plan.
 type planner struct {
 	s       *sweeper
@@ -24,6 +28,10 @@
 
 // place returns the places to be given in a scene.
 func (s *sweeper) place(scene Scene) []workflow.Placement {
+	if scene.Version == s.board.plannedFor && s.now.Sub(s.board.plannedAt) < planEvery {
+		return nil
+	}
+	s.board.plannedFor, s.board.plannedAt = scene.Version, s.now
 	waiting := units(s.now, scene.Workflows)
 	if len(waiting) == 0 {
 		return nil
@@ -79,7 +87,12 @@
 // seats finds seats for a number of a unit's tasks on nodes, the fullest nodes
 // first, so that whole ones stay free. It returns nil if there are too few.
 func seats(nodes []*node, u unit, tasks int, room func(n *node) pool.Room) []seat {
-	order := slices.Clone(nodes)
+	var order []*node
+	for _, n := range nodes {
+		if u.fits(n, room(n), 1) > 0 {
+			order = append(order, n)
+		}
+	}
 	slices.SortStableFunc(order, func(a, b *node) int {
 		return cmp.Or(
 			cmp.Compare(room(a).Accelerators, room(b).Accelerators),
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -58,7 +58,7 @@
 // stop marks the runs of a group as preempted.
 func (p *planner) stop(g group, u unit) {
 	for _, h := range g.members {
-		v, ok := p.s.board.views.Get(h.task.Worker)
+		v, ok := p.s.board.view(h.task.Worker)
 		if !ok {
 			continue
 		}
@@ -111,17 +111,87 @@
 	lost   float64
 }
 
+// An evictor is the working copy of one eviction: how many of a unit's tasks
+// fit on each node if the chosen groups are gone.
+type evictor struct {
+	unit  unit
+	nodes map[string]*node
+	room  map[string]pool.Room
+	fit   map[string]int
+	total int
+}
+
+func newEvictor(nodes []*node, u unit) *evictor {
+	e := &evictor{
+		unit:  u,
+		nodes: make(map[string]*node, len(nodes)),
+		room:  make(map[string]pool.Room, len(nodes)),
+		fit:   make(map[string]int, len(nodes)),
+	}
+	for _, n := range nodes {
+		e.nodes[n.worker.ID] = n
+		e.set(n, n.free.Plus(n.coming))
+	}
+	return e
+}
+
+func (e *evictor) set(n *node, room pool.Room) {
+	id := n.worker.ID
+	e.room[id] = room
+	e.total -= e.fit[id]
+	e.fit[id] = e.unit.fits(n, room, e.unit.terms.Tasks)
+	e.total += e.fit[id]
+}
+
+// change takes a group away, or puts it back if sign is -1.
+func (e *evictor) change(g group, sign int) {
+	for _, h := range g.members {
+		if n, ok := e.nodes[h.task.Worker]; ok {
+			e.set(n, e.room[n.worker.ID].Plus(h.task.Terms.Each.Times(sign)))
+		}
+	}
+}
+
+func (e *evictor) hasRoom() bool {
+	return e.total >= e.unit.terms.Tasks
+}
+
 // evict finds the groups to stop so that a unit fits on nodes, nil if it cannot.
-// Groups go in the order of the work that is lost for what they free; those that
-// turn out not to be needed are spared.
+// Groups go in the order of the work that is lost; those that turn out not to
+// be needed are spared.
 func (p *planner) evict(nodes []*node, u unit, groups map[groupKey]group) *eviction {
-	room := map[*node]pool.Room{}
-	local := map[string]*node{}
-	var order []groupKey
+	e := newEvictor(nodes, u)
+	var chosen []groupKey
+	for _, k := range groupsOn(nodes, groups) {
+		if e.hasRoom() {
+			break
+		}
+		chosen = append(chosen, k)
+		e.change(groups[k], 1)
+	}
+	if !e.hasRoom() {
+		return nil
+	}
+	found := &eviction{}
+	for _, k := range slices.Backward(chosen) {
+		e.change(groups[k], -1)
+		if e.hasRoom() {
+			continue
+		}
+		e.change(groups[k], 1)
+		found.groups = append(found.groups, groups[k])
+		found.lost += groups[k].lost
+	}
+	found.seats = seats(nodes, u, u.terms.Tasks, func(n *node) pool.Room {
+		return e.room[n.worker.ID]
+	})
+	return found
+}
+
+// groupsOn returns the groups with members on nodes, the least loss first.
+func groupsOn(nodes []*node, groups map[groupKey]group) (order []groupKey) {
 	seen := map[groupKey]bool{}
 	for _, n := range nodes {
-		room[n] = n.free.Plus(n.coming)
-		local[n.worker.ID] = n
 		for _, h := range n.holders {
 			k := keyOf(h)
 			if _, ok := groups[k]; ok && !seen[k] {
@@ -133,38 +203,5 @@
 	slices.SortStableFunc(order, func(a, b groupKey) int {
 		return cmp.Compare(groups[a].lost, groups[b].lost)
 	})
-	free := func(n *node) pool.Room {
-		return room[n]
-	}
-	change := func(g group, sign int) {
-		for _, h := range g.members {
-			if n, ok := local[h.task.Worker]; ok {
-				room[n] = room[n].Plus(h.task.Terms.Each.Times(sign))
-			}
-		}
-	}
-	var chosen []groupKey
-	for !hasSeats(nodes, u, free) {
-		if len(chosen) == len(order) {
-			return nil
-		}
-		chosen = append(chosen, order[len(chosen)])
-		change(groups[chosen[len(chosen)-1]], 1)
-	}
-	e := &eviction{}
-	for _, k := range slices.Backward(chosen) {
-		change(groups[k], -1)
-		if hasSeats(nodes, u, free) {
-			continue
-		}
-		change(groups[k], 1)
-		e.groups = append(e.groups, groups[k])
-		e.lost += groups[k].lost
-	}
-	e.seats = seats(nodes, u, u.terms.Tasks, free)
-	return e
-}
-
-func hasSeats(nodes []*node, u unit, room func(n *node) pool.Room) bool {
-	return seats(nodes, u, u.terms.Tasks, room) != nil
+	return order
 }
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -45,7 +45,7 @@
 		r.unwanted = reasonDecided
 	case v.worker.Born != t.Born:
 		r.unwanted = reasonReborn
-	case s.isBroken[t.Ref]:
+	case s.index.isBroken[t.Ref]:
 		if r.brokenAt.IsZero() {
 			r.brokenAt = s.now
 		}
@@ -90,7 +90,7 @@
 	r.open++
 	lease := v.clock.now(s.now) + s.board.cfg.Lease.Milliseconds()
 	v.promised = max(v.promised, lease)
-	w := s.workflow(t.Workflow)
+	w := s.index.flows[t.Workflow]
 	s.send(Start{
 		Target:     s.target(v),
 		Ref:        t.Ref,
@@ -101,15 +101,6 @@
 	return v.withRun(t.Ref, r)
 }
 
-func (s *sweeper) workflow(id string) workflow.Workflow {
-	for _, w := range s.scene.Workflows {
-		if w.Spec.ID == id {
-			return w
-		}
-	}
-	return workflow.Workflow{}
-}
-
 // stopRun sends a stop until it is obeyed, and ends the run once the worker
 // does not list it any more. A run that no start can have reached ends at once.
 func (s *sweeper) stopRun(v view, t workflow.PlacedTask, r run) view {
@@ -146,7 +137,7 @@
 // stopGhosts stops runs that a worker lists though they have no place there.
 func (s *sweeper) stopGhosts(v view) view {
 	for ref := range v.listed {
-		if s.refs[ref] || v.hasFinish(ref) {
+		if s.index.refs[ref] || v.hasFinish(ref) {
 			continue
 		}
 		s.send(Stop{
--- a/dispatch/sweep.go
+++ b/dispatch/sweep.go
@@ -6,7 +6,6 @@
 	"time"
 
 	plantainladder "github.com/plantainladder/plantainladder"
-	"github.com/plantainladder/plantainladder/pool"
 	"github.com/plantainladder/plantainladder/workflow"
 )
 
@@ -36,16 +35,12 @@
 
 // sweeper is the working copy of one sweep.
 type sweeper struct {
-	board     Board
-	now       time.Time
-	scene     Scene
-	plan      Plan
-	committed map[string]pool.Worker
-	placed    map[string][]workflow.PlacedTask
-	refs      map[workflow.Ref]bool
-	// isBroken holds the gang runs of which some member has no place any more.
-	isBroken map[workflow.Ref]bool
-	ends     []workflow.End
+	board Board
+	now   time.Time
+	scene Scene
+	index *sceneIndex
+	plan  Plan
+	ends  []workflow.End
 }
 
 // Sweep returns the board after it has looked at everything: which orders are
@@ -54,16 +49,16 @@
 func (b Board) Sweep(now time.Time, scene Scene, after func(r plantainladder.Round) Scene) (Board, Plan) {
 	b.isDirty = false
 	s := &sweeper{
-		board:     b,
-		now:       now,
-		scene:     scene,
-		committed: map[string]pool.Worker{},
-		placed:    map[string][]workflow.PlacedTask{},
-		refs:      map[workflow.Ref]bool{},
-		isBroken:  map[workflow.Ref]bool{},
+		board: b,
+		now:   now,
+		scene: scene,
+		index: b.index,
+	}
+	if s.index == nil || s.index.version != scene.Version {
+		s.index = newSceneIndex(scene)
+		s.board.index = s.index
 	}
 	s.settle()
-	s.index()
 	for _, id := range s.workerIDs() {
 		s.sweepWorker(id)
 	}
@@ -92,12 +87,12 @@
 	}
 	s.board.pending = nil
 	for id, n := range p.cursors {
-		if v, ok := s.board.views.Get(id); ok {
+		if v, ok := s.board.view(id); ok {
 			s.board = s.board.withView(v.withCursor(n))
 		}
 	}
 	for _, place := range p.placements {
-		v, ok := s.board.views.Get(place.Worker)
+		v, ok := s.board.view(place.Worker)
 		if ok && v.worker.Born == place.Born {
 			s.board = s.board.withView(v.withRun(place.Ref, run{
 				isOurs: true,
@@ -106,68 +101,43 @@
 	}
 }
 
-func (s *sweeper) index() {
-	for _, w := range s.scene.Workers {
-		s.committed[w.ID] = w
-	}
-	for _, w := range s.scene.Workflows {
-		for _, t := range w.PlacedTasks() {
-			s.placed[t.Worker] = append(s.placed[t.Worker], t)
-			s.refs[t.Ref] = true
-			if t.Terms.IsGang && w.IsOpen() {
-				s.indexGang(w, t)
-			}
-		}
-	}
-}
-
-// indexGang notes a gang's run as broken unless all members have places in it.
-func (s *sweeper) indexGang(w workflow.Workflow, t workflow.PlacedTask) {
-	r := w.Occurrences[t.Occurrence].Steps[t.Step]
-	if r.IsDone(t.Terms) {
-		return
-	}
-	for _, other := range r.Tasks {
-		if _, ok := other.Place(); !ok || other.Run != t.Run {
-			s.isBroken[t.Ref] = true
-			return
-		}
-	}
-}
-
 func (s *sweeper) workerIDs() []string {
 	ids := map[string]bool{}
-	for id := range s.placed {
+	for id := range s.index.placed {
 		ids[id] = true
 	}
 	for itr := s.board.views.Iterator(); !itr.Done(); {
-		id, _, _ := itr.Next()
-		ids[id] = true
+		if id, v, _ := itr.Next(); !v.isIdle() {
+			ids[id] = true
+		}
 	}
 	return slices.Sorted(maps.Keys(ids))
 }
 
 // sweepWorker decides what one worker is told.
 func (s *sweeper) sweepWorker(id string) {
-	tasks := s.placed[id]
-	v, ok := s.board.views.Get(id)
+	tasks := s.index.placed[id]
+	v, ok := s.board.view(id)
 	if !ok {
-		w, known := s.committed[id]
+		w, known := s.index.workers[id]
 		if !known {
 			s.giveUp(tasks)
 			return
 		}
 		v = newView(w)
+		v.isChanged = true
 	}
 	v = v.withoutOldRuns(func(ref workflow.Ref) bool {
-		return s.refs[ref]
+		return s.index.refs[ref]
 	})
 	for _, t := range tasks {
 		v = s.sweepRun(v, t)
 	}
 	v = s.stopGhosts(v)
 	v = s.hold(v, tasks)
-	s.board = s.board.withView(v)
+	if v.isChanged {
+		s.board = s.board.withView(v)
+	}
 }
 
 // unheardPatience is how long a lease that a leader before gave can last.
@@ -227,21 +197,26 @@
 		id, v, _ := itr.Next()
 		for _, f := range v.finished {
 			cursors[id] = max(cursors[id], f.Number)
-			if s.refs[f.Ref] {
+			if s.index.refs[f.Ref] {
 				r.Ends = append(r.Ends, f.End)
 				s.noteFinish(id, f)
 			}
 		}
 	}
 	r.Forgotten = s.forgotten()
-	r.Placements = s.place(after(r))
+	next := s.scene
+	if len(r.Ends) > 0 {
+		next = after(r)
+		next.Version = 0
+	}
+	r.Placements = s.place(next)
 	if r.IsEmpty() && len(cursors) == 0 {
 		return
 	}
 	if r.IsEmpty() {
 		// The ends belong to runs that are settled: nothing is to be committed.
 		for id, n := range cursors {
-			v, _ := s.board.views.Get(id)
+			v, _ := s.board.view(id)
 			s.board = s.board.withView(v.withCursor(n))
 		}
 		return
@@ -271,10 +246,10 @@
 
 func (s *sweeper) forgotten() (ids []string) {
 	for _, w := range s.scene.Workers {
-		if len(s.placed[w.ID]) > 0 || s.now.Sub(s.board.since) < forgetAfter {
+		if len(s.index.placed[w.ID]) > 0 || s.now.Sub(s.board.since) < forgetAfter {
 			continue
 		}
-		v, ok := s.board.views.Get(w.ID)
+		v, ok := s.board.view(w.ID)
 		if ok && s.now.Sub(v.heard) < forgetAfter {
 			continue
 		}
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -40,6 +40,8 @@
 	// refusals counts the tasks in a row that the worker refused or failed.
 	refusals int
 	runs     map[workflow.Ref]run
+	// isChanged is true in a working copy that differs from the board's.
+	isChanged bool
 }
 
 // A run is what the leader has told a worker about one run.
@@ -96,6 +98,10 @@
 }
 
 func (v view) withRun(ref workflow.Ref, r run) view {
+	if known, ok := v.runs[ref]; ok && known == r {
+		return v
+	}
+	v.isChanged = true
 	v.runs = maps.Clone(v.runs)
 	v.runs[ref] = r
 	return v
@@ -107,6 +113,7 @@
 		if keep(ref) {
 			continue
 		}
+		v.isChanged = true
 		v.runs = maps.Clone(v.runs)
 		maps.DeleteFunc(v.runs, func(ref workflow.Ref, _ run) bool {
 			return !keep(ref)
@@ -159,3 +166,8 @@
 	}
 	return false
 }
+
+// isIdle reports whether a worker without tasks needs nothing.
+func (v view) isIdle() bool {
+	return len(v.runs) == 0 && len(v.finished) == 0 && len(v.listed) == 0 && v.told >= v.cursor
+}
--- /dev/null
+++ b/replay/load.go
@@ -0,0 +1,132 @@
+package replay
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/plantainladder/plantainladder/configuration"
+	"github.com/plantainladder/plantainladder/pool"
+	"github.com/plantainladder/plantainladder/workflow"
+)
+
+// A Kind is a kind of workflow in a load.
+type Kind struct {
+	// Queue is its queue.
+	Queue configuration.Queue
+	// PerSecond is the mean rate of arrivals.
+	PerSecond float64
+	// Tasks is the mean number of tasks of a step; WorkSeconds is their mean run
+	// time. Both vary log-normally by their spreads.
+	Tasks, TasksSpread      float64
+	WorkSeconds, WorkSpread float64
+	// MaxTasks and MaxWorkSeconds cut what is drawn.
+	MaxTasks       int
+	MaxWorkSeconds float64
+	// Each is what a task needs, but for accelerators, of which one of
+	// Accelerators is drawn.
+	Each         pool.Room
+	Accelerators []int
+	// Gang, RackBound and Checkpoints are the parts of the workflows that are
+	// so, from 0 to 1.
+	Gang, RackBound, Checkpoints float64
+	// EstimateOff is how far estimates are off, as a part of the run time.
+	EstimateOff float64
+	// Hopeless and Cancelled are the parts that can never be done and that are
+	// given up.
+	Hopeless, Cancelled float64
+	// Worth is what one of mean work that completes in time is worth; LateWorth
+	// what one is worth that completes within three times its allowance.
+	Worth, LateWorth float64
+}
+
+// A Burst multiplies the rate of a kind for a while.
+type Burst struct {
+	// Queue names the kind.
+	Queue string
+	// From and Until bound it.
+	From, Until time.Duration
+	// Times multiplies the rate.
+	Times float64
+}
+
+// A Load is what is handed in.
+type Load struct {
+	// Kinds holds the kinds of workflows.
+	Kinds []Kind
+	// Bursts holds the bursts.
+	Bursts []Burst
+	// From and Until bound the arrivals.
+	From, Until time.Duration
+	// Organisations names the organisations, each with an equal part.
+	Organisations []string
+}
+
+// HandIn draws a load from a seed and hands it in. It returns the identifiers
+// in the order of their arrival in each kind.
+func (l Load) HandIn(w *World, seed uint64) (ids []string) {
+	rng := rand.New(rand.NewPCG(seed, seed^math.MaxUint32))
+	for _, k := range l.Kinds {
+		for at := l.From; ; {
+			gap := rng.ExpFloat64() / (k.PerSecond * l.rate(k.Queue.Name, at))
+			at += time.Duration(gap * float64(time.Second))
+			if at >= l.Until {
+				break
+			}
+			id := fmt.Sprintf("%s-%04d", k.Queue.Name, len(ids))
+			w.HandIn(id, k.draw(rng, at, l.Organisations[rng.IntN(len(l.Organisations))]))
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (l Load) rate(queue string, at time.Duration) float64 {
+	times := 1.0
+	for _, b := range l.Bursts {
+		if b.Queue == queue && at >= b.From && at < b.Until {
+			times *= b.Times
+		}
+	}
+	return times
+}
+
+// draw returns one workflow of a kind.
+func (k Kind) draw(rng *rand.Rand, at time.Duration, organisation string) Arrival {
+	tasks := max(1, min(k.MaxTasks, int(math.Round(logNormal(rng, k.Tasks, k.TasksSpread)))))
+	work := min(k.MaxWorkSeconds, logNormal(rng, k.WorkSeconds, k.WorkSpread))
+	off := 1 + k.EstimateOff*(2*rng.Float64()-1)
+	s := workflow.Step{
+		Tasks:       tasks,
+		Each:        k.Each,
+		Estimate:    time.Duration(work * off * float64(time.Second)),
+		IsGang:      rng.Float64() < k.Gang,
+		Checkpoints: rng.Float64() < k.Checkpoints,
+	}
+	s.Each.Accelerators = k.Accelerators[rng.IntN(len(k.Accelerators))]
+	s.IsRackBound = s.IsGang && rng.Float64() < k.RackBound
+	a := Arrival{
+		At:           at,
+		Queue:        k.Queue.Name,
+		Organisation: organisation,
+		Spec: workflow.Spec{
+			Steps: []workflow.Step{
+				s,
+			},
+		},
+		Work: []time.Duration{
+			time.Duration(work * float64(time.Second)),
+		},
+		IsHopeless: rng.Float64() < k.Hopeless,
+	}
+	if rng.Float64() < k.Cancelled {
+		a.CancelAfter = time.Duration((0.2 + rng.Float64()) * work * float64(time.Second))
+	}
+	return a
+}
+
+// logNormal draws a number with a mean and a spread of its logarithm.
+func logNormal(rng *rand.Rand, mean, spread float64) float64 {
+	return mean * math.Exp(rng.NormFloat64()*spread-spread*spread/2)
+}
--- a/replay/world.go
+++ b/replay/world.go
@@ -97,6 +97,9 @@
 	faults  []string
 	term    uint64
 	records map[string]*Record
+	// sweeps counts the sweeps; sweepTime is the processor's time for them.
+	sweeps    int
+	sweepTime time.Duration
 }
 
 // A Record is what became of one workflow.
@@ -191,6 +194,16 @@
 	})
 }
 
+// Sweeps returns the number of sweeps.
+func (w *World) Sweeps() int {
+	return w.sweeps
+}
+
+// SweepTime returns how long all sweeps took on this machine.
+func (w *World) SweepTime() time.Duration {
+	return w.sweepTime
+}
+
 // Workers returns the identifiers of the workers.
 func (w *World) Workers() (ids []string) {
 	for _, s := range w.workers {
@@ -305,10 +318,13 @@
 
 func (w *World) sweep() {
 	now := w.at(w.now)
+	began := time.Now()
 	board, plan := w.board.Sweep(now, dispatch.NewScene(w.state), func(r plantainladder.Round) dispatch.Scene {
 		return dispatch.NewScene(w.state.WithRound(now, r))
 	})
 	w.board = board
+	w.sweeps++
+	w.sweepTime += time.Since(began)
 	for _, o := range plan.Orders {
 		w.send(o)
 	}
