Keep room for urgent work, meet guarantees in the order of submission, move stuck runs

Change: urgent work inside its guarantee goes first, in the order of submission; less urgent work leaves as many accelerators free as urgent work holds, unless half of the pool is free; a stop counts one second of the group's work on top of what it throws away; a run without progress is moved.

--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -155,6 +155,11 @@
 // when it is stopped.
 const savedWithin = 500 * time.Millisecond
 
+// restartCost is what a stop costs beyond the work that is thrown away: the
+// place has to be found and filled anew. It keeps large gangs that have just
+// begun from being stopped over and over.
+const restartCost = time.Second
+
 func (s *sweeper) lostWork(v view, t workflow.PlacedTask) float64 {
 	since := t.At
 	if r, ok := v.runs[t.Ref]; ok && !r.accepted.IsZero() {
@@ -164,5 +169,25 @@
 	if t.Terms.Checkpoints {
 		elapsed = min(elapsed, savedWithin)
 	}
-	return elapsed.Seconds() * t.Terms.Each.WeightedCores()
+	return (elapsed + restartCost).Seconds() * t.Terms.Each.WeightedCores()
+}
+
+// hasHeadroom reports whether enough accelerators stay free for urgent work
+// beside a unit: as many as urgent work holds now, since it comes in bursts and
+// what it preempts is thrown away. Nothing is held back while half of the pool
+// is free and the unit takes less than half of that.
+func (f *fleet) hasHeadroom(u unit) bool {
+	all, free, urgent := 0, 0, 0
+	for _, n := range f.nodes {
+		all += n.worker.Capacity.Accelerators
+		free += n.free.Accelerators
+		for _, h := range n.holders {
+			if h.priority == 0 {
+				urgent += h.task.Terms.Each.Accelerators
+			}
+		}
+	}
+	needed := u.terms.Each.Accelerators * len(u.indexes)
+	isQuiet := 2*free > all && 2*needed <= free
+	return isQuiet || free-needed >= urgent
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -32,7 +32,7 @@
 		return nil
 	}
 	s.board.plannedFor, s.board.plannedAt = scene.Version, s.now
-	waiting := units(s.now, scene.Workflows)
+	waiting := units(s.now, scene)
 	if len(waiting) == 0 {
 		return nil
 	}
@@ -53,6 +53,9 @@
 
 func (p *planner) placeUnit(f *fleet, u unit) {
 	var isPlaced bool
+	if u.flow.Terms.Priority > 0 && !f.hasHeadroom(u) {
+		return
+	}
 	if u.terms.IsGang {
 		isPlaced = p.placeGang(f, u)
 	} else {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -19,6 +19,7 @@
 	}
 	if r.unwanted == "" {
 		r = s.judge(v, t, r)
+		v = v.blame(s.now, r)
 	}
 	if r.unwanted != "" {
 		return s.stopRun(v, t, r)
@@ -62,6 +63,8 @@
 		r.unwanted = reasonNoAnswer
 	case isStarted && v.listedAt.After(r.accepted) && !isListed:
 		r.unwanted = reasonVanished
+	case isListed && isStuck(v, t, r):
+		r.unwanted = reasonStuck
 	}
 	if r.unwanted != "" {
 		s.note(Note{
@@ -75,6 +78,31 @@
 	return r
 }
 
+// blame returns v after a run was found stuck there. One such run may be the
+// task's own doing.
+func (v view) blame(now time.Time, r run) view {
+	if r.unwanted != reasonStuck {
+		return v
+	}
+	v.isChanged = true
+	return v.withEnding(now, workflow.EndedFailed)
+}
+
+const (
+	// stuckAfter is how long a listed run may show the same progress, if that
+	// is also the time in which it should have moved by several percent.
+	stuckAfter = 1800 * time.Millisecond
+	// stuckPercent is that progress.
+	stuckPercent = 10
+)
+
+// isStuck reports whether a run has not moved for much longer than it should.
+func isStuck(v view, t workflow.PlacedTask, r run) bool {
+	still := v.listedAt.Sub(r.movedAt)
+	expected := t.Terms.Estimate * stuckPercent / 100
+	return !r.movedAt.IsZero() && still >= max(stuckAfter, expected)
+}
+
 // startRun sends a start until it is answered. A run that an earlier leader
 // placed may be there: the worker is asked first.
 func (s *sweeper) startRun(v view, t workflow.PlacedTask, r run) view {
--- a/dispatch/unit.go
+++ b/dispatch/unit.go
@@ -24,17 +24,29 @@
 	objective time.Time
 	// isLate is true if the objective cannot be met any more.
 	isLate bool
+	// isGuaranteed is true for urgent work inside its organisation's guarantee.
+	isGuaranteed bool
 }
 
 // units returns what waits for a place, the most urgent first.
-func units(now time.Time, flows []workflow.Workflow) []unit {
+func units(now time.Time, scene Scene) []unit {
 	var list []unit
-	for _, w := range flows {
+	held := map[string]int{}
+	for _, w := range scene.Workflows {
 		if !w.IsOpen() {
 			continue
 		}
+		isGuaranteed := false
+		if w.Terms.Priority == 0 {
+			org := w.Spec.Organisation
+			held[org] += w.Spec.Accelerators()
+			isGuaranteed = held[org] <= scene.Guaranteed(org)
+		}
 		for k := range w.Due(now) {
-			list = append(list, unitsOf(now, w, k)...)
+			for _, u := range unitsOf(now, w, k) {
+				u.isGuaranteed = isGuaranteed
+				list = append(list, u)
+			}
 		}
 	}
 	slices.SortStableFunc(list, compareUnits)
@@ -75,20 +87,31 @@
 	return list
 }
 
-// compareUnits orders by priority, then those that can still be in time, then
-// by their objective.
+// compareUnits orders by priority; then what is inside a guarantee, in the order
+// of submission, since a guarantee has to be met within a fixed time; then what
+// can still be in time; then by the objective.
 func compareUnits(a, b unit) int {
-	late := func(u unit) int {
-		if u.isLate {
-			return 1
-		}
+	if c := cmp.Or(
+		cmp.Compare(a.flow.Terms.Priority, b.flow.Terms.Priority),
+		compareBool(b.isGuaranteed, a.isGuaranteed),
+	); c != 0 {
+		return c
+	}
+	if a.isGuaranteed {
+		return a.flow.Submitted.Compare(b.flow.Submitted)
+	}
+	return cmp.Or(compareBool(a.isLate, b.isLate), a.objective.Compare(b.objective))
+}
+
+// compareBool puts false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
 		return 0
+	case b:
+		return -1
 	}
-	return cmp.Or(
-		cmp.Compare(a.flow.Terms.Priority, b.flow.Terms.Priority),
-		cmp.Compare(late(a), late(b)),
-		a.objective.Compare(b.objective),
-	)
+	return 1
 }
 
 func (u unit) key(index int) workflow.Key {
--- a/prove/measure/main.go
+++ b/prove/measure/main.go
@@ -17,6 +17,7 @@
   measure today      the same at today's full size: 9 gateways, 50 minions of 8 slots
   measure limit      requests per second of one gateway at its limit
   measure edits      memory and disk of each role over a long run of edits
+  measure replay     what becomes of a load of workflows; see its -help
   measure capacity   processor time, memory and bytes of each role at several sizes`
 
 // withCore runs f with a started core in a folder of its own.
@@ -53,7 +54,7 @@
 )
 
 func main() {
-	if len(os.Args) != 2 {
+	if len(os.Args) != 2 && (len(os.Args) < 2 || os.Args[1] != "replay") {
 		fmt.Println(usage)
 		os.Exit(2)
 	}
@@ -82,6 +83,8 @@
 		})
 	case "edits":
 		err = withCore(gateways, measureEdits)
+	case "replay":
+		err = measureReplay(os.Args[2:])
 	case "capacity":
 		err = measureCapacity()
 	default:
--- a/replay/network.go
+++ b/replay/network.go
@@ -1,15 +1,10 @@
 package replay
 
 import (
-	"cmp"
-	"fmt"
-	"strconv"
-	"strings"
 	"time"
 
 	plantainladder "github.com/plantainladder/plantainladder"
 	"github.com/plantainladder/plantainladder/dispatch"
-	"github.com/plantainladder/plantainladder/pool"
 	"github.com/plantainladder/plantainladder/workflow"
 )
 
@@ -219,68 +214,3 @@
 func (w *World) saves(ref workflow.Ref) bool {
 	return w.arrivals[ref.Workflow].Spec.Steps[ref.Step].Checkpoints
 }
-
-// record takes note of workflows that were decided.
-func (w *World) record() {
-	for id, r := range w.records {
-		if r.Ended >= 0 {
-			continue
-		}
-		f, ok := w.state.Workflow(id)
-		if !ok {
-			continue
-		}
-		r.Status = f.Status()
-		if !f.IsOpen() {
-			r.Ended = f.EndedAt().Sub(epoch)
-		}
-	}
-}
-
-func (w *World) fault(now time.Duration, format string, args ...any) {
-	w.faults = append(w.faults, fmt.Sprintf("%v: ", now)+fmt.Sprintf(format, args...))
-}
-
-// Faults lists the promises that were broken.
-func (w *World) Faults() []string {
-	return w.faults
-}
-
-// Record returns what became of a workflow.
-func (w *World) Record(id string) Record {
-	return *w.records[id]
-}
-
-// Held returns the room that runs hold on a worker.
-func (w *World) Held(id string) (sum pool.Room) {
-	for _, e := range w.byID[id].runs {
-		sum = sum.Plus(e.each)
-	}
-	return sum
-}
-
-func checkpoint(left time.Duration) string {
-	return strconv.FormatInt(int64(left), 10)
-}
-
-// savedWork returns the work that is left behind a checkpoint.
-func savedWork(saved string, total time.Duration) time.Duration {
-	n, err := strconv.ParseInt(strings.TrimSpace(saved), 10, 64)
-	if err != nil {
-		return total
-	}
-	return time.Duration(n)
-}
-
-func compareRefs(a, b workflow.Ref) int {
-	return cmp.Or(
-		cmp.Compare(a.Workflow, b.Workflow), cmp.Compare(a.Occurrence, b.Occurrence),
-		cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index), cmp.Compare(a.Run, b.Run),
-	)
-}
-
-// Placed returns how many tasks of a workflow have places.
-func (w *World) Placed(id string) int {
-	f, _ := w.state.Workflow(id)
-	return len(f.PlacedTasks())
-}
--- a/replay/replay_suite_test.go
+++ b/replay/replay_suite_test.go
@@ -217,3 +217,30 @@
 	}
 	return t
 }
+
+var _ = Describe("The guarantee", func() {
+	for seed := range uint64(6) {
+		It(fmt.Sprintf("is reclaimed in time at the highest load, seed %d", seed), func() {
+			d := replay.NewDeployment(seed, 8, 12, 0.45)
+			d.Fleet.ReclaimWithin = 3400 * time.Millisecond
+			d.Load.Bursts = []replay.Burst{
+				{
+					Queue: "urgent",
+					From:  8 * time.Second,
+					Until: 14 * time.Second,
+					Times: 2.4,
+				},
+				{
+					Queue: "batch",
+					From:  6 * time.Second,
+					Until: 10 * time.Second,
+					Times: 1.8,
+				},
+			}
+			w := replay.NewWorld(d.Fleet)
+			d.Load.HandIn(w, seed)
+			w.Run(37 * time.Second)
+			Expect(w.Faults()).To(BeEmpty())
+		})
+	}
+})
--- /dev/null
+++ b/replay/summary.go
@@ -0,0 +1,159 @@
+package replay
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/plantainladder/plantainladder/workflow"
+)
+
+// A Result is what became of one kind of workflow in a load.
+type Result struct {
+	// Kind is the queue's name.
+	Kind string
+	// Asked counts the workflows that were not given up and could be done;
+	// InTime and Late those that completed within their allowance and within
+	// three times that.
+	Asked, InTime, Late int
+	// Worth is the part of the worth that was earned, from 0 to 1.
+	Worth float64
+	// LargestWorth is the same for the largest tenth.
+	LargestWorth float64
+	// WaitP50 and WaitP99 are how long workflows waited for their first run.
+	WaitP50, WaitP99 time.Duration
+	// StretchP50 and StretchP99 compare the time that workflows took with the
+	// longest chain of their work.
+	StretchP50, StretchP99 float64
+}
+
+// lateFactor bounds how late a workflow is still worth something, in
+// allowances.
+const lateFactor = 3
+
+// outcome is one workflow of a result.
+type outcome struct {
+	work    float64
+	owed    float64
+	earned  float64
+	wait    time.Duration
+	stretch float64
+	inTime  bool
+	late    bool
+}
+
+// Summary returns what became of each kind, and the part of all worth that was
+// earned.
+func (l Load) Summary(w *World, ids []string) (results []Result, worth float64) {
+	owed, earned := 0.0, 0.0
+	for _, k := range l.Kinds {
+		var list []outcome
+		for _, id := range ids {
+			r := w.Record(id)
+			isOwed := r.Arrival.CancelAfter == 0 && !r.Arrival.IsHopeless
+			if r.Arrival.Queue == k.Queue.Name && isOwed {
+				list = append(list, k.judge(r))
+			}
+		}
+		results = append(results, k.result(list))
+		for _, o := range list {
+			owed += o.owed
+			earned += o.earned
+		}
+	}
+	return results, earned / max(owed, 1)
+}
+
+func (k Kind) judge(r Record) outcome {
+	chain := time.Duration(0)
+	work := 0.0
+	for i, s := range r.Arrival.Spec.Steps {
+		chain += r.Arrival.Work[i]
+		work += float64(s.Tasks) * s.Each.WeightedCores() * r.Arrival.Work[i].Seconds()
+	}
+	o := outcome{
+		work: work,
+	}
+	if r.Began >= 0 {
+		o.wait = r.Began - r.Arrival.At
+	}
+	took := r.Ended - r.Arrival.At
+	allowance := time.Duration(float64(chain)*k.Queue.Stretch) + k.Queue.Target
+	if r.Status != workflow.StatusCompleted || r.Ended < 0 {
+		return o
+	}
+	o.stretch = float64(took) / float64(chain)
+	o.inTime = took <= allowance
+	o.late = !o.inTime && took <= lateFactor*allowance
+	return o
+}
+
+// largestWorth is how many times the mean a workflow's worth can be.
+const largestWorth = 4
+
+func (k Kind) result(list []outcome) Result {
+	r := Result{
+		Kind:  k.Queue.Name,
+		Asked: len(list),
+	}
+	if len(list) == 0 {
+		return r
+	}
+	mean := 0.0
+	for _, o := range list {
+		mean += o.work / float64(len(list))
+	}
+	slices.SortFunc(list, func(a, b outcome) int {
+		return int(b.work - a.work)
+	})
+	var waits []time.Duration
+	var stretches []float64
+	var owed, earned, largeOwed, largeEarned float64
+	for i := range list {
+		o := &list[i]
+		times := min(0.3+0.7*o.work/mean, largestWorth)
+		o.owed = k.Worth * times
+		switch {
+		case o.inTime:
+			r.InTime++
+			o.earned = o.owed
+		case o.late:
+			r.Late++
+			o.earned = k.LateWorth * times
+		}
+		owed, earned = owed+o.owed, earned+o.earned
+		if i <= len(list)/10 {
+			largeOwed, largeEarned = largeOwed+o.owed, largeEarned+o.earned
+		}
+		waits = append(waits, o.wait)
+		if o.stretch > 0 {
+			stretches = append(stretches, o.stretch)
+		}
+	}
+	r.Worth, r.LargestWorth = earned/owed, largeEarned/largeOwed
+	slices.Sort(waits)
+	slices.Sort(stretches)
+	r.WaitP50, r.WaitP99 = quantile(waits, 50), quantile(waits, 99)
+	r.StretchP50, r.StretchP99 = quantile(stretches, 50), quantile(stretches, 99)
+	return r
+}
+
+func quantile[T any](sorted []T, percent int) (v T) {
+	if len(sorted) == 0 {
+		return v
+	}
+	return sorted[min(len(sorted)*percent/100, len(sorted)-1)]
+}
+
+// Table returns results as text.
+func Table(results []Result) string {
+	var sb strings.Builder
+	_, _ = fmt.Fprintf(&sb, "%-10s %6s %8s %6s %6s %8s %10s %10s %8s %8s\n",
+		"kind", "asked", "in time", "late", "worth", "largest", "wait p50", "wait p99", "str p50", "str p99")
+	for _, r := range results {
+		_, _ = fmt.Fprintf(&sb, "%-10s %6d %8d %6d %6.3f %8.3f %10v %10v %8.2f %8.2f\n", r.Kind, r.Asked, r.InTime, r.Late,
+			r.Worth, r.LargestWorth, r.WaitP50.Round(time.Millisecond), r.WaitP99.Round(time.Millisecond), r.StretchP50, r.StretchP99)
+	}
+	return sb.String()
+}
--- a/replay/worker.go
+++ b/replay/worker.go
@@ -203,9 +203,13 @@
 		},
 		Number: w.number,
 	}
-	if how == workflow.EndedStopped && w.world.saves(ref) {
+	isSaved := how == workflow.EndedStopped && w.world.saves(ref)
+	if isSaved {
 		f.Checkpoint = checkpoint(e.left)
 	}
+	if how != workflow.EndedDone && !isSaved {
+		w.world.waste += (now - e.since).Seconds() * e.each.WeightedCores()
+	}
 	w.finished = append(w.finished, f)
 	w.endedAt[w.number] = now
 	w.world.ended(now, ref, how)
--- a/replay/world.go
+++ b/replay/world.go
@@ -36,6 +36,9 @@
 	StopTakes time.Duration
 	// OffRackFactor is as in dispatch.Config.
 	OffRackFactor float64
+	// ReclaimWithin is how soon an urgent workflow inside its organisation's
+	// guarantee has to begin; zero checks nothing.
+	ReclaimWithin time.Duration
 }
 
 // Timing of the model.
@@ -97,9 +100,15 @@
 	faults  []string
 	term    uint64
 	records map[string]*Record
+	// isReported holds the workflows whose wait was found too long.
+	isReported map[string]bool
+	// beyondAt is when an organisation last asked for more than its guarantee.
+	beyondAt map[string]time.Time
 	// sweeps counts the sweeps; sweepTime is the processor's time for them.
 	sweeps    int
 	sweepTime time.Duration
+	// waste is the work that was thrown away, in weighted core-seconds.
+	waste float64
 }
 
 // A Record is what became of one workflow.
@@ -125,7 +134,10 @@
 		isNoted:  map[workflow.Key]bool{},
 		again:    map[workflow.Ref]bool{},
 		records:  map[string]*Record{},
-		term:     1,
+
+		isReported: map[string]bool{},
+		beyondAt:   map[string]time.Time{},
+		term:       1,
 	}
 	w.board = w.newBoard(0)
 	for r := range cfg.Racks {
@@ -199,6 +211,11 @@
 	return w.sweeps
 }
 
+// Waste returns the work that was thrown away, in weighted core-seconds.
+func (w *World) Waste() float64 {
+	return w.waste
+}
+
 // SweepTime returns how long all sweeps took on this machine.
 func (w *World) SweepTime() time.Duration {
 	return w.sweepTime
@@ -302,6 +319,9 @@
 			w.sweep()
 		}
 		w.record()
+		if w.cfg.ReclaimWithin > 0 && w.now%(10*step) == 0 {
+			w.checkReclaims()
+		}
 	}
 }
 
--- a/workflow/spec.go
+++ b/workflow/spec.go
@@ -109,6 +109,15 @@
 	return sum
 }
 
+// Accelerators returns how many accelerators the widest step needs at once.
+func (s Spec) Accelerators() int {
+	widest := 0
+	for _, step := range s.Steps {
+		widest = max(widest, step.Tasks*step.Each.Accelerators)
+	}
+	return widest
+}
+
 // Check returns a *shape.FieldError for the first field that is out of bounds,
 // nil for none.
 func (s Spec) Check() *shape.FieldError {
