--- /dev/null
+++ b/configuration/configuration_suite_test.go
@@ -0,0 +1,97 @@
+package configuration_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainladder/plantainladder/configuration"
+)
+
+func TestConfiguration(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "configuration")
+}
+
+func newQueue(name, prefix string) configuration.Queue {
+	return configuration.Queue{
+		Name:    name,
+		Host:    "h",
+		Prefix:  prefix,
+		Pool:    "p",
+		Timeout: time.Second,
+	}
+}
+
+func newDocument() configuration.Document {
+	return configuration.Document{
+		Version: 1,
+		Queues: []configuration.Queue{
+			newQueue("short", "/a/"),
+			newQueue("long", "/a/b/"),
+		},
+		Pools: []configuration.Pool{
+			{
+				Name: "p",
+			},
+		},
+		Organisations: []configuration.Organisation{
+			{
+				Name:   "mill",
+				Tokens: []string{"t1", "t2"},
+			},
+			{
+				Name:   "farm",
+				Tokens: []string{"t3"},
+			},
+		},
+	}
+}
+
+var _ = Describe("A document", func() {
+	DescribeTable("names the field at fault", func(change func(d *configuration.Document), field string) {
+		d := newDocument()
+		change(&d)
+		err := d.Check()
+		if field == "" {
+			Expect(err).To(BeNil())
+			return
+		}
+		Expect(err).NotTo(BeNil())
+		Expect(err.Field).To(Equal(field))
+	},
+		Entry("none", func(*configuration.Document) {}, ""),
+		Entry("no version", func(d *configuration.Document) { d.Version = 0 }, "version"),
+		Entry("no timeout", func(d *configuration.Document) { d.Queues[0].Timeout = 0 }, "queues.timeout"),
+		Entry("an unknown pool", func(d *configuration.Document) { d.Queues[1].Pool = "q" }, "queues.pool"),
+		Entry("one place twice", func(d *configuration.Document) { d.Queues[1].Prefix = "/a/" }, "queues.prefix"),
+		Entry("one place on two hosts", func(d *configuration.Document) {
+			d.Queues[1].Prefix, d.Queues[1].Host = "/a/", "i"
+		}, ""),
+		Entry("a shared token", func(d *configuration.Document) { d.Organisations[1].Tokens[0] = "t2" }, "organisations.tokens"),
+		Entry("a nameless queue", func(d *configuration.Document) { d.Queues[0].Name = "" }, "queues.name"),
+		Entry("a nameless organisation", func(d *configuration.Document) { d.Organisations[0].Name = "" }, "organisations.name"),
+	)
+
+	It("finds the queue with the longest prefix", func() {
+		d := newDocument()
+		q, ok := d.QueueAt("h", "/a/b/0123")
+		Expect(ok).To(BeTrue())
+		Expect(q.Name).To(Equal("long"))
+		q, _ = d.QueueAt("h", "/a/c")
+		Expect(q.Name).To(Equal("short"))
+		_, ok = d.QueueAt("other", "/a/c")
+		Expect(ok).To(BeFalse())
+	})
+
+	It("finds the holder of a token, and none of an empty one", func() {
+		d := newDocument()
+		o, ok := d.Holder("t2")
+		Expect(ok).To(BeTrue())
+		Expect(o.Name).To(Equal("mill"))
+		_, ok = d.Holder("")
+		Expect(ok).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/pool/pool_suite_test.go
@@ -0,0 +1,66 @@
+package pool_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainladder/plantainladder/pool"
+)
+
+func TestPool(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "pool")
+}
+
+var _ = Describe("An announcement", func() {
+	known := pool.Worker{
+		ID:     "w",
+		Born:   5,
+		Pool:   "p",
+		Labels: []string{"a", "r1"},
+	}
+
+	It("replaces one of the same life only if it says something new", func() {
+		Expect(known.Supersedes(known)).To(BeFalse())
+		Expect(known.WithLeaving().Supersedes(known)).To(BeTrue())
+	})
+
+	It("never brings a leaving worker back in the same life", func() {
+		Expect(known.Supersedes(known.WithLeaving())).To(BeFalse())
+	})
+
+	It("of a later life replaces any, and of an earlier one none", func() {
+		next := known
+		next.Born = 6
+		Expect(next.Supersedes(known.WithLeaving())).To(BeTrue())
+		Expect(known.Supersedes(next)).To(BeFalse())
+	})
+
+	It("counts a worker without a rack as a rack of its own", func() {
+		Expect(known.Rack()).To(Equal("r1"))
+		alone := known
+		alone.Labels = []string{"a"}
+		Expect(alone.Rack()).To(Equal("w"))
+	})
+})
+
+var _ = Describe("Room", func() {
+	It("fits as often as its scarcest part allows", func() {
+		each := pool.Room{
+			MilliCores:   3000,
+			MemoryMB:     10,
+			Accelerators: 1,
+		}
+		free := pool.Room{
+			MilliCores:   10_000,
+			MemoryMB:     100,
+			Accelerators: 8,
+		}
+		Expect(each.TimesIn(free, 9)).To(Equal(3))
+		Expect(each.Times(3).Fits(free)).To(BeTrue())
+		Expect(free.Minus(each.Times(4)).IsNegative()).To(BeTrue())
+		Expect(each.WeightedCores()).To(BeNumerically("~", 11))
+	})
+})
--- a/workflow/spec.go
+++ b/workflow/spec.go
@@ -122,8 +122,8 @@
 // nil for none.
 func (s Spec) Check() *shape.FieldError {
 	switch {
-	case s.ID == "":
-		return newFieldError("id", "must not be empty")
+	case !isIdentifier(s.ID):
+		return newFieldError("id", "must have 1 to 64 letters, digits, underscores or hyphens")
 	case len(s.Payload) > MaxPayload:
 		return newFieldError("payload", fmt.Sprintf("must have at most %d bytes", MaxPayload))
 	case len(s.Steps) == 0 || len(s.Steps) > MaxSteps:
@@ -141,6 +141,20 @@
 	return nil
 }
 
+// maxID is the longest identifier.
+const maxID = 64
+
+// isIdentifier reports whether a text can be part of a task's name.
+func isIdentifier(s string) bool {
+	for _, c := range s {
+		isLetter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		if !isLetter && (c < '0' || c > '9') && c != '-' && c != '_' {
+			return false
+		}
+	}
+	return s != "" && len(s) <= maxID
+}
+
 func (s Step) check(number int) *shape.FieldError {
 	field := func(name string) string {
 		return fmt.Sprintf("steps[%d].%s", number, name)
