Send nothing to a worker's former life once its next one has answered

Cause: a worker that starts anew keeps its identifier and address; repeated starts and holds for its former life reached the next one, whose ends were forgotten by the former life's cursor, so a task could start again after its good end was acknowledged. Change: a life is over once another answers; after silence the worker is asked who it is before anything is repeated or acknowledged; cursors of a round are kept by life. The model's long polls end with the life that they reached.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -29,6 +29,9 @@
 		a.Result = Rejected{
 			Reason: RejectedLife,
 		}
+		if v.goneAt.IsZero() {
+			v.goneAt = now
+		}
 	}
 	b.isDirty = true
 	v = v.withContact(now, b.cfg, a)
--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -60,11 +60,17 @@
 	roundPatience = 3 * time.Second
 )
 
+// A life names one life of a worker.
+type life struct {
+	id   string
+	born int64
+}
+
 // A pendingRound is a round that was proposed and is not committed yet.
 type pendingRound struct {
 	id         uint64
 	at         time.Time
-	cursors    map[string]uint64
+	cursors    map[life]uint64
 	placements []workflow.Placement
 }
 
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -87,7 +87,7 @@
 
 // isUsable reports whether new tasks may go to a worker.
 func (s *sweeper) isUsable(w pool.Worker, v view) bool {
-	isCurrent := v.worker.Born == w.Born && v.clock.isKnown()
+	isCurrent := v.worker.Born == w.Born && v.clock.isKnown() && v.goneAt.IsZero()
 	isHeard := s.now.Sub(v.heard) < heardWithin*s.board.cfg.ReportEvery
 	isStaying := !w.Leaving && !v.worker.Leaving && !s.scene.IsOut(w.DataCentre)
 	return isCurrent && isHeard && isStaying && !s.now.Before(v.avoidUntil)
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -13,6 +13,8 @@
 	needsLook := s.needsLook(v, tasks)
 	isUrgent := needsLook && v.holds < 2
 	switch {
+	case !v.goneAt.IsZero():
+		return v
 	case v.holds > 0 && !isUrgent:
 		return v
 	case s.now.Sub(v.holdSent) < holdRetry && (v.silence > 0 || isUrgent):
@@ -38,7 +40,9 @@
 		r := v.runs[t.Ref]
 		isInherited := !r.isOurs && v.listedAt.IsZero()
 		isStopped := !r.stopped.IsZero() && !v.listedAt.After(r.stopped)
-		if isInherited || isStopped || !v.clock.isKnown() {
+		isOverdue := r.starts > 0 && r.accepted.IsZero() && s.now.Sub(r.lastStart) >= startRetry
+		isUnsure := isOverdue && !v.listedAt.After(r.lastStart)
+		if isInherited || isStopped || isUnsure || !v.clock.isKnown() {
 			return true
 		}
 	}
@@ -63,13 +67,18 @@
 		lease = v.clock.now(s.now) + s.board.cfg.Lease.Milliseconds()
 		v.promised = max(v.promised, lease)
 	}
+	cursor := v.cursor
+	if v.silence > 0 {
+		// Another life may answer: see who it is before its ends are forgotten.
+		cursor, wait = 0, 0
+	}
 	v.isChanged = true
 	v.holdSent = s.now
 	v.holds++
 	s.send(Hold{
 		Target:     s.target(v),
 		LeaseUntil: lease,
-		Cursor:     v.cursor,
+		Cursor:     cursor,
 		Wait:       wait,
 	})
 	return v
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -31,8 +31,12 @@
 // worker that was never heard is bounded by what a leader before can have
 // promised.
 func (s *sweeper) isLeaseOver(v view) bool {
-	if !v.clock.isKnown() {
+	switch {
+	case !v.clock.isKnown():
 		return s.now.Sub(s.board.since) > s.unheardPatience()
+	case !v.goneAt.IsZero():
+		// The next life may have taken a start, and counts the lease anew.
+		return s.now.Sub(v.goneAt) > 2*s.unheardPatience()
 	}
 	return v.isLeaseOver(s.now)
 }
@@ -104,10 +108,14 @@
 }
 
 // startRun sends a start until it is answered. A run that an earlier leader
-// placed may be there: the worker is asked first.
+// placed may be there, and one that was not answered may have reached another
+// life of the worker: the worker is asked first.
 func (s *sweeper) startRun(v view, t workflow.PlacedTask, r run) view {
 	isAsked := r.isOurs || !v.listedAt.IsZero()
-	if !r.accepted.IsZero() || !isAsked || !v.clock.isKnown() || s.now.Sub(r.lastStart) < startRetry {
+	if r.starts > 0 {
+		isAsked = v.listedAt.After(r.lastStart)
+	}
+	if !r.accepted.IsZero() || !isAsked || !v.clock.isKnown() || !v.goneAt.IsZero() {
 		return v.withRun(t.Ref, r)
 	}
 	if r.starts == 0 {
@@ -152,7 +160,7 @@
 }
 
 func (s *sweeper) sendStop(v view, ref workflow.Ref, r run) view {
-	if s.now.Sub(r.lastStop) >= stopRetry {
+	if s.now.Sub(r.lastStop) >= stopRetry && v.goneAt.IsZero() {
 		r.lastStop = s.now
 		s.send(Stop{
 			Target: s.target(v),
@@ -165,6 +173,9 @@
 // stopGhosts stops runs that a worker lists though they have no place there.
 func (s *sweeper) stopGhosts(v view) view {
 	for ref := range v.listed {
+		if !v.goneAt.IsZero() {
+			return v
+		}
 		if s.index.refs[ref] || v.hasFinish(ref) {
 			continue
 		}
--- a/dispatch/sweep.go
+++ b/dispatch/sweep.go
@@ -86,8 +86,8 @@
 		return
 	}
 	s.board.pending = nil
-	for id, n := range p.cursors {
-		if v, ok := s.board.view(id); ok {
+	for of, n := range p.cursors {
+		if v, ok := s.board.view(of.id); ok && v.worker.Born == of.born {
 			s.board = s.board.withView(v.withCursor(n))
 		}
 	}
@@ -192,11 +192,15 @@
 		ID:   s.board.rounds + 1,
 		Ends: s.ends,
 	}
-	cursors := map[string]uint64{}
+	cursors := map[life]uint64{}
 	for itr := s.board.views.Iterator(); !itr.Done(); {
 		id, v, _ := itr.Next()
+		of := life{
+			id:   id,
+			born: v.worker.Born,
+		}
 		for _, f := range v.finished {
-			cursors[id] = max(cursors[id], f.Number)
+			cursors[of] = max(cursors[of], f.Number)
 			if s.index.refs[f.Ref] {
 				r.Ends = append(r.Ends, f.End)
 				s.noteFinish(id, f)
@@ -215,8 +219,8 @@
 	}
 	if r.IsEmpty() {
 		// The ends belong to runs that are settled: nothing is to be committed.
-		for id, n := range cursors {
-			v, _ := s.board.view(id)
+		for of, n := range cursors {
+			v, _ := s.board.view(of.id)
 			s.board = s.board.withView(v.withCursor(n))
 		}
 		return
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -35,6 +35,10 @@
 	// without an answer since.
 	answered time.Time
 	silence  int
+	// goneAt is when another life of the worker answered, zero for never. This
+	// life is over then, and nothing more may be sent to it: the next life has
+	// the same address and would take it.
+	goneAt time.Time
 	// avoidUntil keeps new tasks away.
 	avoidUntil time.Time
 	// refusals counts the tasks in a row that the worker refused or failed.
--- a/replay/network.go
+++ b/replay/network.go
@@ -73,29 +73,47 @@
 		})
 	default:
 		w.later(sent+tripTakes, func(now time.Duration) {
-			w.deliver(now, s, o, now+wait, answer)
+			w.deliver(now, delivery{
+				worker: s,
+				born:   s.pool.Born,
+				order:  o,
+				until:  now + wait,
+				answer: answer,
+			})
 		})
 	}
 }
 
-// deliver lets a worker obey; a hold waits for an end until a time.
-func (w *World) deliver(now time.Duration, s *simWorker, o dispatch.Order, until time.Duration, answer func(now time.Duration, a dispatch.Answered)) {
-	if s.gone || s.trouble(now).Cut {
-		answer(now+silentAfter, dispatch.Answered{
-			Order:  o,
+// A delivery is an order that has reached a life of a worker.
+type delivery struct {
+	worker *simWorker
+	born   int64
+	order  dispatch.Order
+	until  time.Duration
+	answer func(now time.Duration, a dispatch.Answered)
+}
+
+// deliver lets a worker obey; a hold waits for an end until a time. It breaks
+// off with the life that it reached.
+func (w *World) deliver(now time.Duration, d delivery) {
+	s := d.worker
+	if s.gone || s.trouble(now).Cut || s.pool.Born != d.born {
+		d.answer(now+silentAfter, dispatch.Answered{
+			Order:  d.order,
 			Result: dispatch.Silent{},
 		})
 		return
 	}
-	a := s.obey(now, o)
-	_, isHold := o.(dispatch.Hold)
-	if _, obeyed := a.Result.(dispatch.Obeyed); isHold && obeyed && len(s.finished) == 0 && now < until {
+	a := s.obey(now, d.order)
+	_, isHold := d.order.(dispatch.Hold)
+	if _, obeyed := a.Result.(dispatch.Obeyed); isHold && obeyed && len(s.finished) == 0 && now < d.until {
+		d.order = withoutLease(d.order)
 		w.later(now+step, func(now time.Duration) {
-			w.deliver(now, s, withoutLease(o), until, answer)
+			w.deliver(now, d)
 		})
 		return
 	}
-	answer(now, a)
+	d.answer(now, a)
 }
 
 // withoutLease keeps a hold that waits from renewing the lease again.
