--- a/controller/gateway/workflow.go
+++ b/controller/gateway/workflow.go
@@ -106,67 +106,67 @@
 	return core, core.LeaderAddress(), core.HasLease(g.cfg.Clock())
 }
 
-func (g *Server) submit(ctx context.Context, s wire.Submission) (answer wire.Answer[wire.Verdict], err error) {
+// enter finds the queue of a call on a leader's state. The answer is final if
+// the last result is false.
+func (g *Server) enter(c wire.Call) (state plantainladder.State, q configuration.Queue, v wire.Verdict, answer wire.Answer[wire.Verdict], ok bool) {
 	core, elsewhere, ok := g.leaderOnly()
 	if !ok {
 		answer.Redirect = elsewhere
-		return answer, nil
+		return state, q, v, answer, false
+	}
+	state = core.State()
+	if q, v, ok = route(state.Configuration(), c); !ok {
+		return state, q, v, verdict(v), false
 	}
-	q, v, ok := route(core.State().Configuration(), s.Call)
+	return state, q, v, answer, true
+}
+
+func (g *Server) submit(ctx context.Context, s wire.Submission) (wire.Answer[wire.Verdict], error) {
+	_, q, v, answer, ok := g.enter(s.Call)
 	switch {
 	case !ok:
-		return verdict(v), nil
+		return answer, nil
 	case q.IsAdvised:
 		v.Kind = wire.VerdictUnsupported
 		v.Detail = "queues with advice are not served"
 		return verdict(v), nil
 	}
 	s.Spec.ID, s.Spec.Queue = v.ID, v.Queue
-	o, again, ok := g.commit(ctx, plantainladder.SubmitWorkflow{
+	return g.judged(ctx, v, plantainladder.SubmitWorkflow{
 		Spec:  s.Spec,
 		Token: s.Token,
-	})
-	if !ok {
-		return again, nil
-	}
-	return verdict(judge(v, o)), nil
+	}), nil
 }
 
-func (g *Server) cancel(ctx context.Context, c wire.Call) (answer wire.Answer[wire.Verdict], err error) {
-	core, elsewhere, ok := g.leaderOnly()
+func (g *Server) cancel(ctx context.Context, c wire.Call) (wire.Answer[wire.Verdict], error) {
+	_, _, v, answer, ok := g.enter(c)
 	if !ok {
-		answer.Redirect = elsewhere
 		return answer, nil
 	}
-	_, v, ok := route(core.State().Configuration(), c)
-	if !ok {
-		return verdict(v), nil
-	}
-	o, again, ok := g.commit(ctx, plantainladder.CancelWorkflow{
+	return g.judged(ctx, v, plantainladder.CancelWorkflow{
 		ID:    v.ID,
 		Queue: v.Queue,
 		Token: c.Token,
-	})
+	}), nil
+}
+
+// judged commits a command and answers with what became of it.
+func (g *Server) judged(ctx context.Context, v wire.Verdict, c plantainladder.Command) wire.Answer[wire.Verdict] {
+	o, again, ok := g.commit(ctx, c)
 	if !ok {
-		return again, nil
+		return again
 	}
-	return verdict(judge(v, o)), nil
+	return verdict(judge(v, o))
 }
 
 // look answers what a workflow's state is, or how many of a queue's workflows
 // wait, if the path names no workflow.
-func (g *Server) look(_ context.Context, c wire.Call) (answer wire.Answer[wire.Verdict], err error) {
-	core, elsewhere, ok := g.leaderOnly()
-	if !ok {
-		answer.Redirect = elsewhere
+func (g *Server) look(_ context.Context, c wire.Call) (wire.Answer[wire.Verdict], error) {
+	state, _, v, answer, ok := g.enter(c)
+	switch {
+	case !ok:
 		return answer, nil
-	}
-	state := core.State()
-	_, v, ok := route(state.Configuration(), c)
-	if !ok {
-		return verdict(v), nil
-	}
-	if v.ID == "" {
+	case v.ID == "":
 		v.Pending = state.PendingWorkflows(v.Queue)
 		return verdict(v), nil
 	}
--- a/dispatch/unit.go
+++ b/dispatch/unit.go
@@ -144,12 +144,13 @@
 	isBound  bool
 	label    string
 	dataRack string
-	maxEach  int
 	priority int
+	// only is the workflow whose own tasks decide as well; empty for none.
+	only string
 }
 
-// need returns what decides whether u finds room. Units that bound their tasks
-// for each worker depend on those already placed and compare to none.
+// need returns what decides whether u finds room. A unit that bounds its tasks
+// for each worker depends on those already placed.
 func (u unit) need() need {
 	n := need{
 		pool:     u.flow.Terms.Pool,
@@ -159,12 +160,14 @@
 		isBound:  u.terms.IsRackBound,
 		label:    u.terms.Label,
 		dataRack: u.terms.DataRack,
-		maxEach:  u.terms.MaxPerWorker,
 		priority: u.flow.Terms.Priority,
 	}
 	if u.terms.IsGang {
 		n.tasks = u.terms.Tasks
 	}
+	if u.terms.MaxPerWorker > 0 {
+		n.only = u.flow.Spec.ID
+	}
 	return n
 }
 
