Log places, announcements and avoided workers

Cause: a job's log told of its ends and stops, but not when it got its places, and nothing told when a worker began a new life, left or was avoided.

--- a/controller/node/perform.go
+++ b/controller/node/perform.go
@@ -69,6 +69,9 @@
 	if d.Worker != "" {
 		line = line.Str("worker", d.Worker)
 	}
+	if d.Tasks > 0 {
+		line = line.Int("tasks", d.Tasks)
+	}
 	line.Dur("age", d.Age).Msg(d.Text)
 }
 
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -31,9 +31,16 @@
 		}
 		if v.goneAt.IsZero() {
 			v.goneAt = now
+			b = b.withNote(Note{
+				Text:   "Another life of the worker answers.",
+				Worker: t.Worker,
+				Reason: string(RejectedLife),
+				Age:    now.Sub(v.heard),
+			})
 		}
 	}
 	b.isDirty = true
+	avoided := v.avoidUntil
 	v = v.withContact(now, b.cfg, a)
 	switch o := a.Order.(type) {
 	case Start:
@@ -43,9 +50,31 @@
 	case Hold:
 		v = v.withHoldAnswer(now, o, a)
 	}
+	if v.avoidUntil.After(avoided) {
+		b = b.withNote(Note{
+			Text:   "Worker is avoided for " + v.avoidUntil.Sub(now).String() + ".",
+			Worker: t.Worker,
+			Reason: resultName(a.Result),
+		})
+	}
 	return b.withView(v)
 }
 
+// resultName returns a result in a word for the log.
+func resultName(r Result) string {
+	switch r := r.(type) {
+	case Obeyed:
+		return "runs-failed"
+	case Rejected:
+		return string(r.Reason)
+	case Unhealthy:
+		return "unhealthy"
+	case Silent:
+		return "silent"
+	}
+	return ""
+}
+
 // withContact returns v after an answer or the lack of one. Another life's
 // answer says nothing about this one.
 func (v view) withContact(now time.Time, cfg Config, a Answered) view {
--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -90,6 +90,14 @@
 	// scene.
 	plannedAt  time.Time
 	plannedFor uint64
+	// notes are the decisions since the last sweep.
+	notes []Note
+}
+
+// withNote returns b with a decision for the log.
+func (b Board) withNote(n Note) Board {
+	b.notes = append(b.notes[:len(b.notes):len(b.notes)], n)
+	return b
 }
 
 // roundsPerTerm separates the round numbers of two terms.
@@ -155,11 +163,22 @@
 	v, ok := b.view(r.Worker.ID)
 	switch {
 	case !ok || r.Worker.Born > v.worker.Born:
+		b = b.withNote(Note{
+			Text:   "Worker announces a new life.",
+			Worker: r.Worker.ID,
+			Reason: r.Worker.Address,
+		})
 		v = newView(r.Worker)
 		b.isDirty = true
 	case r.Worker.Born < v.worker.Born || r.Sequence <= v.sequence:
 		return b
 	case r.Worker.Supersedes(v.worker):
+		b = b.withNote(Note{
+			Text:   "Worker announces a change.",
+			Worker: r.Worker.ID,
+			Reason: leavingReason(r.Worker),
+			Age:    now.Sub(v.heard),
+		})
 		v.worker = r.Worker
 		b.isDirty = true
 	}
@@ -169,6 +188,13 @@
 	return b.withView(v)
 }
 
+func leavingReason(w pool.Worker) string {
+	if w.Leaving {
+		return "leaving"
+	}
+	return "registration"
+}
+
 // withClock returns v after a reading of its clock. Leaders before this one may
 // have given a lease of full length right before the first reading.
 func (v view) withClock(now time.Time, cfg Config, ms int64, direct bool) view {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -124,6 +124,17 @@
 // take gives the seats to the first waiting tasks of a unit.
 func (p *planner) take(u unit, list []seat) {
 	next := 0
+	p.s.note(Note{
+		Text: "Tasks get places.",
+		Ref: workflow.Ref{
+			Key: u.key(u.indexes[0]),
+			Run: u.flow.NextRun(u.key(u.indexes[0])),
+		},
+		Worker: list[0].node.worker.ID,
+		Reason: "room",
+		Age:    p.s.now.Sub(u.flow.Submitted),
+		Tasks:  seatCount(list),
+	})
 	for _, seat := range list {
 		seat.node.free = seat.node.free.Minus(u.terms.Each.Times(seat.tasks))
 		u.perWorker[seat.node.worker.ID] += seat.tasks
@@ -134,6 +145,13 @@
 	}
 }
 
+func seatCount(list []seat) (n int) {
+	for _, s := range list {
+		n += s.tasks
+	}
+	return n
+}
+
 // placeGang places all members of a gang or none.
 func (p *planner) placeGang(f *fleet, u unit) bool {
 	room := func(n *node) pool.Room {
--- a/dispatch/sweep.go
+++ b/dispatch/sweep.go
@@ -21,6 +21,8 @@
 	Reason string
 	// Age is how old the knowledge that decided it is.
 	Age time.Duration
+	// Tasks is the number of tasks that the decision is about, zero for one.
+	Tasks int
 }
 
 // A Plan is what a sweep decided.
@@ -47,7 +49,8 @@
 // due, which runs have ended, and what to place. After returns the scene as it
 // will be once a round is committed.
 func (b Board) Sweep(now time.Time, scene Scene, after func(r plantainladder.Round) Scene) (Board, Plan) {
-	b.isDirty = false
+	notes := b.notes
+	b.isDirty, b.notes = false, nil
 	s := &sweeper{
 		board: b,
 		now:   now,
@@ -58,6 +61,7 @@
 		s.index = newSceneIndex(scene)
 		s.board.index = s.index
 	}
+	s.plan.Notes = notes
 	s.settle()
 	for _, id := range s.workerIDs() {
 		s.sweepWorker(id)
