--- a/control/core.go
+++ b/control/core.go
@@ -160,6 +160,7 @@
 	case Join:
 		return c.stepJoin(now, e)
 	case Woken:
+		return c.stepWoken(), nil
 	}
 	return c, nil
 }
--- a/control/dispatch.go
+++ b/control/dispatch.go
@@ -56,6 +56,16 @@
 	return c
 }
 
+func (c Core) stepWoken() Core {
+	if c.lead == nil {
+		return c
+	}
+	l := *c.lead
+	l.isWaking = false
+	c.lead = &l
+	return c
+}
+
 // runDispatch decides on workflows, if something happened or time has passed.
 // Only a leader with a lease does: a leader that may have been deposed must not
 // renew the leases of workers.
@@ -67,9 +77,6 @@
 		return c, out
 	}
 	l := *c.lead
-	if _, isWoken := e.(Woken); isWoken {
-		l.isWaking = false
-	}
 	if now.Sub(l.sweptAt) < boardEvery {
 		if !l.isWaking {
 			l.isWaking = true
