Let members of a gang that are done wait for the others

Change: a run at 99% is not stuck; a worker on which a single task stands still is avoided for 8 s and longer each time (1 s before, which sent the task back there).

--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -19,7 +19,7 @@
 	}
 	if r.unwanted == "" {
 		r = s.judge(v, t, r)
-		v = v.blame(s.now, r)
+		v = v.blame(s.now, t, r)
 	}
 	if r.unwanted != "" {
 		return s.stopRun(v, t, r)
@@ -82,14 +82,19 @@
 	return r
 }
 
-// blame returns v after a run was found stuck there. One such run may be the
-// task's own doing.
-func (v view) blame(now time.Time, r run) view {
+// blame returns v after a run was found stuck there. A member of a gang may wait
+// for another, so it counts as one failure; a single task's worker stands still.
+func (v view) blame(now time.Time, t workflow.PlacedTask, r run) view {
 	if r.unwanted != reasonStuck {
 		return v
 	}
 	v.isChanged = true
-	return v.withEnding(now, workflow.EndedFailed)
+	v = v.withEnding(now, workflow.EndedFailed)
+	if !t.Terms.IsGang {
+		pause := stuckAvoidance << min(v.refusals, maxAvoidanceShift)
+		v.avoidUntil = later(v.avoidUntil, now.Add(pause))
+	}
+	return v
 }
 
 const (
@@ -98,13 +103,18 @@
 	stuckAfter = 1800 * time.Millisecond
 	// stuckPercent is that progress.
 	stuckPercent = 10
+	// stuckAvoidance is half of how long a worker that stands still gets nothing
+	// new at first, and twice as long each time: it takes as long to find out.
+	stuckAvoidance = 4 * time.Second
+	// donePercent is the progress of a gang's member that waits for the others.
+	donePercent = 99
 )
 
 // isStuck reports whether a run has not moved for much longer than it should.
 func isStuck(v view, t workflow.PlacedTask, r run) bool {
 	still := v.listedAt.Sub(r.movedAt)
 	expected := t.Terms.Estimate * stuckPercent / 100
-	return !r.movedAt.IsZero() && still >= max(stuckAfter, expected)
+	return !r.movedAt.IsZero() && r.percent < donePercent && still >= max(stuckAfter, expected)
 }
 
 // startRun sends a start until it is answered. A run that an earlier leader
--- a/replay/network.go
+++ b/replay/network.go
@@ -166,6 +166,9 @@
 		r.Began = now
 	}
 	total := a.Work[ref.Step]
+	if ref.Index%2 == 1 {
+		total = time.Duration(float64(total) * (1 - a.Uneven))
+	}
 	if terms.DataRack != "" && !s.pool.HasLabel(terms.DataRack) {
 		total = time.Duration(float64(total) * w.cfg.OffRackFactor)
 	}
@@ -229,6 +232,23 @@
 	return n == members
 }
 
+// isGangDone reports whether all members of a gang's run have done their work.
+// Those that are done early wait for the others.
+func (w *World) isGangDone(ref workflow.Ref, members int) bool {
+	for i := range members {
+		member := ref
+		member.Index = i
+		where, ok := w.running[member.Key][member]
+		if !ok {
+			continue
+		}
+		if e, ok := w.byID[where].runs[member]; ok && e.left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 func (w *World) saves(ref workflow.Ref) bool {
 	return w.arrivals[ref.Workflow].Spec.Steps[ref.Step].Checkpoints
 }
--- a/replay/replay_suite_test.go
+++ b/replay/replay_suite_test.go
@@ -147,6 +147,31 @@
 		Expect(r.Status).To(Equal(workflow.StatusCompleted))
 	})
 
+	It("lets the members of a gang that are done early wait for the others", func() {
+		w := replay.NewWorld(newConfig(5))
+		a := arrival(3*time.Second, "normal", gang(4, 8, time.Second))
+		a.Work[0], a.Uneven = 12*time.Second, 0.5
+		w.HandIn("a", a)
+		w.Run(20 * time.Second)
+		Expect(w.Record("a").Status).To(Equal(workflow.StatusCompleted))
+		Expect(w.Starts("a", 0)).To(Equal(1))
+	})
+
+	It("moves a task that stands still", func() {
+		w := replay.NewWorld(newConfig(6))
+		w.HandIn("a", arrival(3*time.Second, "normal", set(1, 4*time.Second)))
+		for _, id := range w.Workers()[:2] {
+			w.Plague(id, replay.Trouble{
+				From:  4 * time.Second,
+				Until: time.Hour,
+				Hangs: true,
+			})
+		}
+		w.Run(25 * time.Second)
+		Expect(w.Record("a").Status).To(Equal(workflow.StatusCompleted))
+		Expect(w.Starts("a", 0)).To(BeNumerically(">", 1))
+	})
+
 	It("keeps a good end that could not be committed before its worker's lease was over", func() {
 		w := replay.NewWorld(newConfig(4))
 		w.HandIn("a", arrival(3*time.Second, "normal", set(1, time.Second)))
--- a/replay/worker.go
+++ b/replay/worker.go
@@ -250,9 +250,9 @@
 	if slow > 0 {
 		step = time.Duration(float64(step) / slow)
 	}
-	e.left -= step
+	e.left = max(e.left-step, 0)
 	switch {
-	case e.left > 0:
+	case e.left > 0 || e.isGang && !w.world.isGangDone(e.ref, e.members):
 	case e.isHopeless:
 		w.end(now, e.ref, workflow.EndedFailed)
 	default:
--- a/replay/world.go
+++ b/replay/world.go
@@ -64,6 +64,8 @@
 	Spec workflow.Spec
 	// Work holds the true run time of each step's tasks.
 	Work []time.Duration
+	// Uneven is the part of the work that every other task has less, from 0 to 1.
+	Uneven float64
 	// IsHopeless is true if all its runs fail.
 	IsHopeless bool
 	// CancelAfter is when it is given up after it was handed in; zero for never.
