Never say that a command has not run if its fate was lost with a leader

Cause: an answer 'lost' counted as 'not the leader', so a call whose time ended then was refused with 503 although the next leader could commit it. Found by reading. Ruled out: calls without an answer, which counted as sent. Change: a lost fate is an error of its own.

--- a/controller/gateway/workflow.go
+++ b/controller/gateway/workflow.go
@@ -87,7 +87,9 @@
 		return a.Outcome, again, true
 	case control.NotLeader:
 		again.Redirect = a.Redirect
-	case control.Busy, control.Lost, control.Refused, control.Polled:
+	case control.Lost:
+		again.Lost = true
+	case control.Busy, control.Refused, control.Polled:
 	}
 	return o, again, false
 }
--- a/gateway/controller/link.go
+++ b/gateway/controller/link.go
@@ -150,6 +150,18 @@
 	return e.Cause
 }
 
+// A LostError reports a command that a controller took and whose fate it does
+// not know.
+type LostError struct {
+	// Method is the method that was called.
+	Method string
+}
+
+// Error returns the method.
+func (e *LostError) Error() string {
+	return e.Method + ": the controller lost the command's fate"
+}
+
 // attempt is one call to one controller. It returns whether that was the
 // leader, and where else to look if it was not.
 type attempt func(ctx context.Context, c *rpc.Client) (leader bool, redirect string, err error)
@@ -224,6 +236,11 @@
 			Body: body,
 		})
 		o = r.Outcome
+		if err == nil && r.Lost {
+			err = &LostError{
+				Method: wire.MethodCommand,
+			}
+		}
 		return r.Leader && !r.Busy && !r.Lost, r.Redirect, err
 	})
 	return o, err
@@ -235,7 +252,12 @@
 	err = l.withLeader(ctx, method, func(ctx context.Context, client *rpc.Client) (bool, string, error) {
 		r, err := rpc.Call[Q, wire.Answer[A]](ctx, client, method, q)
 		a = r.Body
-		return r.Leader, r.Redirect, err
+		if err == nil && r.Lost {
+			err = &LostError{
+				Method: method,
+			}
+		}
+		return r.Leader && !r.Lost, r.Redirect, err
 	})
 	return a, err
 }
--- a/wire/poll.go
+++ b/wire/poll.go
@@ -46,6 +46,9 @@
 type Answer[T any] struct {
 	// Leader is false if the answer is empty.
 	Leader bool `json:"leader"`
+	// Lost is true if what was asked for may have been done: the leader took it
+	// and does not know its fate.
+	Lost bool `json:"lost,omitempty"`
 	// Redirect is the address of the leader, as far as it is known.
 	Redirect string `json:"redirect,omitempty"`
 	// Body is the answer.
