--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -90,7 +90,6 @@
 	reasonReborn    reason = "worker-restarted"
 	reasonPreempted reason = "preempted"
 	reasonStuck     reason = "no-progress"
-	reasonSlow      reason = "slow-worker"
 )
 
 func newView(w pool.Worker) view {
--- a/wire/consumer.go
+++ b/wire/consumer.go
@@ -49,8 +49,6 @@
 	Status workflow.Status `json:"status,omitempty"`
 	// Pending counts the queue's accepted workflows of which no task has begun.
 	Pending int `json:"pending"`
-	// RetryAfterMS is when a refused caller may come back, in milliseconds.
-	RetryAfterMS int64 `json:"retry-after-ms,omitempty"`
 }
 
 // A VerdictKind is what a Verdict says.
--- a/workflow/spec.go
+++ b/workflow/spec.go
@@ -100,15 +100,6 @@
 	return longest
 }
 
-// Work returns the declared work of one occurrence in weighted core-seconds.
-func (s Spec) Work() float64 {
-	sum := 0.0
-	for _, step := range s.Steps {
-		sum += float64(step.Tasks) * step.Each.WeightedCores() * step.Estimate.Seconds()
-	}
-	return sum
-}
-
 // Accelerators returns how many accelerators the widest step needs at once.
 func (s Spec) Accelerators() int {
 	widest := 0
