Let a full disk stall a controller instead of ending it

Ruled out: retrying a failed sync, which may have lost what came before; that stays fatal. Change: a write for want of room is withdrawn and repeated for 30 s while nothing of it is acknowledged; then the process ends as before. Seen while reading: a segment was renamed although its sync had failed; it is not any more. Test: controller/disk (three cases, under a file size limit); the proof 'that is full ends its controller' becomes 'that is full makes its controller wait', which also asks that the group can lose another member afterwards.

--- a/controller/disk/disk_suite_test.go
+++ b/controller/disk/disk_suite_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -191,6 +193,124 @@
 	})
 })
 
+// limitFiles bounds the size of the files that this process may write, as a
+// full disk does, until the returned function is called.
+func limitFiles(bytes int64) (lift func()) {
+	var before syscall.Rlimit
+	Expect(syscall.Getrlimit(syscall.RLIMIT_FSIZE, &before)).To(Succeed())
+	limited := before
+	limited.Cur = uint64(bytes)
+	Expect(syscall.Setrlimit(syscall.RLIMIT_FSIZE, &limited)).To(Succeed())
+	return sync.OnceFunc(func() {
+		Expect(syscall.Setrlimit(syscall.RLIMIT_FSIZE, &before)).To(Succeed())
+	})
+}
+
+var _ = Describe("A full disk", func() {
+	const term = 3
+
+	write := func(path string, patience time.Duration) (failed chan error, synced chan uint64, full chan error) {
+		f, l, _, err := open(path)
+		Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithCancel(context.Background())
+		failed, synced, full = make(chan error, 1), make(chan uint64, 1), make(chan error, 8)
+		w := disk.NewWriter(disk.WriterConfig{
+			Folder: f,
+			Log:    l,
+			Synced: func(e consensus.Entry) { synced <- e.Index },
+			Full: func(err *disk.FullError, _ time.Duration) {
+				if err != nil {
+					full <- err
+					return
+				}
+				full <- nil
+			},
+			FullPatience: patience,
+			Queue:        16,
+		})
+		go func() { failed <- w.Run(ctx) }()
+		DeferCleanup(func() {
+			cancel()
+			Expect(l.Close()).To(Succeed())
+			Expect(f.Close()).To(Succeed())
+		})
+		w.Put(ctx, disk.Append{
+			Persist: consensus.Persist{
+				Hard: consensus.HardState{
+					Term: term,
+				},
+				Entries: entries(11, 20),
+			},
+		})
+		return failed, synced, full
+	}
+
+	It("makes writes wait and loses nothing once it has room again", func() {
+		path := filled(10)
+		info, err := os.Stat(logFile(path))
+		Expect(err).NotTo(HaveOccurred())
+		lift := limitFiles(info.Size() + 30)
+		DeferCleanup(lift)
+		failed, synced, full := write(path, time.Minute)
+		Eventually(full).Should(Receive(MatchError(ContainSubstring("disk is full"))))
+		Consistently(synced, 300*time.Millisecond).ShouldNot(Receive())
+		lift()
+		Eventually(synced).Should(Receive(Equal(uint64(30))))
+		Expect(full).To(Receive(BeNil()))
+		Expect(failed).NotTo(Receive())
+		_, content, err := disk.OpenLog(path)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(content.Entries).To(Equal(entries(1, 30)))
+		Expect(content.Hard.Term).To(Equal(uint64(term)))
+	})
+
+	It("ends the writer once its patience is over, and the log stays whole", func() {
+		path := filled(10)
+		info, err := os.Stat(logFile(path))
+		Expect(err).NotTo(HaveOccurred())
+		lift := limitFiles(info.Size() + 30)
+		DeferCleanup(lift)
+		failed, synced, _ := write(path, 250*time.Millisecond)
+		var full *disk.FullError
+		Eventually(failed).Should(Receive(Satisfy(func(err error) bool { return errors.As(err, &full) })))
+		Expect(synced).NotTo(Receive())
+		_, content, err := disk.OpenLog(path)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(content.Entries).To(Equal(entries(1, 10)))
+		Expect(content.Torn).To(BeZero())
+	})
+
+	It("keeps the last snapshot and the log until a new one has room", func() {
+		path := filled(10)
+		f, l, _, err := open(path)
+		Expect(err).NotTo(HaveOccurred())
+		meta := consensus.SnapshotMeta{
+			Index: 5,
+			Term:  1,
+		}
+		Expect(f.SaveSnapshot(disk.Snapshot{
+			Meta:  meta,
+			State: []byte("first"),
+		})).To(Succeed())
+		lift := limitFiles(64)
+		DeferCleanup(lift)
+		var full *disk.FullError
+		err = f.SaveSnapshot(disk.Snapshot{
+			Meta:  meta,
+			State: make([]byte, 4096),
+		})
+		Expect(errors.As(err, &full)).To(BeTrue())
+		Expect(errors.As(l.Rewrite(0), &full)).To(BeTrue())
+		lift()
+		Expect(l.Close()).To(Succeed())
+		Expect(f.Close()).To(Succeed())
+		_, _, r, err := open(path)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.State).To(Equal([]byte("first")))
+		Expect(r.Saved.Entries).To(Equal(entries(6, 5)))
+	})
+})
+
 // BenchmarkCommit compares one sync for all that wait with a sync for each
 // entry, at several numbers of writers.
 func BenchmarkCommit(b *testing.B) {
--- a/controller/disk/folder.go
+++ b/controller/disk/folder.go
@@ -127,7 +127,8 @@
 	State []byte `json:"state"`
 }
 
-// SaveSnapshot makes a snapshot durable in place of the last one.
+// SaveSnapshot makes a snapshot durable in place of the last one. It returns a
+// *FullError, and the last one stays, if the disk has no room.
 func (f *Folder) SaveSnapshot(s Snapshot) (err error) {
 	defer util.Annotate(&err, "disk: save snapshot")
 	body, err := codec.Marshal(s)
@@ -135,7 +136,7 @@
 		return err
 	}
 	if err = renameio.WriteFile(f.snapshotPath(), appendFrame(nil, body), filePerm); err != nil {
-		return err
+		return asFull(err, nil)
 	}
 	return syncFolder(f.path)
 }
--- a/controller/disk/log.go
+++ b/controller/disk/log.go
@@ -29,9 +29,11 @@
 
 // A Log is the file that new batches go to.
 type Log struct {
-	folder  string
-	number  int
-	file    *os.File
+	folder string
+	number int
+	file   *os.File
+	// size is the length of the file up to its last whole frame.
+	size    int64
 	content LogContent
 }
 
@@ -72,6 +74,11 @@
 	if err != nil {
 		return nil, content, err
 	}
+	info, err := l.file.Stat()
+	if err != nil {
+		return nil, content, err
+	}
+	l.size = info.Size()
 	return l, content, syncFolder(folder)
 }
 
@@ -166,7 +173,8 @@
 	return fmt.Sprintf("entry %d does not follow the one before it; replace this disk as a lost one", e.Index)
 }
 
-// Append writes one batch; Sync makes it durable.
+// Append writes one batch; Sync makes it durable. A batch that the disk has no
+// room for changes nothing and returns a *FullError.
 func (l *Log) Append(hard consensus.HardState, entries []consensus.Entry) (err error) {
 	defer util.Annotate(&err, "disk: append")
 	frame, err := encodeBatch(false, hard, entries)
@@ -174,13 +182,22 @@
 		return err
 	}
 	if _, err = l.file.Write(frame); err != nil {
-		return err
+		return l.withdraw(err)
 	}
+	l.size += int64(len(frame))
 	l.content.Hard = hard
 	l.content.Entries = mergeEntries(l.content.Entries, entries)
 	return nil
 }
 
+// withdraw removes what a write left behind that found no room.
+func (l *Log) withdraw(failed error) error {
+	if !isFull(failed) {
+		return failed
+	}
+	return asFull(failed, l.file.Truncate(l.size))
+}
+
 func encodeBatch(reset bool, hard consensus.HardState, entries []consensus.Entry) (frame []byte, err error) {
 	b := batch{
 		Reset:   reset,
@@ -206,7 +223,8 @@
 }
 
 // Rewrite begins a new segment that holds only the entries behind an index,
-// makes it durable and removes the older one.
+// makes it durable and removes the older one. It returns a *FullError, and the
+// older segment stays, if the disk has no room.
 func (l *Log) Rewrite(keepAfter uint64) (err error) {
 	defer util.Annotate(&err, "disk: rewrite log")
 	var kept []consensus.Entry
@@ -226,7 +244,7 @@
 		return err
 	}
 	err = errors.Join(l.file.Close(), os.Remove(segmentPath(l.folder, l.number)))
-	l.file, l.number = file, l.number+1
+	l.file, l.number, l.size = file, l.number+1, int64(len(frame))
 	return errors.Join(err, syncFolder(l.folder))
 }
 
@@ -239,9 +257,12 @@
 		return nil, err
 	}
 	if _, err = file.Write(content); err != nil {
+		return nil, asFull(err, errors.Join(file.Close(), os.Remove(tmp)))
+	}
+	if err = file.Sync(); err != nil {
 		return nil, errors.Join(err, file.Close())
 	}
-	if err = errors.Join(file.Sync(), os.Rename(tmp, path)); err != nil {
+	if err = os.Rename(tmp, path); err != nil {
 		return nil, errors.Join(err, file.Close())
 	}
 	return file, syncFolder(filepath.Dir(path))
--- a/controller/disk/writer.go
+++ b/controller/disk/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/plantainladder/plantainladder/consensus"
@@ -54,6 +55,11 @@
 	Synced func(e consensus.Entry)
 	// Observe is told the entries and the time of each sync; nil for none.
 	Observe func(entries int, took time.Duration)
+	// Full is told when the disk has no room, and when it has room again after
+	// some time; nil for none. It must not block.
+	Full func(err *FullError, waited time.Duration)
+	// FullPatience is how long a write waits for room before the Writer fails.
+	FullPatience time.Duration
 	// EachEntry syncs after each task instead of once for all that wait; it is
 	// the baseline for measurements.
 	EachEntry bool
@@ -87,9 +93,10 @@
 	}
 }
 
-// Run carries tasks out until ctx ends. It returns an error if the disk fails;
-// what was queued since the last sync is then not durable and the process must
-// end.
+// Run carries tasks out until ctx ends. A full disk makes it wait for room; what
+// is queued meanwhile is not acknowledged. It returns an error if the disk
+// fails; what was queued since the last sync is then not durable and the process
+// must end.
 func (w *Writer) Run(ctx context.Context) (err error) {
 	defer util.Annotate(&err, "disk: writer")
 	for {
@@ -97,7 +104,7 @@
 		case <-ctx.Done():
 			return nil
 		case t := <-w.tasks:
-			if err = w.carryOut(w.gather(t)); err != nil {
+			if err = w.carryOut(ctx, w.gather(t)); err != nil {
 				return err
 			}
 		}
@@ -122,13 +129,13 @@
 
 // carryOut writes a group of tasks, syncs once for all of them and then tells
 // those who wait. A rewrite stands for itself.
-func (w *Writer) carryOut(group []Task) (err error) {
+func (w *Writer) carryOut(ctx context.Context, group []Task) (err error) {
 	var entries []consensus.Entry
 	var hard consensus.HardState
 	appends := 0
 	var after []func()
 	flush := func() error {
-		if err := w.sync(appends, hard, entries); err != nil {
+		if err := w.sync(ctx, appends, hard, entries); err != nil {
 			return err
 		}
 		for _, run := range after {
@@ -149,7 +156,7 @@
 			if err = flush(); err != nil {
 				return err
 			}
-			if err = w.rewrite(t); err != nil {
+			if err = w.rewrite(ctx, t); err != nil {
 				return err
 			}
 		}
@@ -169,12 +176,13 @@
 	return append(before, next...)
 }
 
-func (w *Writer) sync(appends int, hard consensus.HardState, entries []consensus.Entry) (err error) {
+func (w *Writer) sync(ctx context.Context, appends int, hard consensus.HardState, entries []consensus.Entry) (err error) {
 	if appends == 0 {
 		return nil
 	}
 	began := time.Now()
-	if err = w.cfg.Log.Append(hard, entries); err != nil {
+	write := func() error { return w.cfg.Log.Append(hard, entries) }
+	if err = w.whenRoom(ctx, write); err != nil {
 		return err
 	}
 	if err = w.cfg.Log.Sync(); err != nil {
@@ -189,12 +197,14 @@
 	return nil
 }
 
-func (w *Writer) rewrite(t Rewrite) (err error) {
+func (w *Writer) rewrite(ctx context.Context, t Rewrite) (err error) {
 	if t.Snapshot.Meta.Index > w.saved {
-		if err = w.cfg.Folder.SaveSnapshot(t.Snapshot); err != nil {
+		save := func() error { return w.cfg.Folder.SaveSnapshot(t.Snapshot) }
+		if err = w.whenRoom(ctx, save); err != nil {
 			return err
 		}
-		if err = w.cfg.Log.Rewrite(t.KeepAfter); err != nil {
+		trim := func() error { return w.cfg.Log.Rewrite(t.KeepAfter) }
+		if err = w.whenRoom(ctx, trim); err != nil {
 			return err
 		}
 		w.saved = t.Snapshot.Meta.Index
@@ -202,3 +212,43 @@
 	t.Done()
 	return nil
 }
+
+// fullRetry is the pause between two writes to a full disk. A write that is
+// refused costs little, and a full disk stalls this controller meanwhile.
+const fullRetry = 100 * time.Millisecond
+
+// whenRoom repeats a write that finds no room until it does, the patience is
+// over or ctx has ended.
+func (w *Writer) whenRoom(ctx context.Context, write func() error) (err error) {
+	began := time.Now()
+	pause := time.NewTicker(fullRetry)
+	defer pause.Stop()
+	for isTold := false; ; {
+		err = write()
+		var full *FullError
+		if !errors.As(err, &full) {
+			if isTold {
+				w.tell(nil, time.Since(began))
+			}
+			return err
+		}
+		if time.Since(began) >= w.cfg.FullPatience {
+			return err
+		}
+		if !isTold {
+			isTold = true
+			w.tell(full, 0)
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-pause.C:
+		}
+	}
+}
+
+func (w *Writer) tell(err *FullError, waited time.Duration) {
+	if w.cfg.Full != nil {
+		w.cfg.Full(err, waited)
+	}
+}
--- a/controller/node/meters.go
+++ b/controller/node/meters.go
@@ -20,6 +20,7 @@
 	syncs   *metrics.Histogram
 	saving  *metrics.Histogram
 	saved   *metrics.Counter
+	full    *metrics.Counter
 }
 
 func newMeters() *meters {
@@ -30,6 +31,7 @@
 		syncs:   metrics.NewHistogram("controller_sync_seconds"),
 		saving:  metrics.NewHistogram("controller_snapshot_encode_seconds"),
 		saved:   metrics.NewCounter("controller_snapshot_bytes_total"),
+		full:    metrics.NewCounter("controller_disk_full_total"),
 	}
 	createCounters()
 	return m
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -42,6 +42,10 @@
 	diskQueue       = 4096
 	maxCalls        = 256
 	stopTimeout     = 3 * time.Second
+	// fullPatience is how long a full disk stalls a controller before it ends:
+	// long enough for an operator's cleaning to be seen, and shorter than the
+	// queue of the disk lasts.
+	fullPatience = 30 * time.Second
 )
 
 // A Node is one running controller.
@@ -139,8 +143,10 @@
 				Term:  e.Term,
 			})
 		},
-		Observe: n.meters.observeSync,
-		Queue:   diskQueue,
+		Observe:      n.meters.observeSync,
+		Full:         n.reportFull,
+		FullPatience: fullPatience,
+		Queue:        diskQueue,
 	})
 	n.peers = replica.NewPeers(replica.Config{
 		Token:  n.cfg.ClusterToken,
@@ -160,6 +166,16 @@
 	})
 }
 
+// reportFull logs and counts that the disk has no room, or has room again.
+func (n *Node) reportFull(err *disk.FullError, waited time.Duration) {
+	if err != nil {
+		n.meters.full.Inc()
+		n.logger.Warn().Err(err).Dur("patience", fullPatience).Msg("Disk is full; writes wait.")
+		return
+	}
+	n.logger.Info().Dur("waited", waited).Msg("Disk has room again.")
+}
+
 // joiner returns what brings this controller into the group by itself.
 func (n *Node) joiner() *replica.Joiner {
 	return replica.NewJoiner(replica.JoinConfig{
--- a/prove/cluster/limit_linux.go
+++ b/prove/cluster/limit_linux.go
@@ -2,12 +2,15 @@
 
 import "golang.org/x/sys/unix"
 
+// NoLimit lifts a limit of LimitFiles.
+const NoLimit = unix.RLIM_INFINITY
+
 // LimitFiles bounds the size in bytes of the files that the process may write,
 // as a full disk does.
 func (p *Process) LimitFiles(bytes uint64) error {
 	limit := unix.Rlimit{
 		Cur: bytes,
-		Max: bytes,
+		Max: unix.RLIM_INFINITY,
 	}
 	return unix.Prlimit(p.PID(), unix.RLIMIT_FSIZE, &limit, nil)
 }
--- a/prove/control/disk_test.go
+++ b/prove/control/disk_test.go
@@ -83,7 +83,7 @@
 		Expect(e.Check(settleLimit)).To(Succeed())
 	})
 
-	It("that is full ends its controller, and the others go on", func() {
+	It("that is full makes its controller wait, the others go on, and it catches up once there is room", func() {
 		c := startCluster(cluster.Config{
 			Controllers: 3,
 			Gateways:    2,
@@ -91,10 +91,20 @@
 		e, stop := stream(c, "g1", "g2")
 		waitForEdits(e, 50)
 		name := leader(c, "g1")
+		other := follower(c)
 		Expect(c.Process(name).LimitFiles(64 << 10)).To(Succeed())
-		Eventually(c.Process(name).Done()).WithTimeout(settleLimit).Should(BeClosed())
+		Eventually(func() string { return c.Process(name).Log() }).WithTimeout(settleLimit).
+			Should(ContainSubstring("Disk is full; writes wait."))
 		waitForEdits(e, 50)
-		Expect(c.Restart(name)).To(Succeed())
+		Expect(c.Process(name).Done()).NotTo(BeClosed())
+		Expect(c.Process(name).LimitFiles(cluster.NoLimit)).To(Succeed())
+		Eventually(func() string { return c.Process(name).Log() }).WithTimeout(settleLimit).
+			Should(ContainSubstring("Disk has room again."))
+		Expect(c.Process(name).Done()).NotTo(BeClosed())
+		// The group can lose another member only if this one has caught up.
+		c.Process(other).Kill()
+		waitForEdits(e, 50)
+		Expect(c.Restart(other)).To(Succeed())
 		Expect(cluster.Eventually(settleLimit, func() error { return canLoseOne(c) })).To(Succeed())
 		Expect(stop()).To(Succeed())
 		Expect(e.Check(settleLimit)).To(Succeed())
