Log when a workflow is accepted and how it was decided

Cause: an accepted workflow's lines named places and ends, but neither its queue and due time nor its outcome, so 'late' could not be read from the log. Change: the leader explains committed submissions and decisions; places carry queue and due time. Test: control, 'The log of a leader' (resends give no second line).

--- a/control/core.go
+++ b/control/core.go
@@ -294,7 +294,8 @@
 	if err != nil {
 		return c.skipEntry(e, err)
 	}
-	next, o := c.state.Apply(e.Index, envelope)
+	before := c.state
+	next, o := before.Apply(e.Index, envelope)
 	c.state = next
 	if c.lead == nil {
 		return c, o, nil
@@ -309,9 +310,7 @@
 			Label: string(o.Reason),
 		}
 	}
-	return c, o, []Effect{
-		counter,
-	}
+	return c, o, append(explainCommand(before, next, envelope), counter)
 }
 
 // skipEntry passes over an entry that cannot be decoded. Every replica holds
--- a/control/dispatch_test.go
+++ b/control/dispatch_test.go
@@ -6,12 +6,14 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/plantainladder/plantainladder/configuration"
 	"github.com/plantainladder/plantainladder/consensus"
 	"github.com/plantainladder/plantainladder/control"
 	"github.com/plantainladder/plantainladder/dispatch"
 	"github.com/plantainladder/plantainladder/member"
 	"github.com/plantainladder/plantainladder/pool"
 	"github.com/plantainladder/plantainladder/wire"
+	"github.com/plantainladder/plantainladder/workflow"
 
 	plantainladder "github.com/plantainladder/plantainladder"
 )
@@ -77,6 +79,109 @@
 	return false
 }
 
+// commit lets a core of one commit a command and returns the log's notes.
+func commit(now time.Time, c control.Core, command plantainladder.Command) (next control.Core, notes []dispatch.Note) {
+	c, out := c.Step(now, control.Submit{
+		Command: command,
+	})
+	for _, f := range out {
+		w, ok := f.(control.Write)
+		if !ok || len(w.Persist.Entries) == 0 {
+			continue
+		}
+		last := w.Persist.Entries[len(w.Persist.Entries)-1]
+		var more []control.Effect
+		c, more = c.Step(now, control.Synced{
+			Index: last.Index,
+			Term:  last.Term,
+		})
+		for _, f := range more {
+			if e, ok := f.(control.Explain); ok {
+				notes = append(notes, e.Note)
+			}
+		}
+	}
+	return c, notes
+}
+
+var _ = Describe("The log of a leader", func() {
+	It("has one line for a workflow that is accepted, and one for how it was decided", func() {
+		now := time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+		c := newDispatcher(now)
+		c, _ = commit(now, c, plantainladder.PutConfiguration{
+			Document: configuration.Document{
+				Version: 1,
+				Queues: []configuration.Queue{
+					{
+						Name:    "checks",
+						Pool:    "pool",
+						Timeout: time.Second,
+						Public:  true,
+						Stretch: 2,
+						Target:  time.Second,
+					},
+				},
+				Pools: []configuration.Pool{
+					{
+						Name: "pool",
+					},
+				},
+			},
+		})
+		submit := plantainladder.SubmitWorkflow{
+			Spec: workflow.Spec{
+				ID:    "w-1",
+				Queue: "checks",
+				Steps: []workflow.Step{
+					{
+						Tasks:    1,
+						Estimate: time.Second,
+					},
+				},
+			},
+		}
+		c, notes := commit(now, c, submit)
+		Expect(notes).To(HaveLen(1))
+		Expect(notes[0].Text).To(Equal("Workflow is accepted."))
+		Expect(notes[0].Ref.Workflow).To(Equal("w-1"))
+		Expect(notes[0].Queue).To(Equal("checks"))
+		Expect(notes[0].Due).To(Equal(now.Add(3 * time.Second)))
+		c, notes = commit(now, c, submit)
+		Expect(notes).To(BeEmpty(), "a resent submission")
+
+		ref := workflow.Ref{
+			Key: workflow.Key{
+				Workflow: "w-1",
+			},
+			Run: 1,
+		}
+		c, notes = commit(now, c, plantainladder.Round{
+			ID: 1,
+			Placements: []workflow.Placement{
+				{
+					Ref:    ref,
+					Worker: "a",
+				},
+			},
+		})
+		Expect(notes).To(BeEmpty(), "not decided yet")
+		now = now.Add(2 * time.Second)
+		_, notes = commit(now, c, plantainladder.Round{
+			ID: 2,
+			Ends: []workflow.End{
+				{
+					Ref:    ref,
+					Ending: workflow.EndedDone,
+				},
+			},
+		})
+		Expect(notes).To(HaveLen(1))
+		Expect(notes[0].Text).To(Equal("Workflow is decided."))
+		Expect(notes[0].Reason).To(Equal("completed"))
+		Expect(notes[0].Age).To(Equal(2 * time.Second))
+	})
+})
+
 var _ = Describe("A busy leader", func() {
 	It("asks to be woken for what happens right after a sweep, each time anew", func() {
 		now := time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
--- /dev/null
+++ b/control/explain.go
@@ -0,0 +1,79 @@
+package control
+
+import (
+	"time"
+
+	plantainladder "github.com/plantainladder/plantainladder"
+	"github.com/plantainladder/plantainladder/dispatch"
+	"github.com/plantainladder/plantainladder/workflow"
+)
+
+// explainCommand returns what the log is told of a command that changed
+// workflows: which were accepted, and which were decided.
+func explainCommand(before, after plantainladder.State, envelope plantainladder.Envelope) []Effect {
+	switch c := envelope.Command.(type) {
+	case plantainladder.SubmitWorkflow:
+		return explainSubmission(before, after, c)
+	case plantainladder.Round:
+		return explainEnds(before, after, envelope.At, c)
+	}
+	return nil
+}
+
+func explainSubmission(before, after plantainladder.State, c plantainladder.SubmitWorkflow) []Effect {
+	w, accepted := after.Workflow(c.Spec.ID)
+	if _, known := before.Workflow(c.Spec.ID); known || !accepted {
+		return nil
+	}
+	tasks := 0
+	for _, s := range w.Spec.Steps {
+		tasks += s.Tasks
+	}
+	return []Effect{
+		Explain{
+			Note: dispatch.Note{
+				Text:   "Workflow is accepted.",
+				Ref:    refTo(w),
+				Reason: w.Spec.Organisation,
+				Tasks:  tasks,
+				Queue:  w.Spec.Queue,
+				Due:    w.Objective(0),
+			},
+		},
+	}
+}
+
+func explainEnds(before, after plantainladder.State, now time.Time, r plantainladder.Round) (out []Effect) {
+	seen := map[string]bool{}
+	for _, e := range r.Ends {
+		was, known := before.Workflow(e.Workflow)
+		if seen[e.Workflow] || !known || !was.IsOpen() {
+			continue
+		}
+		seen[e.Workflow] = true
+		w, _ := after.Workflow(e.Workflow)
+		if w.IsOpen() {
+			continue
+		}
+		out = append(out, Explain{
+			Note: dispatch.Note{
+				Text:   "Workflow is decided.",
+				Ref:    refTo(w),
+				Reason: string(w.Status()),
+				Age:    now.Sub(w.Submitted),
+				Queue:  w.Spec.Queue,
+				Due:    w.Objective(w.Spec.Count() - 1),
+			},
+		})
+	}
+	return out
+}
+
+// refTo returns a reference to a workflow as a whole.
+func refTo(w workflow.Workflow) workflow.Ref {
+	return workflow.Ref{
+		Key: workflow.Key{
+			Workflow: w.Spec.ID,
+		},
+	}
+}
--- a/controller/node/perform.go
+++ b/controller/node/perform.go
@@ -72,6 +72,12 @@
 	if d.Tasks > 0 {
 		line = line.Int("tasks", d.Tasks)
 	}
+	if d.Queue != "" {
+		line = line.Str("queue", d.Queue)
+	}
+	if !d.Due.IsZero() {
+		line = line.Time("due", d.Due)
+	}
 	line.Dur("age", d.Age).Msg(d.Text)
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -134,6 +134,8 @@
 		Reason: "room",
 		Age:    p.s.now.Sub(u.flow.Submitted),
 		Tasks:  seatCount(list),
+		Queue:  u.flow.Spec.Queue,
+		Due:    u.objective,
 	})
 	for _, seat := range list {
 		seat.node.free = seat.node.free.Minus(u.terms.Each.Times(seat.tasks))
--- a/dispatch/sweep.go
+++ b/dispatch/sweep.go
@@ -23,6 +23,12 @@
 	Age time.Duration
 	// Tasks is the number of tasks that the decision is about, zero for one.
 	Tasks int
+	// Queue is the queue of the workflow; empty where the decision is about a
+	// single run.
+	Queue string
+	// Due is when the workflow should complete; the zero time if that does not
+	// bear on the decision.
+	Due time.Time
 }
 
 // A Plan is what a sweep decided.
