--- a/control/core.go
+++ b/control/core.go
@@ -310,7 +310,14 @@
 			Label: string(o.Reason),
 		}
 	}
-	return c, o, append(explainCommand(before, next, envelope), counter)
+	out := []Effect{
+		counter,
+	}
+	if e.Term == c.lead.term {
+		// Entries of earlier terms were explained by their leaders.
+		out = append(out, explainCommand(before, next, envelope)...)
+	}
+	return c, o, out
 }
 
 // skipEntry passes over an entry that cannot be decoded. Every replica holds
