Do not preempt for room that is about to come free by itself

Cause: urgent work without room stopped the runs with the least lost work even where others were about to end sooner than a stop takes. Change: runs whose measured progress (30 % or more) says that they end within the time of a stop count as room that comes, and are not stopped.

--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -27,8 +27,10 @@
 type holder struct {
 	task     workflow.PlacedTask
 	priority int
-	// endsAt is when it is expected to end.
-	endsAt time.Time
+	// endsAt is when it is expected to end; isMeasured is true if its progress
+	// says so, and not only its estimate.
+	endsAt     time.Time
+	isMeasured bool
 	// lost is the work, in weighted core-seconds, that a stop throws away.
 	lost float64
 	// isStopping is true if it is being stopped already.
@@ -122,10 +124,12 @@
 	}
 	list := make([]holder, len(tasks))
 	for i, t := range tasks {
+		endsAt, isMeasured := s.expectedEnd(v, t)
 		list[i] = holder{
 			task:       t,
 			priority:   x.flows[t.Workflow].Terms.Priority,
-			endsAt:     s.expectedEnd(v, t),
+			endsAt:     endsAt,
+			isMeasured: isMeasured,
 			lost:       s.lostWork(v, t),
 			isStopping: v.runs[t.Ref].unwanted != "" || !t.IsWanted,
 		}
@@ -137,18 +141,23 @@
 // on, as a part of the estimate.
 const overrun = 4
 
-// expectedEnd returns when a run should end, by its progress if it is known.
-func (s *sweeper) expectedEnd(v view, t workflow.PlacedTask) time.Time {
-	end := t.At.Add(t.Terms.Estimate)
+// measuredPercent is the progress from which on a run's end is taken from it.
+const measuredPercent = 30
+
+// expectedEnd returns when a run should end, by its progress if it is known, and
+// whether that was measured.
+func (s *sweeper) expectedEnd(v view, t workflow.PlacedTask) (end time.Time, isMeasured bool) {
+	end = t.At.Add(t.Terms.Estimate)
 	r, listed := v.runs[t.Ref], v.listed[t.Ref]
 	if listed.Percent > 0 && !r.accepted.IsZero() {
 		elapsed := v.listedAt.Sub(r.accepted)
 		end = r.accepted.Add(elapsed * 100 / time.Duration(listed.Percent))
+		isMeasured = listed.Percent >= measuredPercent
 	}
 	if end.Before(s.now) {
-		return s.now.Add(t.Terms.Estimate / overrun)
+		return s.now.Add(t.Terms.Estimate / overrun), false
 	}
-	return end
+	return end, isMeasured
 }
 
 // savedWithin is how much work, at most, a run that saves its progress loses
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/plantainladder/plantainladder/pool"
 	"github.com/plantainladder/plantainladder/workflow"
@@ -13,6 +14,13 @@
 type group struct {
 	members []holder
 	lost    float64
+	// endsAt is when all members are expected to have ended by themselves.
+	endsAt time.Time
+	// isMeasured is true if the progress of all members says so.
+	isMeasured bool
+	// isSpared is true if the group is being stopped, or as urgent as what
+	// needs room.
+	isSpared bool
 }
 
 type groupKey struct {
@@ -33,14 +41,15 @@
 		}
 	}
 	areas = append(areas, f.nodes)
-	groups := p.groups(f, u.flow.Terms.Priority)
+	groups := groupsOf(f, u.flow.Terms.Priority)
+	ending := p.endingSoon(groups)
 	var best *eviction
 	for i, nodes := range areas {
 		isLastResort := i == len(areas)-1 && len(areas) > 1
 		if isLastResort && best != nil {
 			break
 		}
-		if e := p.evict(nodes, u, groups); e != nil && (best == nil || e.lost < best.lost) {
+		if e := p.evict(nodes, u, groups, ending); e != nil && (best == nil || e.lost < best.lost) {
 			best = e
 		}
 	}
@@ -75,24 +84,45 @@
 	}
 }
 
-// groups returns the runs that are less urgent than a priority, by their key.
-func (p *planner) groups(f *fleet, priority int) map[groupKey]group {
+// groupsOf returns the runs of a fleet by their key. Those that are as urgent as
+// a priority are spared.
+func groupsOf(f *fleet, priority int) map[groupKey]group {
 	m := map[groupKey]group{}
 	for _, n := range f.nodes {
 		for _, h := range n.holders {
-			if h.priority <= priority || h.isStopping {
-				continue
-			}
 			k := keyOf(h)
-			g := m[k]
+			g, known := m[k]
 			g.members = append(g.members, h)
 			g.lost += h.lost
+			g.isMeasured = h.isMeasured && (g.isMeasured || !known)
+			g.endsAt = later(g.endsAt, h.endsAt)
+			g.isSpared = g.isSpared || h.isStopping || h.priority <= priority
 			m[k] = g
 		}
 	}
 	return m
 }
 
+// endingSoon returns the room, by worker, of runs that are expected to end by
+// themselves before a stop would free any, and spares them.
+func (p *planner) endingSoon(groups map[groupKey]group) map[string]pool.Room {
+	by := p.s.now.Add(p.s.board.cfg.StopTakes)
+	room := map[string]pool.Room{}
+	for k, g := range groups {
+		if !g.isMeasured || g.endsAt.After(by) {
+			continue
+		}
+		for _, h := range g.members {
+			if !h.isStopping {
+				room[h.task.Worker] = room[h.task.Worker].Plus(h.task.Terms.Each)
+			}
+		}
+		g.isSpared = true
+		groups[k] = g
+	}
+	return room
+}
+
 func keyOf(h holder) groupKey {
 	k := groupKey{
 		key: h.task.Key,
@@ -121,7 +151,7 @@
 	total int
 }
 
-func newEvictor(nodes []*node, u unit) *evictor {
+func newEvictor(nodes []*node, u unit, ending map[string]pool.Room) *evictor {
 	e := &evictor{
 		unit:  u,
 		nodes: make(map[string]*node, len(nodes)),
@@ -130,7 +160,7 @@
 	}
 	for _, n := range nodes {
 		e.nodes[n.worker.ID] = n
-		e.set(n, n.free.Plus(n.coming))
+		e.set(n, n.free.Plus(n.coming).Plus(ending[n.worker.ID]))
 	}
 	return e
 }
@@ -159,8 +189,8 @@
 // evict finds the groups to stop so that a unit fits on nodes, nil if it cannot.
 // Groups go in the order of the work that is lost; those that turn out not to
 // be needed are spared.
-func (p *planner) evict(nodes []*node, u unit, groups map[groupKey]group) *eviction {
-	e := newEvictor(nodes, u)
+func (p *planner) evict(nodes []*node, u unit, groups map[groupKey]group, ending map[string]pool.Room) *eviction {
+	e := newEvictor(nodes, u, ending)
 	var chosen []groupKey
 	for _, k := range groupsOn(nodes, groups) {
 		if e.hasRoom() {
@@ -194,7 +224,7 @@
 	for _, n := range nodes {
 		for _, h := range n.holders {
 			k := keyOf(h)
-			if _, ok := groups[k]; ok && !seen[k] {
+			if !groups[k].isSpared && !seen[k] {
 				seen[k] = true
 				order = append(order, k)
 			}
--- a/prove/measure/replay.go
+++ b/prove/measure/replay.go
@@ -18,6 +18,8 @@
 	times := fs.Float64("times", 0.2, "rate of arrivals; 1 is that of a fleet of 350 workers")
 	burst := fs.Float64("burst", 2.4, "rate of urgent arrivals during the burst, in times")
 	grey := fs.Float64("grey", 0, "part of the workers that fail, hang or are slow for 6 s")
+	slow := fs.Float64("slow", 0, "part of the workers that are 6 times slower for 6 s")
+	cut := fs.Float64("cut", 0, "part of the workers that are cut off for 6 s, every other one to start anew")
 	if err := fs.Parse(args); err != nil {
 		return err
 	}
@@ -33,7 +35,9 @@
 			},
 		}
 		w := replay.NewWorld(d.Fleet)
-		plague(w, *grey)
+		plague(w, *grey, greyTroubles)
+		plague(w, *slow, slowTroubles)
+		plague(w, *cut, cutTroubles)
 		ids := d.Load.HandIn(w, seed)
 		w.Run(d.Load.Until + 15*time.Second)
 		results, worth := d.Load.Summary(w, ids)
@@ -48,22 +52,41 @@
 	return nil
 }
 
-// plague makes a part of the workers fail, hang or run slowly.
-func plague(w *replay.World, part float64) {
+// Troubles that workers are given in turn.
+var (
+	greyTroubles = []replay.Trouble{
+		{
+			Fails: true,
+		},
+		{
+			Hangs: true,
+		},
+		{
+			Slow: 6,
+		},
+	}
+	slowTroubles = []replay.Trouble{
+		{
+			Slow: 6,
+		},
+	}
+	cutTroubles = []replay.Trouble{
+		{
+			Cut: true,
+		},
+		{
+			Cut:      true,
+			Restarts: true,
+		},
+	}
+)
+
+// plague gives a part of the workers one of the troubles each, for 6 s.
+func plague(w *replay.World, part float64, troubles []replay.Trouble) {
 	ids := w.Workers()
 	for i := range int(float64(len(ids)) * part) {
-		t := replay.Trouble{
-			From:  10 * time.Second,
-			Until: 16 * time.Second,
-		}
-		switch i % 3 {
-		case 0:
-			t.Fails = true
-		case 1:
-			t.Hangs = true
-		case 2:
-			t.Slow = 6
-		}
+		t := troubles[i%len(troubles)]
+		t.From, t.Until = 10*time.Second, 16*time.Second
 		w.Plague(ids[(i*7)%len(ids)], t)
 	}
 }
