Learn run times, find slow workers, keep urgent work off them

Ends were predicted from the time at which a listing was asked for, up to 2 s before the answer, so progress looked faster than it was; declared times are off by up to 0.9 of the true ones. Change: run times are learned by queue (declared time corrected for its bias, and the queue's mean, each weighted by its certainty; older runs are forgotten); two readings of progress tell a worker's pace; a worker slower than 2.5 times gets nothing new for 3 s at a time; urgent runs there move if that saves two thirds.

--- a/control/explain.go
+++ b/control/explain.go
@@ -37,7 +37,7 @@
 				Reason: w.Spec.Organisation,
 				Tasks:  tasks,
 				Queue:  w.Spec.Queue,
-				Due:    w.Objective(0),
+				Due:    w.Objective(0, nil),
 			},
 		},
 	}
@@ -62,7 +62,7 @@
 				Reason: string(w.Status()),
 				Age:    now.Sub(w.Submitted),
 				Queue:  w.Spec.Queue,
-				Due:    w.Objective(w.Spec.Count() - 1),
+				Due:    w.Objective(w.Spec.Count()-1, nil),
 			},
 		})
 	}
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -156,7 +156,7 @@
 	for _, f := range v.finished[min(known, len(v.finished)):] {
 		v = v.withEnding(now, f.Ending)
 	}
-	v.listedAt = a.SentAt
+	v.listedAt, v.seenAt = a.SentAt, now
 	v.listed = make(map[workflow.Ref]Running, len(a.Listing.Running))
 	for _, r := range a.Listing.Running {
 		v.listed[r.Ref] = r
--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -82,6 +82,8 @@
 	views   *immutable.SortedMap[string, *view]
 	pending *pendingRound
 	rounds  uint64
+	// estimates is what was learned of run times.
+	estimates estimates
 	// isDirty is true if something happened since the last sweep.
 	isDirty bool
 	// index is derived from the last scene.
@@ -112,6 +114,8 @@
 		views:   immutable.NewSortedMap[string, *view](nil),
 		rounds:  term * roundsPerTerm,
 		isDirty: true,
+
+		estimates: newEstimates(),
 	}
 }
 
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -56,9 +56,10 @@
 		x = newSceneIndex(scene)
 	}
 	m := map[string]*fleet{}
+	isSlowAvoided := s.isFewSlow(scene)
 	for _, w := range scene.Workers {
 		v, ok := s.board.view(w.ID)
-		if !ok || !s.isUsable(w, v) {
+		if !ok || !s.isUsable(w, v) || isSlowAvoided && s.now.Before(v.slowUntil) {
 			continue
 		}
 		n := &node{
@@ -83,6 +84,17 @@
 	return m
 }
 
+// isFewSlow reports whether so few workers are slow that they can be avoided.
+func (s *sweeper) isFewSlow(scene Scene) bool {
+	slow := 0
+	for _, w := range scene.Workers {
+		if v, ok := s.board.view(w.ID); ok && s.now.Before(v.slowUntil) {
+			slow++
+		}
+	}
+	return slow*maxSlowShare <= len(scene.Workers)
+}
+
 // heardWithin is the number of announcements that a worker may miss before it
 // gets no new tasks.
 const heardWithin = 3
@@ -147,15 +159,16 @@
 // expectedEnd returns when a run should end, by its progress if it is known, and
 // whether that was measured.
 func (s *sweeper) expectedEnd(v view, t workflow.PlacedTask) (end time.Time, isMeasured bool) {
-	end = t.At.Add(t.Terms.Estimate)
+	takes := s.expected(t)
+	end = t.At.Add(takes)
 	r, listed := v.runs[t.Ref], v.listed[t.Ref]
 	if listed.Percent > 0 && !r.accepted.IsZero() {
-		elapsed := v.listedAt.Sub(r.accepted)
+		elapsed := v.seenAt.Sub(r.accepted)
 		end = r.accepted.Add(elapsed * 100 / time.Duration(listed.Percent))
 		isMeasured = listed.Percent >= measuredPercent
 	}
 	if end.Before(s.now) {
-		return s.now.Add(t.Terms.Estimate / overrun), false
+		return s.now.Add(takes / overrun), false
 	}
 	return end, isMeasured
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -32,7 +32,7 @@
 		return nil
 	}
 	s.board.plannedFor, s.board.plannedAt = scene.Version, s.now
-	waiting := units(s.now, scene)
+	waiting := s.units(scene)
 	if len(waiting) == 0 {
 		return nil
 	}
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -42,7 +42,12 @@
 	}
 	areas = append(areas, f.nodes)
 	groups := groupsOf(f, u.flow.Terms.Priority)
-	ending := p.endingSoon(groups)
+	ending := map[string]pool.Room{}
+	if p.s.now.Sub(u.flow.Submitted) < p.s.board.cfg.StopTakes {
+		// Whoever has waited for longer counts on nobody's progress: a
+		// guarantee has to be met in a fixed time.
+		ending = p.endingSoon(groups)
+	}
 	var best *eviction
 	for i, nodes := range areas {
 		isLastResort := i == len(areas)-1 && len(areas) > 1
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -67,8 +67,10 @@
 		r.unwanted = reasonNoAnswer
 	case isStarted && v.listedAt.After(r.accepted) && !isListed:
 		r.unwanted = reasonVanished
-	case isListed && isStuck(v, t, r):
+	case isListed && isStuck(v, s.expected(t), r):
 		r.unwanted = reasonStuck
+	case isListed && s.isWorthMoving(v, t, r):
+		r.unwanted = reasonSlow
 	}
 	if r.unwanted != "" {
 		s.note(Note{
@@ -111,10 +113,9 @@
 )
 
 // isStuck reports whether a run has not moved for much longer than it should.
-func isStuck(v view, t workflow.PlacedTask, r run) bool {
+func isStuck(v view, takes time.Duration, r run) bool {
 	still := v.listedAt.Sub(r.movedAt)
-	expected := t.Terms.Estimate * stuckPercent / 100
-	return !r.movedAt.IsZero() && r.percent < donePercent && still >= max(stuckAfter, expected)
+	return !r.movedAt.IsZero() && r.percent < donePercent && still >= max(stuckAfter, takes*stuckPercent/100)
 }
 
 // startRun sends a start until it is answered. A run that an earlier leader
@@ -137,11 +138,13 @@
 	lease := v.clock.now(s.now) + s.board.cfg.Lease.Milliseconds()
 	v.promised = max(v.promised, lease)
 	w := s.index.flows[t.Workflow]
+	checkpoint := w.StartCheckpoint(t.Key)
+	r.isResumed = checkpoint != ""
 	s.send(Start{
 		Target:     s.target(v),
 		Ref:        t.Ref,
 		Payload:    w.Spec.Payload,
-		Checkpoint: w.StartCheckpoint(t.Key),
+		Checkpoint: checkpoint,
 		LeaseUntil: lease,
 	})
 	return v.withRun(t.Ref, r)
--- a/dispatch/sweep.go
+++ b/dispatch/sweep.go
@@ -140,6 +140,7 @@
 	v = v.withoutOldRuns(func(ref workflow.Ref) bool {
 		return s.index.refs[ref]
 	})
+	v = s.withPaces(v, tasks)
 	for _, t := range tasks {
 		v = s.sweepRun(v, t)
 	}
@@ -214,6 +215,7 @@
 			if s.index.refs[f.Ref] {
 				r.Ends = append(r.Ends, f.End)
 				s.noteFinish(id, f)
+				s.learn(*v, f)
 			}
 		}
 	}
--- a/dispatch/unit.go
+++ b/dispatch/unit.go
@@ -29,7 +29,7 @@
 }
 
 // units returns what waits for a place, the most urgent first.
-func units(now time.Time, scene Scene) []unit {
+func (s *sweeper) units(scene Scene) []unit {
 	var list []unit
 	held := map[string]int{}
 	for _, w := range scene.Workflows {
@@ -42,8 +42,8 @@
 			held[org] += w.Spec.Accelerators()
 			isGuaranteed = held[org] <= scene.Guaranteed(org)
 		}
-		for k := range w.Due(now) {
-			for _, u := range unitsOf(now, w, k) {
+		for k := range w.Due(s.now) {
+			for _, u := range s.unitsOf(w, k) {
 				u.isGuaranteed = isGuaranteed
 				list = append(list, u)
 			}
@@ -53,23 +53,27 @@
 	return list
 }
 
-func unitsOf(now time.Time, w workflow.Workflow, occurrence int) (list []unit) {
+func (s *sweeper) unitsOf(w workflow.Workflow, occurrence int) (list []unit) {
 	o := w.Occurrence(occurrence)
 	if o.IsDone(w.Spec) {
 		return nil
 	}
+	takes := func(declared time.Duration) time.Duration {
+		return s.board.estimates.of(w.Spec.Queue, declared)
+	}
 	for i, terms := range w.Spec.Steps {
 		r := o.Steps[i]
 		if r.IsDone(terms) || !o.IsReady(w.Spec, i) || terms.IsGang && r.HasPlaced() {
 			continue
 		}
+		terms.Estimate = takes(terms.Estimate)
 		u := unit{
 			flow:       w,
 			occurrence: occurrence,
 			step:       i,
 			terms:      terms,
 			perWorker:  map[string]int{},
-			objective:  w.Objective(occurrence),
+			objective:  w.Objective(occurrence, takes),
 		}
 		for n, t := range r.Tasks {
 			if t.IsWaiting() {
@@ -79,7 +83,7 @@
 				u.perWorker[p.Worker]++
 			}
 		}
-		u.isLate = now.Add(terms.Estimate).After(u.objective)
+		u.isLate = s.now.Add(terms.Estimate).After(u.objective)
 		if len(u.indexes) > 0 {
 			list = append(list, u)
 		}
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -28,6 +28,8 @@
 	// at listedAt.
 	listed   map[workflow.Ref]Running
 	listedAt time.Time
+	// seenAt is when that answer came: progress is as of then.
+	seenAt time.Time
 	// holdSent is when the last hold was sent; holds counts those in flight.
 	holdSent time.Time
 	holds    int
@@ -43,7 +45,12 @@
 	avoidUntil time.Time
 	// refusals counts the tasks in a row that the worker refused or failed.
 	refusals int
-	runs     map[workflow.Ref]run
+	// slowness is how many times longer than expected its runs take, as of the
+	// listing of pacedAt; while it is slow it gets nothing new until slowUntil.
+	slowness  float64
+	pacedAt   time.Time
+	slowUntil time.Time
+	runs      map[workflow.Ref]run
 	// isChanged is true in a working copy that differs from the board's.
 	isChanged bool
 }
@@ -59,6 +66,8 @@
 	starts     int
 	// open counts the start orders without an answer.
 	open int
+	// isResumed is true if the run began from a checkpoint.
+	isResumed bool
 	// accepted is when the worker was known to have begun the run.
 	accepted time.Time
 	// unwanted says why the run is to end, empty while it may go on.
@@ -73,6 +82,11 @@
 	// percent was the progress when it last moved, at movedAt.
 	percent int
 	movedAt time.Time
+	// slowness is how many times longer than expected it takes, zero if that is
+	// not known; pacePercent was its progress at paceFrom.
+	slowness    float64
+	pacePercent int
+	paceFrom    time.Time
 }
 
 // A reason says why a run is to end.
@@ -90,6 +104,7 @@
 	reasonReborn    reason = "worker-restarted"
 	reasonPreempted reason = "preempted"
 	reasonStuck     reason = "no-progress"
+	reasonSlow      reason = "worker-slow"
 )
 
 func newView(w pool.Worker) view {
--- a/workflow/spec.go
+++ b/workflow/spec.go
@@ -86,15 +86,20 @@
 	return s.FirstAt.Add(time.Duration(occurrence) * s.Every)
 }
 
-// Chain returns the longest chain of declared run times through the steps.
-func (s Spec) Chain() time.Duration {
+// Chain returns the longest chain of run times through the steps. Takes corrects
+// a declared run time; nil takes it as it is.
+func (s Spec) Chain(takes func(declared time.Duration) time.Duration) time.Duration {
 	longest := time.Duration(0)
 	ends := make([]time.Duration, len(s.Steps))
 	for i, step := range s.Steps {
 		for _, before := range step.After {
 			ends[i] = max(ends[i], ends[before])
 		}
-		ends[i] += step.Estimate
+		estimate := step.Estimate
+		if takes != nil {
+			estimate = takes(estimate)
+		}
+		ends[i] += estimate
 		longest = max(longest, ends[i])
 	}
 	return longest
--- a/workflow/workflow.go
+++ b/workflow/workflow.go
@@ -153,18 +153,20 @@
 	return n
 }
 
-// Objective returns when an occurrence should have completed.
-func (w Workflow) Objective(occurrence int) time.Time {
+// Objective returns when an occurrence should have completed. Takes corrects a
+// declared run time; nil takes it as it is.
+func (w Workflow) Objective(occurrence int, takes func(declared time.Duration) time.Duration) time.Time {
 	from := w.Spec.DueAt(occurrence)
 	if from.IsZero() {
 		from = w.Submitted
 	}
-	return from.Add(w.Allowance())
+	return from.Add(w.Allowance(takes))
 }
 
-// Allowance returns how long an occurrence may take to be in time.
-func (w Workflow) Allowance() time.Duration {
-	return time.Duration(float64(w.Spec.Chain())*w.Terms.Stretch) + w.Terms.Target
+// Allowance returns how long an occurrence may take to be in time; takes is as
+// in Objective.
+func (w Workflow) Allowance(takes func(declared time.Duration) time.Duration) time.Duration {
+	return time.Duration(float64(w.Spec.Chain(takes))*w.Terms.Stretch) + w.Terms.Target
 }
 
 // Task returns a task.
--- a/workflow/workflow_suite_test.go
+++ b/workflow/workflow_suite_test.go
@@ -209,8 +209,8 @@
 		second := newStep(1)
 		second.After = []int{0}
 		w := newFlow(newStep(3), second, newStep(1))
-		Expect(w.Spec.Chain()).To(Equal(2 * time.Second))
-		Expect(w.Objective(0)).To(Equal(now.Add(5 * time.Second)))
+		Expect(w.Spec.Chain(nil)).To(Equal(2 * time.Second))
+		Expect(w.Objective(0, nil)).To(Equal(now.Add(5 * time.Second)))
 	})
 
 	DescribeTable("names the field at fault", func(change func(s *workflow.Spec), field string) {
