--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -56,10 +56,9 @@
 		x = newSceneIndex(scene)
 	}
 	m := map[string]*fleet{}
-	isSlowAvoided := s.isFewSlow(scene)
 	for _, w := range scene.Workers {
 		v, ok := s.board.view(w.ID)
-		if !ok || !s.isUsable(w, v) || isSlowAvoided && s.now.Before(v.slowUntil) {
+		if !ok || !s.isUsable(w, v) {
 			continue
 		}
 		n := &node{
@@ -84,17 +83,6 @@
 	return m
 }
 
-// isFewSlow reports whether so few workers are slow that they can be avoided.
-func (s *sweeper) isFewSlow(scene Scene) bool {
-	slow := 0
-	for _, w := range scene.Workers {
-		if v, ok := s.board.view(w.ID); ok && s.now.Before(v.slowUntil) {
-			slow++
-		}
-	}
-	return slow*maxSlowShare <= len(scene.Workers)
-}
-
 // heardWithin is the number of announcements that a worker may miss before it
 // gets no new tasks.
 const heardWithin = 3
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -27,28 +27,13 @@
 	case needsLook:
 		return s.sendHold(v, 0)
 	case s.hasStarted(v, tasks):
-		return s.sendHold(v, s.holdWait(v, tasks))
+		return s.sendHold(v, HoldWait)
 	case v.told < v.cursor:
 		return s.sendHold(v, 0)
 	}
 	return v
 }
 
-// paceWait is how long a worker may wait for an end while the pace of a gang's
-// member there is not known: two answers tell whether it is slow.
-const paceWait = 500 * time.Millisecond
-
-// holdWait returns how long a worker may wait for an end before it answers.
-func (s *sweeper) holdWait(v view, tasks []workflow.PlacedTask) time.Duration {
-	for _, t := range tasks {
-		r := v.runs[t.Ref]
-		if t.Terms.IsGang && !r.accepted.IsZero() && r.slowness == 0 && r.percent < donePercent {
-			return paceWait
-		}
-	}
-	return HoldWait
-}
-
 // needsLook reports whether something waits for a fresh listing.
 func (s *sweeper) needsLook(v view, tasks []workflow.PlacedTask) bool {
 	for _, t := range tasks {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -69,8 +69,6 @@
 		r.unwanted = reasonVanished
 	case isListed && isStuck(v, s.expected(t), r):
 		r.unwanted = reasonStuck
-	case isListed && s.isWorthMoving(v, t, r):
-		r.unwanted = reasonSlow
 	}
 	if r.unwanted != "" {
 		s.note(Note{
--- a/dispatch/sweep.go
+++ b/dispatch/sweep.go
@@ -140,7 +140,6 @@
 	v = v.withoutOldRuns(func(ref workflow.Ref) bool {
 		return s.index.refs[ref]
 	})
-	v = s.withPaces(v, tasks)
 	for _, t := range tasks {
 		v = s.sweepRun(v, t)
 	}
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -45,12 +45,7 @@
 	avoidUntil time.Time
 	// refusals counts the tasks in a row that the worker refused or failed.
 	refusals int
-	// slowness is how many times longer than expected its runs take, as of the
-	// listing of pacedAt; while it is slow it gets nothing new until slowUntil.
-	slowness  float64
-	pacedAt   time.Time
-	slowUntil time.Time
-	runs      map[workflow.Ref]run
+	runs     map[workflow.Ref]run
 	// isChanged is true in a working copy that differs from the board's.
 	isChanged bool
 }
@@ -82,11 +77,6 @@
 	// percent was the progress when it last moved, at movedAt.
 	percent int
 	movedAt time.Time
-	// slowness is how many times longer than expected it takes, zero if that is
-	// not known; pacePercent was its progress at paceFrom.
-	slowness    float64
-	pacePercent int
-	paceFrom    time.Time
 }
 
 // A reason says why a run is to end.
@@ -104,7 +94,6 @@
 	reasonReborn    reason = "worker-restarted"
 	reasonPreempted reason = "preempted"
 	reasonStuck     reason = "no-progress"
-	reasonSlow      reason = "worker-slow"
 )
 
 func newView(w pool.Worker) view {
