Make room for every urgent gang at once and keep it for the one it was made for

Cause: urgent units that need the same were served one after another, since only the first of each need was given a preemption: the fourth of four equal gangs inside its guarantee began after 3.48 s (bound 3.4 s). Change: each urgent unit preempts for itself; room that is being freed is earmarked for 0.6 s longer than a stop takes; other units leave it alone, and the unit itself waits for it in place of choosing anew. Test: replay, 'makes room for each of several equal urgent gangs at once' failed before with the 3.48 s; 'stops no more than what an urgent gang needs' passed before as well and guards the number of stops.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -92,6 +92,9 @@
 	// scene.
 	plannedAt  time.Time
 	plannedFor uint64
+	// earmarks holds the room that is being freed for urgent units. Each plan
+	// writes a new map.
+	earmarks map[workflow.Key]earmark
 	// notes are the decisions since the last sweep.
 	notes []Note
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -22,8 +22,11 @@
 	s       *sweeper
 	fleets  map[string]*fleet
 	blocked map[need]bool
-	kept    int
-	places  []workflow.Placement
+	// hopeless holds what urgent units need and no stop can free.
+	hopeless map[need]bool
+	earmarks map[workflow.Key]earmark
+	kept     int
+	places   []workflow.Placement
 }
 
 // place returns the places to be given in a scene.
@@ -37,40 +40,58 @@
 		return nil
 	}
 	p := &planner{
-		s:       s,
-		fleets:  s.fleets(scene),
-		blocked: map[need]bool{},
+		s:        s,
+		fleets:   s.fleets(scene),
+		blocked:  map[need]bool{},
+		hopeless: map[need]bool{},
+		earmarks: map[workflow.Key]earmark{},
 	}
+	p.loadEarmarks(waiting)
 	for _, u := range waiting {
 		f := p.fleets[u.flow.Terms.Pool]
-		if f == nil || p.blocked[u.need()] {
-			continue
+		switch {
+		case f == nil:
+		case u.flow.Terms.Priority == 0:
+			p.placeUrgent(f, u)
+		case !p.blocked[u.need()]:
+			p.placeUnit(f, u)
 		}
-		p.placeUnit(f, u)
 	}
+	s.board.earmarks = p.earmarks
 	return p.places
 }
 
 func (p *planner) placeUnit(f *fleet, u unit) {
-	var isPlaced bool
-	if u.flow.Terms.Priority > 0 && !f.hasHeadroom(u) {
+	if !f.hasHeadroom(u) || p.hasPlaced(f, u) {
 		return
 	}
-	if u.terms.IsGang {
-		isPlaced = p.placeGang(f, u)
-	} else {
-		isPlaced = p.placeSet(f, u)
+	p.blocked[u.need()] = true
+	if u.terms.IsGang && p.kept < maxKept {
+		p.keep(f, u)
 	}
-	if isPlaced {
+}
+
+// placeUrgent places a unit of the highest priority or makes room for it. Units
+// that need the same each get room of their own: what is freed for one is of no
+// use to the next.
+func (p *planner) placeUrgent(f *fleet, u unit) {
+	mark, isMarked := p.withdraw(f, u)
+	isTried := isMarked || !p.blocked[u.need()]
+	if isTried && p.hasPlaced(f, u) {
 		return
 	}
 	p.blocked[u.need()] = true
-	switch {
-	case u.flow.Terms.Priority == 0:
-		p.preempt(f, u)
-	case u.terms.IsGang && p.kept < maxKept:
-		p.keep(f, u)
+	if !p.hopeless[u.need()] {
+		p.hopeless[u.need()] = !p.preempt(f, u, mark)
+	}
+}
+
+// hasPlaced places a unit and reports whether all of its tasks have places.
+func (p *planner) hasPlaced(f *fleet, u unit) bool {
+	if u.terms.IsGang {
+		return p.placeGang(f, u)
 	}
+	return p.placeSet(f, u)
 }
 
 // A seat is a number of a unit's tasks on a node.
@@ -84,7 +105,7 @@
 	if !n.keptUntil.IsZero() && p.s.now.Add(u.terms.Estimate).After(n.keptUntil) {
 		return pool.Room{}
 	}
-	return n.free
+	return n.available()
 }
 
 // seats finds seats for a number of a unit's tasks on nodes, the fullest nodes
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -28,19 +28,11 @@
 	run int
 }
 
-// preempt makes room for urgent tasks: it stops less urgent runs, those first
-// that lose the least work, and keeps the room for the urgent tasks meanwhile.
-func (p *planner) preempt(f *fleet, u unit) {
+// preempt makes room for urgent tasks and earmarks it: it stops less urgent runs,
+// those first that lose the least work. Room that is being freed for the unit
+// already is waited for. It reports false if no stop could make room.
+func (p *planner) preempt(f *fleet, u unit, mark earmark) bool {
 	u = u.withTasks(len(u.indexes))
-	areas := [][]*node{}
-	if u.terms.IsRackBound || u.terms.DataRack != "" {
-		for _, r := range f.racks {
-			if u.terms.DataRack == "" || r.name == u.terms.DataRack {
-				areas = append(areas, r.nodes)
-			}
-		}
-	}
-	areas = append(areas, f.nodes)
 	groups := groupsOf(f, u.flow.Terms.Priority)
 	ending := map[string]pool.Room{}
 	if p.s.now.Sub(u.flow.Submitted) < p.s.board.cfg.StopTakes {
@@ -48,25 +40,38 @@
 		// guarantee has to be met in a fixed time.
 		ending = p.endingSoon(groups)
 	}
-	var best *eviction
-	for i, nodes := range areas {
-		isLastResort := i == len(areas)-1 && len(areas) > 1
-		if isLastResort && best != nil {
-			break
-		}
-		if e := p.evict(nodes, u, groups, ending); e != nil && (best == nil || e.lost < best.lost) {
-			best = e
-		}
+	if e := p.evict(mark.nodesOf(f), u, groups, ending); e != nil && len(e.groups) == 0 {
+		p.assign(f, u, e.seats, mark.until)
+		return true
 	}
+	best := p.cheapest(f, u, groups, ending)
 	if best == nil {
-		return
-	}
-	for _, s := range best.seats {
-		s.node.free = s.node.free.Minus(u.terms.Each.Times(s.tasks))
+		return false
 	}
+	p.assign(f, u, best.seats, p.s.now.Add(p.s.board.cfg.StopTakes+earmarkGrace))
 	for _, g := range best.groups {
 		p.stop(g, u)
 	}
+	return true
+}
+
+// cheapest returns the eviction that loses the least work: in one rack for a unit
+// that is bound to one, anywhere if no rack will do.
+func (p *planner) cheapest(f *fleet, u unit, groups map[groupKey]group, ending map[string]pool.Room) (best *eviction) {
+	if u.terms.IsRackBound || u.terms.DataRack != "" {
+		for _, r := range f.racks {
+			if u.terms.DataRack != "" && r.name != u.terms.DataRack {
+				continue
+			}
+			if e := p.evict(r.nodes, u, groups, ending); e != nil && (best == nil || e.lost < best.lost) {
+				best = e
+			}
+		}
+	}
+	if best == nil {
+		best = p.evict(f.nodes, u, groups, ending)
+	}
+	return best
 }
 
 // stop marks the runs of a group as preempted.
@@ -165,7 +170,7 @@
 	}
 	for _, n := range nodes {
 		e.nodes[n.worker.ID] = n
-		e.set(n, n.free.Plus(n.coming).Plus(ending[n.worker.ID]))
+		e.set(n, n.available().Plus(n.coming).Plus(ending[n.worker.ID]))
 	}
 	return e
 }
--- a/replay/replay_suite_test.go
+++ b/replay/replay_suite_test.go
@@ -163,6 +163,41 @@
 		Expect(r.Began - r.Arrival.At).To(BeNumerically("<", cfg.StopTakes))
 	})
 
+	It("makes room for each of several equal urgent gangs at once", func() {
+		cfg := newConfig(9)
+		cfg.StopTakes = 900 * time.Millisecond
+		cfg.ReclaimWithin = 3400 * time.Millisecond
+		cfg.Organisations[0].GuaranteedAccelerators = 128
+		w := replay.NewWorld(cfg)
+		w.HandIn("batch", arrival(3*time.Second, "batch", set(128, 30*time.Second)))
+		for i := range 4 {
+			w.HandIn(fmt.Sprintf("urgent-%d", i), arrival(6*time.Second, "urgent", gang(4, 8, 5*time.Second)))
+		}
+		w.Run(20 * time.Second)
+		Expect(w.Faults()).To(BeEmpty())
+		for i := range 4 {
+			r := w.Record(fmt.Sprintf("urgent-%d", i))
+			Expect(r.Began-r.Arrival.At).To(BeNumerically("<", 1200*time.Millisecond), "%d", i)
+		}
+	})
+
+	It("stops no more than what an urgent gang needs", func() {
+		cfg := newConfig(10)
+		cfg.StopTakes = 900 * time.Millisecond
+		w := replay.NewWorld(cfg)
+		// Batches keep ending all over the pool while the gang waits for its
+		// room, and others would take what was freed for it.
+		for i := range 64 {
+			at := 3*time.Second + time.Duration(i)*100*time.Millisecond
+			w.HandIn(fmt.Sprintf("batch-%02d", i), arrival(at, "batch", set(16, 4*time.Second)))
+		}
+		w.HandIn("urgent", arrival(8*time.Second, "urgent", gang(4, 8, 2*time.Second)))
+		w.Run(9500 * time.Millisecond)
+		r := w.Record("urgent")
+		Expect(r.Began-r.Arrival.At).To(BeNumerically("<", 1200*time.Millisecond))
+		Expect(w.Stops()).To(BeNumerically("<=", 4*8))
+	})
+
 	It("lets the members of a gang that are done early wait for the others", func() {
 		w := replay.NewWorld(newConfig(5))
 		a := arrival(3*time.Second, "normal", gang(4, 8, time.Second))
--- a/replay/worker.go
+++ b/replay/worker.go
@@ -203,6 +203,9 @@
 		},
 		Number: w.number,
 	}
+	if how == workflow.EndedStopped {
+		w.world.stops++
+	}
 	isSaved := how == workflow.EndedStopped && w.world.saves(ref)
 	if isSaved {
 		f.Checkpoint = checkpoint(e.left)
--- a/replay/world.go
+++ b/replay/world.go
@@ -113,6 +113,8 @@
 	sweepTime time.Duration
 	// waste is the work that was thrown away, in weighted core-seconds.
 	waste float64
+	// stops counts the runs that were stopped.
+	stops int
 }
 
 // A Record is what became of one workflow.
@@ -220,6 +222,11 @@
 	return w.waste
 }
 
+// Stops returns the number of runs that were stopped.
+func (w *World) Stops() int {
+	return w.stops
+}
+
 // SweepTime returns how long all sweeps took on this machine.
 func (w *World) SweepTime() time.Duration {
 	return w.sweepTime
