Let urgent work that has waited for a stop's time make room for itself; baselines by policy

Cause: of urgent units that need the same only the first was given a preemption, so the fourth of four equal gangs began after 3.48 s (bound 3.4 s). Change: units of the same need wait for each other for as long as a stop takes, no longer; earmarks are gone again. Tests: replay, 'makes room for each of several equal urgent gangs at once' (failed before), 'The policies'; the new checks fail with placement and judgement both blind to leaving, or to data centres.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -22,6 +22,8 @@
 	// OffRackFactor is how many times longer a task takes away from its data,
 	// or a gang that is bound to a rack on several.
 	OffRackFactor float64
+	// Policy decides on places; nil for Guarded.
+	Policy Policy
 }
 
 // IsEnabled reports whether workflows are dispatched at all.
@@ -92,9 +94,6 @@
 	// scene.
 	plannedAt  time.Time
 	plannedFor uint64
-	// earmarks holds the room that is being freed for urgent units. Each plan
-	// writes a new map.
-	earmarks map[workflow.Key]earmark
 	// notes are the decisions since the last sweep.
 	notes []Note
 }
@@ -110,6 +109,9 @@
 
 // NewBoard returns the board of a leader whose term begins now.
 func NewBoard(now time.Time, cfg Config, term uint64) Board {
+	if cfg.Policy == nil {
+		cfg.Policy = Guarded{}
+	}
 	return Board{
 		cfg:     cfg,
 		term:    term,
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -14,8 +14,6 @@
 	worker pool.Worker
 	// free is the room that nothing holds.
 	free pool.Room
-	// setAside is the part of it, and of what is coming, that is earmarked.
-	setAside pool.Room
 	// coming is the room of runs that are being stopped.
 	coming pool.Room
 	// holders are the runs that hold the rest.
@@ -25,11 +23,6 @@
 	keptUntil time.Time
 }
 
-// available returns the room that nothing holds and that is not earmarked.
-func (n *node) available() pool.Room {
-	return n.free.Minus(n.setAside)
-}
-
 // A holder is a run that holds room on a node.
 type holder struct {
 	task     workflow.PlacedTask
--- a/dispatch/keep.go
+++ b/dispatch/keep.go
@@ -52,7 +52,7 @@
 		if !n.keptUntil.IsZero() {
 			continue
 		}
-		room[n] = n.available()
+		room[n] = n.free
 		for _, h := range n.holders {
 			releases = append(releases, release{
 				node: n,
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -24,7 +24,6 @@
 	blocked map[need]bool
 	// hopeless holds what urgent units need and no stop can free.
 	hopeless map[need]bool
-	earmarks map[workflow.Key]earmark
 	kept     int
 	places   []workflow.Placement
 }
@@ -44,45 +43,44 @@
 		fleets:   s.fleets(scene),
 		blocked:  map[need]bool{},
 		hopeless: map[need]bool{},
-		earmarks: map[workflow.Key]earmark{},
 	}
-	p.loadEarmarks(waiting)
 	for _, u := range waiting {
 		f := p.fleets[u.flow.Terms.Pool]
 		switch {
 		case f == nil:
-		case u.flow.Terms.Priority == 0:
+		case mayPreempt(s.board.cfg.Policy, u):
 			p.placeUrgent(f, u)
 		case !p.blocked[u.need()]:
 			p.placeUnit(f, u)
 		}
 	}
-	s.board.earmarks = p.earmarks
 	return p.places
 }
 
 func (p *planner) placeUnit(f *fleet, u unit) {
-	if !f.hasHeadroom(u) || p.hasPlaced(f, u) {
+	keeps := keepsRoom(p.s.board.cfg.Policy)
+	if keeps && !f.hasHeadroom(u) || p.hasPlaced(f, u) {
 		return
 	}
 	p.blocked[u.need()] = true
-	if u.terms.IsGang && p.kept < maxKept {
+	if keeps && u.terms.IsGang && p.kept < maxKept {
 		p.keep(f, u)
 	}
 }
 
-// placeUrgent places a unit of the highest priority or makes room for it. Units
-// that need the same each get room of their own: what is freed for one is of no
-// use to the next.
+// placeUrgent places a unit of the highest priority or makes room for it. Of units
+// that need the same only the first stops others at once: room that comes by
+// itself meanwhile serves the next. Those that have waited for as long as a stop
+// takes do not wait for each other, since a guarantee has to be met in time.
 func (p *planner) placeUrgent(f *fleet, u unit) {
-	mark, isMarked := p.withdraw(f, u)
-	isTried := isMarked || !p.blocked[u.need()]
-	if isTried && p.hasPlaced(f, u) {
+	isFirst := !p.blocked[u.need()]
+	if isFirst && p.hasPlaced(f, u) {
 		return
 	}
 	p.blocked[u.need()] = true
-	if !p.hopeless[u.need()] {
-		p.hopeless[u.need()] = !p.preempt(f, u, mark)
+	hasWaited := p.s.now.Sub(u.flow.Submitted) >= p.s.board.cfg.StopTakes
+	if (isFirst || hasWaited) && !p.hopeless[u.need()] {
+		p.hopeless[u.need()] = !p.preempt(f, u)
 	}
 }
 
@@ -105,11 +103,11 @@
 	if !n.keptUntil.IsZero() && p.s.now.Add(u.terms.Estimate).After(n.keptUntil) {
 		return pool.Room{}
 	}
-	return n.available()
+	return n.free
 }
 
 // seats finds seats for a number of a unit's tasks on nodes, the fullest nodes
-// first, so that whole ones stay free. It returns nil if there are too few.
+// first, so that whole ones stay free, unless the unit takes the first that fit. It returns nil if there are too few.
 func seats(nodes []*node, u unit, tasks int, room func(n *node) pool.Room) []seat {
 	var order []*node
 	for _, n := range nodes {
@@ -117,12 +115,14 @@
 			order = append(order, n)
 		}
 	}
-	slices.SortStableFunc(order, func(a, b *node) int {
-		return cmp.Or(
-			cmp.Compare(room(a).Accelerators, room(b).Accelerators),
-			cmp.Compare(room(a).MilliCores, room(b).MilliCores),
-		)
-	})
+	if !u.isFirstFit {
+		slices.SortStableFunc(order, func(a, b *node) int {
+			return cmp.Or(
+				cmp.Compare(room(a).Accelerators, room(b).Accelerators),
+				cmp.Compare(room(a).MilliCores, room(b).MilliCores),
+			)
+		})
+	}
 	var list []seat
 	for _, n := range order {
 		if tasks == 0 {
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -28,10 +28,10 @@
 	run int
 }
 
-// preempt makes room for urgent tasks and earmarks it: it stops less urgent runs,
-// those first that lose the least work. Room that is being freed for the unit
-// already is waited for. It reports false if no stop could make room.
-func (p *planner) preempt(f *fleet, u unit, mark earmark) bool {
+// preempt makes room for urgent tasks: it stops less urgent runs, those first that
+// lose the least work, and keeps the room for the urgent tasks in this plan. It
+// reports false if no stop could make room.
+func (p *planner) preempt(f *fleet, u unit) bool {
 	u = u.withTasks(len(u.indexes))
 	groups := groupsOf(f, u.flow.Terms.Priority)
 	ending := map[string]pool.Room{}
@@ -40,15 +40,13 @@
 		// guarantee has to be met in a fixed time.
 		ending = p.endingSoon(groups)
 	}
-	if e := p.evict(mark.nodesOf(f), u, groups, ending); e != nil && len(e.groups) == 0 {
-		p.assign(f, u, e.seats, mark.until)
-		return true
-	}
 	best := p.cheapest(f, u, groups, ending)
 	if best == nil {
 		return false
 	}
-	p.assign(f, u, best.seats, p.s.now.Add(p.s.board.cfg.StopTakes+earmarkGrace))
+	for _, s := range best.seats {
+		s.node.free = s.node.free.Minus(u.terms.Each.Times(s.tasks))
+	}
 	for _, g := range best.groups {
 		p.stop(g, u)
 	}
@@ -170,7 +168,7 @@
 	}
 	for _, n := range nodes {
 		e.nodes[n.worker.ID] = n
-		e.set(n, n.available().Plus(n.coming).Plus(ending[n.worker.ID]))
+		e.set(n, n.free.Plus(n.coming).Plus(ending[n.worker.ID]))
 	}
 	return e
 }
--- a/dispatch/unit.go
+++ b/dispatch/unit.go
@@ -26,6 +26,8 @@
 	isLate bool
 	// isGuaranteed is true for urgent work inside its organisation's guarantee.
 	isGuaranteed bool
+	// isFirstFit is true if the first nodes that fit are taken.
+	isFirstFit bool
 }
 
 // units returns what waits for a place, the most urgent first.
@@ -49,7 +51,7 @@
 			}
 		}
 	}
-	slices.SortStableFunc(list, compareUnits)
+	slices.SortStableFunc(list, orderOf(s.board.cfg.Policy))
 	return list
 }
 
@@ -73,6 +75,7 @@
 			step:       i,
 			terms:      terms,
 			perWorker:  map[string]int{},
+			isFirstFit: takesFirstFit(s.board.cfg.Policy),
 			objective:  w.Objective(occurrence, takes),
 		}
 		for n, t := range r.Tasks {
--- a/replay/network.go
+++ b/replay/network.go
@@ -34,6 +34,9 @@
 		w.world.apply(now, plantainladder.Announce{
 			Worker: w.pool,
 		})
+		if w.pool.Leaving && w.leavingSince == 0 {
+			w.leavingSince = now
+		}
 	}
 	w.world.observe(r)
 }
@@ -68,7 +71,9 @@
 		at := sent + earliest + time.Duration(w.rng.Int64N(int64(latest-earliest)))
 		w.later(at, func(now time.Duration) {
 			if !s.gone && !s.trouble(now).Cut {
+				s.isDelayed = true
 				s.obey(now, o)
+				s.isDelayed = false
 			}
 		})
 	default:
@@ -138,26 +143,14 @@
 	return "", 0
 }
 
-// begin notes the start of a run and checks the promises about starts.
+// begin notes the start of a run.
 func (w *World) begin(now time.Duration, s *simWorker, ref workflow.Ref) *execution {
 	a := w.arrivals[ref.Workflow]
 	terms := a.Spec.Steps[ref.Step]
-	if w.isNoted[ref.Key] {
-		w.fault(now, "%v starts after its end was noted", ref)
-	}
+	w.checkStart(now, s, ref)
 	if ended, ok := w.done[ref.Key]; ok {
 		w.again[ended] = true
 	}
-	for other, where := range w.running[ref.Key] {
-		w.fault(now, "%v starts on %s beside %v on %s", ref, s.pool.ID, other, where)
-	}
-	used := terms.Each
-	for _, e := range s.runs {
-		used = used.Plus(e.each)
-	}
-	if !used.Fits(s.pool.Capacity) {
-		w.fault(now, "%v starts on %s beyond its capacity", ref, s.pool.ID)
-	}
 	if w.running[ref.Key] == nil {
 		w.running[ref.Key] = map[workflow.Ref]string{}
 	}
--- /dev/null
+++ b/replay/promise.go
@@ -0,0 +1,59 @@
+package replay
+
+import (
+	"time"
+
+	"github.com/plantainladder/plantainladder/workflow"
+)
+
+// Bounds of the promises about starts, from the users' pages.
+const (
+	// leavingBound is how long after a worker's announcement that it leaves
+	// tasks may still start there.
+	leavingBound = 2 * time.Second
+	// outBound is the same for a data centre that was taken out of service.
+	outBound = 5 * time.Second
+	// cancelBound is the same for a workflow that was given up.
+	cancelBound = 3 * time.Second
+)
+
+// checkStart checks the promises about the start of a run. Those with a time
+// bound do not hold for an order that the worker carried out late.
+func (w *World) checkStart(now time.Duration, s *simWorker, ref workflow.Ref) {
+	a := w.arrivals[ref.Workflow]
+	terms := a.Spec.Steps[ref.Step]
+	if w.isNoted[ref.Key] {
+		w.fault(now, "%v starts after its end was noted", ref)
+	}
+	for other, where := range w.running[ref.Key] {
+		w.fault(now, "%v starts on %s beside %v on %s", ref, s.pool.ID, other, where)
+	}
+	used := terms.Each
+	for _, e := range s.runs {
+		used = used.Plus(e.each)
+	}
+	if !used.Fits(s.pool.Capacity) {
+		w.fault(now, "%v starts on %s beyond its capacity", ref, s.pool.ID)
+	}
+	f, _ := w.state.Workflow(ref.Workflow)
+	if !f.Occurrence(ref.Occurrence).IsReady(f.Spec, ref.Step) {
+		w.fault(now, "%v starts before the steps that it depends on are done", ref)
+	}
+	if !s.isDelayed {
+		w.checkTimely(now, s, ref, f)
+	}
+}
+
+// checkTimely checks the promises that hold from some time on.
+func (w *World) checkTimely(now time.Duration, s *simWorker, ref workflow.Ref, f workflow.Workflow) {
+	if s.leavingSince > 0 && now-s.leavingSince > leavingBound {
+		w.fault(now, "%v starts on %s, which is leaving", ref, s.pool.ID)
+	}
+	since, isOut := w.outSince[s.pool.DataCentre]
+	if isOut && now-since > outBound {
+		w.fault(now, "%v starts on %s, whose data centre is out", ref, s.pool.ID)
+	}
+	if c, ok := f.Phase.(workflow.Cancelled); ok && w.at(now).Sub(c.At) > cancelBound {
+		w.fault(now, "%v starts after its workflow was given up", ref)
+	}
+}
--- a/replay/worker.go
+++ b/replay/worker.go
@@ -59,6 +59,11 @@
 	finished []dispatch.Finish
 	number   uint64
 	gone     bool
+	// leavingSince is when its announcement that it leaves was acknowledged, zero
+	// for never.
+	leavingSince time.Duration
+	// isDelayed is true while it carries an order out that was held up.
+	isDelayed bool
 	// endedAt holds when each listed end took place; lapsedAt is when the lease
 	// last was over.
 	endedAt  map[uint64]time.Duration
@@ -81,7 +86,7 @@
 // restart begins a new life that knows nothing.
 func (w *simWorker) restart(now time.Duration) {
 	w.pool.Born += now.Milliseconds() + 1
-	w.pool.Leaving = false
+	w.pool.Leaving, w.leavingSince = false, 0
 	w.sequence, w.fence, w.lease, w.number = 0, 0, 0, 0
 	w.offset = -now
 	for _, ref := range w.sortedRuns() {
--- a/replay/world.go
+++ b/replay/world.go
@@ -39,6 +39,8 @@
 	// ReclaimWithin is how soon an urgent workflow inside its organisation's
 	// guarantee has to begin; zero checks nothing.
 	ReclaimWithin time.Duration
+	// Policy is as in dispatch.Config.
+	Policy dispatch.Policy
 }
 
 // Timing of the model.
@@ -106,6 +108,8 @@
 	stalledFrom, stalledUntil time.Duration
 	// isReported holds the workflows whose wait was found too long.
 	isReported map[string]bool
+	// outSince is when data centres were taken out of service.
+	outSince map[string]time.Duration
 	// beyondAt is when an organisation last asked for more than its guarantee.
 	beyondAt map[string]time.Time
 	// sweeps counts the sweeps; sweepTime is the processor's time for them.
@@ -142,6 +146,7 @@
 		records:  map[string]*Record{},
 
 		isReported: map[string]bool{},
+		outSince:   map[string]time.Duration{},
 		beyondAt:   map[string]time.Time{},
 		term:       1,
 	}
@@ -172,6 +177,7 @@
 		ReportEvery:   reportEvery,
 		StopTakes:     w.cfg.StopTakes,
 		OffRackFactor: w.cfg.OffRackFactor,
+		Policy:        w.cfg.Policy,
 	}, w.term)
 }
 
@@ -291,6 +297,11 @@
 			Out:   out,
 			Force: true,
 		})
+		if out {
+			w.outSince[name] = now
+		} else {
+			delete(w.outSince, name)
+		}
 	})
 }
 
