--- a/controller/disk/writer.go
+++ b/controller/disk/writer.go
@@ -220,31 +220,30 @@
 // whenRoom repeats a write that finds no room until it does, the patience is
 // over or ctx has ended.
 func (w *Writer) whenRoom(ctx context.Context, write func() error) (err error) {
+	var full *FullError
+	if err = write(); !errors.As(err, &full) {
+		return err
+	}
+	w.tell(full, 0)
 	began := time.Now()
+	patience := time.NewTimer(w.cfg.FullPatience)
+	defer patience.Stop()
 	pause := time.NewTicker(fullRetry)
 	defer pause.Stop()
-	for isTold := false; ; {
-		err = write()
-		var full *FullError
-		if !errors.As(err, &full) {
-			if isTold {
-				w.tell(nil, time.Since(began))
-			}
-			return err
-		}
-		if time.Since(began) >= w.cfg.FullPatience {
-			return err
-		}
-		if !isTold {
-			isTold = true
-			w.tell(full, 0)
-		}
+	for errors.As(err, &full) {
 		select {
 		case <-ctx.Done():
 			return err
+		case <-patience.C:
+			return err
 		case <-pause.C:
 		}
+		err = write()
+	}
+	if err == nil {
+		w.tell(nil, time.Since(began))
 	}
+	return err
 }
 
 func (w *Writer) tell(err *FullError, waited time.Duration) {
--- a/replay/worker.go
+++ b/replay/worker.go
@@ -10,28 +10,6 @@
 	"github.com/plantainladder/plantainladder/workflow"
 )
 
-// A Trouble is what is wrong with a simulated worker for a while.
-type Trouble struct {
-	// From and Until bound it.
-	From, Until time.Duration
-	// Cut is true if nothing reaches the worker and it reaches nobody.
-	Cut bool
-	// Hangs is true if its tasks stand still.
-	Hangs bool
-	// Fails is true if all that it starts fails after half a second.
-	Fails bool
-	// Slow is how many times longer its tasks take, zero for once.
-	Slow float64
-	// Late is the part of the orders that are carried out seconds later and
-	// get no answer, from 0 to 1.
-	Late float64
-	// Restarts is true if the worker starts anew at Until.
-	Restarts bool
-	// Leaves is true if the worker announces at From that it will end, and ends
-	// at Until.
-	Leaves bool
-}
-
 // execution is a run on a simulated worker.
 type execution struct {
 	ref workflow.Ref
--- a/replay/world.go
+++ b/replay/world.go
@@ -246,38 +246,6 @@
 	return ids
 }
 
-// Plague gives a worker a trouble.
-func (w *World) Plague(id string, t Trouble) {
-	s := w.byID[id]
-	s.troubles = append(s.troubles, t)
-	if t.Restarts {
-		w.later(t.Until, s.restart)
-	}
-	if t.Leaves {
-		w.later(t.From, func(time.Duration) { s.pool.Leaving = true })
-		w.later(t.Until, func(now time.Duration) {
-			for _, ref := range s.sortedRuns() {
-				w.ended(now, ref, workflow.EndedLost)
-			}
-			s.gone = true
-		})
-	}
-}
-
-// ChangeLeader replaces the leader at a time: the new one knows what is
-// committed and nothing else.
-func (w *World) ChangeLeader(at time.Duration) {
-	w.later(at, func(now time.Duration) {
-		w.term++
-		w.board = w.newBoard(now)
-	})
-}
-
-// Stall holds back what is to be committed between two times.
-func (w *World) Stall(from, until time.Duration) {
-	w.stalledFrom, w.stalledUntil = from, until
-}
-
 // Starts returns the number of the last run of a task of a workflow's first
 // step.
 func (w *World) Starts(id string, index int) int {
@@ -289,22 +257,6 @@
 	return t.Run
 }
 
-// TakeOut takes a data centre out of service or brings it back.
-func (w *World) TakeOut(at time.Duration, name string, out bool) {
-	w.later(at, func(now time.Duration) {
-		w.apply(now, plantainladder.SetDataCentre{
-			Name:  name,
-			Out:   out,
-			Force: true,
-		})
-		if out {
-			w.outSince[name] = now
-		} else {
-			delete(w.outSince, name)
-		}
-	})
-}
-
 // HandIn lets a workflow arrive.
 func (w *World) HandIn(id string, a Arrival) {
 	w.arrivals[id] = a
