--- a/prove/measure/means.go
+++ b/prove/measure/means.go
@@ -73,6 +73,10 @@
 	barWidth   = 18
 	plotWidth  = 420
 	plotHeight = 260
+	// plotTop leaves room for the legend above the bars, plotMargin for the bars
+	// of the first and the last kind.
+	plotTop    = 1.3
+	plotMargin = 0.6
 )
 
 // plotMeans draws the worth of each kind as bars, a colour a policy.
@@ -81,7 +85,7 @@
 	p := plot.New()
 	p.Title.Text = "Worth by kind of workflow and policy"
 	p.Y.Label.Text = "part of the worth earned"
-	p.Y.Min, p.Y.Max = 0, 1
+	p.Y.Min, p.Y.Max = 0, plotTop
 	p.Legend.Top = true
 	colors := []color.Color{color.Gray{Y: 190}, color.Gray{Y: 120}, color.RGBA{R: 40, G: 90, B: 160, A: 255}}
 	var names []string
@@ -102,5 +106,6 @@
 		p.Legend.Add(m.name, bars)
 	}
 	p.NominalX(names...)
+	p.X.Min, p.X.Max = -plotMargin, float64(len(names)-1)+plotMargin
 	return p.Save(vg.Points(plotWidth), vg.Points(plotHeight), path)
 }
