Count only what still runs of a gang that is being stopped; learn from whole runs only

Cause, found by reading the change: a gang of which one member was being stopped was spared as a whole, so that the rest of its room was neither coming nor to be had; and runs that an earlier leader began were taken for short ones. Test: dispatch, TestGroups, failed before (three members, spared).

--- a/dispatch/estimate.go
+++ b/dispatch/estimate.go
@@ -85,11 +85,12 @@
 	return time.Duration(math.Exp(expected) * float64(time.Second))
 }
 
-// learn takes note of a run that ended well. One that began from a checkpoint
-// tells nothing, since only a part of it ran.
+// learn takes note of a run that ended well. One that began from a checkpoint, or
+// under a leader before, tells nothing, since only a part of it was seen.
 func (s *sweeper) learn(v view, f Finish) {
 	r, known := v.runs[f.Ref]
-	if f.Ending != workflow.EndedDone || !known || r.accepted.IsZero() || r.isResumed {
+	isWhole := known && r.isOurs && !r.accepted.IsZero() && !r.isResumed
+	if f.Ending != workflow.EndedDone || !isWhole {
 		return
 	}
 	flow := s.index.flows[f.Workflow]
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -107,7 +107,8 @@
 }
 
 // seats finds seats for a number of a unit's tasks on nodes, the fullest nodes
-// first, so that whole ones stay free, unless the unit takes the first that fit. It returns nil if there are too few.
+// first, so that whole ones stay free, unless the unit takes the first that fit.
+// It returns nil if there are too few.
 func seats(nodes []*node, u unit, tasks int, room func(n *node) pool.Room) []seat {
 	var order []*node
 	for _, n := range nodes {
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -18,8 +18,8 @@
 	endsAt time.Time
 	// isMeasured is true if the progress of all members says so.
 	isMeasured bool
-	// isSpared is true if the group is being stopped, or as urgent as what
-	// needs room.
+	// isSpared is true if the group must not be stopped: it is as urgent as what
+	// needs room, or about to end.
 	isSpared bool
 }
 
@@ -92,19 +92,22 @@
 	}
 }
 
-// groupsOf returns the runs of a fleet by their key. Those that are as urgent as
-// a priority are spared.
+// groupsOf returns the runs of a fleet that are not being stopped, by their key.
+// Those that are as urgent as a priority are spared.
 func groupsOf(f *fleet, priority int) map[groupKey]group {
 	m := map[groupKey]group{}
 	for _, n := range f.nodes {
 		for _, h := range n.holders {
+			if h.isStopping {
+				continue
+			}
 			k := keyOf(h)
 			g, known := m[k]
 			g.members = append(g.members, h)
 			g.lost += h.lost
 			g.isMeasured = h.isMeasured && (g.isMeasured || !known)
 			g.endsAt = later(g.endsAt, h.endsAt)
-			g.isSpared = g.isSpared || h.isStopping || h.priority <= priority
+			g.isSpared = h.priority <= priority
 			m[k] = g
 		}
 	}
@@ -121,9 +124,7 @@
 			continue
 		}
 		for _, h := range g.members {
-			if !h.isStopping {
-				room[h.task.Worker] = room[h.task.Worker].Plus(h.task.Terms.Each)
-			}
+			room[h.task.Worker] = room[h.task.Worker].Plus(h.task.Terms.Each)
 		}
 		g.isSpared = true
 		groups[k] = g
@@ -232,7 +233,8 @@
 	for _, n := range nodes {
 		for _, h := range n.holders {
 			k := keyOf(h)
-			if !groups[k].isSpared && !seen[k] {
+			g, ok := groups[k]
+			if ok && !g.isSpared && !seen[k] {
 				seen[k] = true
 				order = append(order, k)
 			}
