--- a/prove/measure/means.go
+++ b/prove/measure/means.go
@@ -87,7 +87,20 @@
 	p.Y.Label.Text = "part of the worth earned"
 	p.Y.Min, p.Y.Max = 0, plotTop
 	p.Legend.Top = true
-	colors := []color.Color{color.Gray{Y: 190}, color.Gray{Y: 120}, color.RGBA{R: 40, G: 90, B: 160, A: 255}}
+	colors := []color.Color{
+		color.Gray{
+			Y: 190,
+		},
+		color.Gray{
+			Y: 120,
+		},
+		color.RGBA{
+			R: 40,
+			G: 90,
+			B: 160,
+			A: 255,
+		},
+	}
 	var names []string
 	for i, m := range all {
 		values := plotter.Values{m.worth}
