--- a/apply.go
+++ b/apply.go
@@ -46,7 +46,7 @@
 		at:      now,
 		outcome: o,
 	})
-	return s.withExpiry(expiry{
+	return s.withExpiry(Expiry{
 		Kind: expireOutcome,
 		Key:  id,
 		At:   now.Add(OutcomeRetention),
--- a/apply_claim.go
+++ b/apply_claim.go
@@ -33,7 +33,7 @@
 		Expires:     now.Add(time.Duration(terms.ClaimWindowS) * time.Second),
 	}
 	s.claims = s.claims.with(c.Key.String(), opened)
-	s = s.withExpiry(expiry{
+	s = s.withExpiry(Expiry{
 		Kind: expireClaim,
 		Key:  c.Key.String(),
 		At:   opened.Expires,
@@ -93,7 +93,7 @@
 	s.claims = s.claims.with(c.Key.String(), current.WithResolution(c.Note))
 	// A claim with an unknown outcome does not expire, so its first expiry may
 	// have passed without effect.
-	s = s.withExpiry(expiry{
+	s = s.withExpiry(Expiry{
 		Kind: expireClaim,
 		Key:  c.Key.String(),
 		At:   laterOf(current.Expires, now),
--- a/apply_workflow.go
+++ b/apply_workflow.go
@@ -263,7 +263,7 @@
 		s.activeWorkflowIDs = s.activeWorkflowIDs.with(key, id)
 	case existed && !before.IsInactive():
 		s.activeWorkflowIDs = s.activeWorkflowIDs.without(key)
-		s = s.withExpiry(expiry{
+		s = s.withExpiry(Expiry{
 			Kind: expireWorkflow,
 			Key:  id,
 			At:   s.now.Add(WorkflowRetention),
@@ -278,7 +278,7 @@
 func (s State) withRestoredWorkflow(w workflow.Workflow) State {
 	s = s.withWorkflow(w)
 	if w.IsInactive() {
-		s = s.withExpiry(expiry{
+		s = s.withExpiry(Expiry{
 			Kind: expireWorkflow,
 			Key:  w.Spec.ID,
 			At:   w.FinishedAt().Add(WorkflowRetention),
--- a/expiry.go
+++ b/expiry.go
@@ -8,27 +8,29 @@
 	"github.com/plantainladder/plantainladder/job"
 )
 
-// expiryKind is the kind of record that an expiry refers to.
-type expiryKind string
+// An ExpiryKind is the kind of record that an Expiry refers to.
+type ExpiryKind string
 
 const (
-	expireClaim   expiryKind = "claim"
-	expireOutcome expiryKind = "outcome"
-	expireJob     expiryKind = "job"
-
-	expireWorkflow expiryKind = "workflow"
+	expireClaim    ExpiryKind = "claim"
+	expireOutcome  ExpiryKind = "outcome"
+	expireJob      ExpiryKind = "job"
+	expireWorkflow ExpiryKind = "workflow"
 )
 
-// An expiry names a record and the time from which it may be removed.
-type expiry struct {
-	Kind expiryKind `json:"kind"`
-	Key  string     `json:"key"`
-	At   time.Time  `json:"at"`
+// An Expiry names a record and the time from which it may be removed.
+type Expiry struct {
+	// Kind is the record's table.
+	Kind ExpiryKind `json:"kind"`
+	// Key is the record's key in that table.
+	Key string `json:"key"`
+	// At is the time from which the record may be removed.
+	At time.Time `json:"at"`
 }
 
 // sortKey returns the key of e in the table of expiries, which orders them by
 // time.
-func (e expiry) sortKey() string {
+func (e Expiry) sortKey() string {
 	return timeKey(e.At, string(e.Kind)+"/"+e.Key)
 }
 
@@ -36,7 +38,7 @@
 // greater than one so that the tables shrink even if every command adds a record.
 const maxExpiriesPerCommand = 4
 
-func (s State) withExpiry(e expiry) State {
+func (s State) withExpiry(e Expiry) State {
 	s.expiries = s.expiries.with(e.sortKey(), e)
 	return s
 }
@@ -56,7 +58,7 @@
 
 // withoutExpiredRecord returns s without the record that e names, unless the
 // record has been renewed or may not be removed yet.
-func (s State) withoutExpiredRecord(now time.Time, e expiry) State {
+func (s State) withoutExpiredRecord(now time.Time, e Expiry) State {
 	switch e.Kind {
 	case expireClaim:
 		// A key that was claimed again in the meantime has a later expiry of its own.
@@ -93,7 +95,7 @@
 	case j.HasEnded() && !before.HasEnded():
 		s.activeJobIDs = s.activeJobIDs.without(key)
 		s.activeJobCounts = s.activeJobCounts.with(j.Spec.Organisation, count-1)
-		s = s.withExpiry(expiry{
+		s = s.withExpiry(Expiry{
 			Kind: expireJob,
 			Key:  id,
 			At:   now.Add(JobRetention),
--- a/records.go
+++ b/records.go
@@ -37,6 +37,9 @@
 	Workflows   []workflow.Workflow
 	// LastRound is the identifier of the last Round that was applied.
 	LastRound uint64
+	// Expiries lists the pending expiries of records. It is nil in snapshots of
+	// versions that did not store them; they are then derived from the records.
+	Expiries []Expiry
 }
 
 // An OutcomeRecord is the outcome of a command that is retained in case the
@@ -66,6 +69,7 @@
 		PoolWorkers:   s.poolWorkers.all(),
 		Workflows:     s.workflows.all(),
 		LastRound:     s.lastRound,
+		Expiries:      s.expiries.all(),
 	}
 	for id, retained := range s.outcomes.entries() {
 		r.Outcomes = append(r.Outcomes, OutcomeRecord{
@@ -78,7 +82,7 @@
 }
 
 // NewStateFromRecords returns the state with the given contents. It rebuilds the
-// indexes and the table of expiries.
+// indexes.
 func NewStateFromRecords(r Records) State {
 	s := NewState()
 	s.index, s.now = r.Index, r.Now
@@ -110,13 +114,20 @@
 	for _, w := range r.Workflows {
 		s = s.withRestoredWorkflow(w)
 	}
+	if r.Expiries == nil {
+		return s
+	}
+	s.expiries = newTable[Expiry]()
+	for _, e := range r.Expiries {
+		s = s.withExpiry(e)
+	}
 	return s
 }
 
 func (s State) withRestoredClaim(c claim.Claim) State {
 	s.claims = s.claims.with(c.Key.String(), c)
 	s.claimAnswerBytes += len(c.Answer.Body)
-	return s.withExpiry(expiry{
+	return s.withExpiry(Expiry{
 		Kind: expireClaim,
 		Key:  c.Key.String(),
 		At:   c.Expires,
@@ -126,7 +137,7 @@
 func (s State) withRestoredJob(j job.Job) State {
 	s.jobs = s.jobs.with(j.Spec.ID, j)
 	if end, ok := j.Phase.(job.Ended); ok {
-		return s.withExpiry(expiry{
+		return s.withExpiry(Expiry{
 			Kind: expireJob,
 			Key:  j.Spec.ID,
 			At:   end.At.Add(JobRetention),
--- a/state.go
+++ b/state.go
@@ -68,7 +68,7 @@
 	activeJobIDs     table[string]
 	activeJobCounts  table[int]
 	outcomes         table[retainedOutcome]
-	expiries         table[expiry]
+	expiries         table[Expiry]
 	estimates        table[schedule.Estimate]
 
 	configuration     configuration.Document
@@ -89,7 +89,7 @@
 		activeJobIDs:      newTable[string](),
 		activeJobCounts:   newTable[int](),
 		outcomes:          newTable[retainedOutcome](),
-		expiries:          newTable[expiry](),
+		expiries:          newTable[Expiry](),
 		estimates:         newTable[schedule.Estimate](),
 		poolWorkers:       newTable[pool.Worker](),
 		workflows:         newTable[workflow.Workflow](),
--- a/wire/snapshot.go
+++ b/wire/snapshot.go
@@ -55,6 +55,8 @@
 	PoolWorkers   []pool.Worker          `json:"pool-workers"`
 	Workflows     []workflowRecord       `json:"workflows"`
 	LastRound     uint64                 `json:"last-round"`
+
+	Expiries []plantainladder.Expiry `json:"expiries"`
 }
 
 // MarshalState returns a state in the format of snapshots.
@@ -75,6 +77,7 @@
 		PoolWorkers:   r.PoolWorkers,
 		Workflows:     make([]workflowRecord, len(r.Workflows)),
 		LastRound:     r.LastRound,
+		Expiries:      r.Expiries,
 	}
 	for i, j := range r.Jobs {
 		if out.Jobs[i], err = fromJob(j); err != nil {
@@ -110,6 +113,7 @@
 		PoolWorkers:   in.PoolWorkers,
 		Workflows:     make([]workflow.Workflow, len(in.Workflows)),
 		LastRound:     in.LastRound,
+		Expiries:      in.Expiries,
 	}
 	for i, j := range in.Jobs {
 		if r.Jobs[i], err = j.toJob(); err != nil {
