Ask the platform's list of machines whether a silent minion has ended

Change: the leader reads the list every 5 s, and every 0.25 to 1 s while a minion with runs does not answer. A minion that was listed once and that two successive readings lack has ended. Without an answer the leases decide.

--- a/control/dispatch.go
+++ b/control/dispatch.go
@@ -7,9 +7,10 @@
 	"github.com/plantainladder/plantainladder/dispatch"
 )
 
-// ObservationReceived delivers an announcement or an answer of a pool worker.
+// ObservationReceived delivers what the dispatcher observes: an announcement or
+// an answer of a pool worker, or a reading of the platform's inventory.
 type ObservationReceived struct {
-	// Observation is the announcement or the answer.
+	// Observation is the announcement, the answer or the reading.
 	Observation dispatch.Observation
 }
 
@@ -22,6 +23,10 @@
 	Order dispatch.Order
 }
 
+// ReadInventory reads the platform's inventory of machines. The result comes back
+// as ObservationReceived.
+type ReadInventory struct{}
+
 // LogDecision writes a decision about a workflow or a run to the process log.
 type LogDecision struct {
 	// Record is the decision with its reason.
@@ -39,9 +44,10 @@
 
 func (TimerFired) event() {}
 
-func (SendOrder) effect()   {}
-func (LogDecision) effect() {}
-func (StartTimer) effect()  {}
+func (SendOrder) effect()     {}
+func (ReadInventory) effect() {}
+func (LogDecision) effect()   {}
+func (StartTimer) effect()    {}
 
 // minDispatchInterval is the least time between two dispatch passes of a busy
 // leader. Events within one interval are handled together.
@@ -99,6 +105,9 @@
 			Order: o,
 		})
 	}
+	if plan.ReadsInventory {
+		out = append(out, ReadInventory{})
+	}
 	for _, n := range plan.DecisionRecords {
 		out = append(out, LogDecision{
 			Record: n,
--- a/controller/node/config.go
+++ b/controller/node/config.go
@@ -36,6 +36,10 @@
 	// Send sends an order to a worker of a pool and calls answer with its result. It
 	// must not block.
 	Send func(o dispatch.Order, answer func(a dispatch.OrderCompleted))
+	// ReadInventory reads the platform's inventory of machines and calls done with
+	// the result. It must not block. It is required if Dispatch.HasInventory is
+	// true.
+	ReadInventory func(done func(r dispatch.InventoryRead))
 	// Logger is the logger of the controller's components.
 	Logger zerolog.Logger
 }
--- a/controller/node/perform.go
+++ b/controller/node/perform.go
@@ -39,6 +39,8 @@
 		n.pusher.Push(n.ctx, f)
 	case control.SendOrder:
 		n.cfg.Send(f.Order, n.postOrderCompleted)
+	case control.ReadInventory:
+		n.cfg.ReadInventory(n.postInventoryRead)
 	case control.StartTimer:
 		time.AfterFunc(f.Delay, func() {
 			_ = n.loop.Post(n.ctx, control.TimerFired{})
@@ -59,6 +61,13 @@
 	})
 }
 
+// postInventoryRead posts a reading of the inventory to the event loop.
+func (n *Node) postInventoryRead(r dispatch.InventoryRead) {
+	_ = n.loop.Post(n.ctx, control.ObservationReceived{
+		Observation: r,
+	})
+}
+
 // logDecision logs a decision on a workflow or one of its runs.
 func (n *Node) logDecision(d dispatch.DecisionRecord) {
 	line := n.logger.Info().Str("reason", d.Reason)
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -24,7 +24,7 @@
 func (d Dispatcher) withAnswer(now time.Time, a OrderCompleted) Dispatcher {
 	t := targetOf(a.Order)
 	v, ok := d.workerView(t.Worker)
-	if !ok || v.worker.Incarnation != t.Incarnation || v.isReplaced {
+	if !ok || v.worker.Incarnation != t.Incarnation || v.hasEnded {
 		return d
 	}
 	d.isDirty = true
@@ -63,7 +63,8 @@
 		Reason: string(reasonWorkerReplaced),
 		Age:    now.Sub(v.lastContact),
 	})
-	return d.withView(v.withReplaced())
+	v.hasEnded = true
+	return d.withView(v)
 }
 
 // withNextIncarnation returns d after the next incarnation of a worker answered
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -24,6 +24,8 @@
 	// runs off the rack of its data, or for a rack-sensitive gang that spans
 	// several racks.
 	CrossRackFactor float64
+	// HasInventory is true if the platform has an inventory of machines to read.
+	HasInventory bool
 	// Policy decides on placements; nil means GuaranteeAware.
 	Policy Policy
 }
@@ -101,7 +103,8 @@
 	// placement pass.
 	placedAt      time.Time
 	placedVersion uint64
-	// notes holds the decisions made since the last Reconcile.
+	inventory     inventory
+	// decisionRecords holds the decisions made since the last Reconcile.
 	decisionRecords []DecisionRecord
 }
 
@@ -173,6 +176,8 @@
 		return d.withAnnouncement(now, o)
 	case OrderCompleted:
 		return d.withAnswer(now, o)
+	case InventoryRead:
+		return d.withInventory(now, o)
 	}
 	return d
 }
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -102,7 +102,7 @@
 // was heard from recently and answered the last order, it and its data centre
 // stay in service, and it is not in backoff.
 func (s *reconciliation) isSchedulable(w pool.Worker, v workerView) bool {
-	isCurrent := v.worker.Incarnation == w.Incarnation && v.clock.isKnown() && !v.isReplaced
+	isCurrent := v.worker.Incarnation == w.Incarnation && v.clock.isKnown() && !v.hasEnded
 	isReachable := s.hasRecentContact(v) && v.unanswered == 0
 	isStaying := !w.Leaving && !v.worker.Leaving && !s.state.IsOutOfService(w.DataCentre)
 	return isCurrent && isReachable && isStaying && !s.now.Before(v.backoffUntil)
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -26,7 +26,7 @@
 func (s *reconciliation) stopMember(t workflow.PlacedTask) {
 	v, ok := s.dispatcher.workerView(t.Worker)
 	r := v.runs[t.RunKey]
-	if !ok || v.isReplaced || r.pendingStop != "" || v.hasUncommittedEnd(t.RunKey) {
+	if !ok || v.hasEnded || r.pendingStop != "" || v.hasUncommittedEnd(t.RunKey) {
 		return
 	}
 	r.pendingStop = reasonGangBroken
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -147,7 +147,7 @@
 }
 
 // An Observation is something that the leader learns about a worker:
-// OrderCompleted or WorkerAnnounced.
+// OrderCompleted, WorkerAnnounced or InventoryRead.
 type Observation interface {
 	observation()
 }
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -38,6 +38,9 @@
 type Plan struct {
 	// Orders are to be sent to workers.
 	Orders []Order
+	// ReadsInventory is true if the platform's inventory is to be read. The result
+	// comes back as InventoryRead.
+	ReadsInventory bool
 	// Round is to be proposed to the group; nil for none.
 	Round *plantainladder.Round
 	// DecisionRecords are to be logged.
@@ -79,6 +82,7 @@
 		s.reconcileWorker(id)
 	}
 	s.stopDoomedGangs()
+	s.requestInventory()
 	if !s.dispatcher.HasPendingRound() {
 		s.proposeRound(after)
 	}
--- a/dispatch/renew.go
+++ b/dispatch/renew.go
@@ -12,7 +12,7 @@
 	needsListing := s.needsListing(v, tasks)
 	isUrgent := needsListing && v.renewsInFlight < 2
 	switch {
-	case v.isReplaced:
+	case v.hasEnded:
 		return v
 	case v.renewsInFlight > 0 && !isUrgent:
 		return v
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -13,8 +13,8 @@
 		return v
 	}
 	r := v.runs[t.RunKey]
-	if v.isReplaced {
-		s.end(t, workflow.EndedLost, string(reasonWorkerReplaced), s.now.Sub(v.lastAnsweredAt))
+	if v.hasEnded {
+		s.end(t, workflow.EndedLost, string(reasonWorkerEnded), s.now.Sub(v.lastAnsweredAt))
 		return v
 	}
 	mayHaveStarted := !r.isOwnPlacement || r.startsSent > 0
@@ -209,7 +209,7 @@
 // stopOrphans stops runs that a worker lists although they are not placed on
 // it.
 func (s *reconciliation) stopOrphans(v workerView) workerView {
-	if v.isReplaced {
+	if v.hasEnded {
 		return v
 	}
 	for ref := range v.listed {
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -42,9 +42,15 @@
 	// orders since then that failed without an answer.
 	lastAnsweredAt time.Time
 	unanswered     int
-	// isReplaced is true once another worker has answered at this worker's
-	// address. This one has ended then, and nothing more is sent to it.
-	isReplaced bool
+	// hasEnded is true once this incarnation has certainly ended, with all of its
+	// runs: another worker has answered at its address, or the platform's
+	// inventory of machines lacks it. Nothing more is sent to it.
+	hasEnded bool
+	// isListed is true once a reading of the inventory has listed the worker.
+	// missingSince is the start of the first of the last readings that lack it;
+	// the zero time if the last one lists it.
+	isListed     bool
+	missingSince time.Time
 	// backoffUntil is when the worker may get new tasks again.
 	backoffUntil time.Time
 	// consecutiveFailures counts the runs that the worker rejected or failed
@@ -104,6 +110,8 @@
 	reasonPreempted        stopReason = "preempted"
 	reasonStalled          stopReason = "no-progress"
 	reasonWorkerReplaced   stopReason = "worker-replaced"
+	reasonWorkerMissing    stopReason = "worker-missing"
+	reasonWorkerEnded      stopReason = "worker-ended"
 )
 
 func newWorkerView(now time.Time, w pool.Worker) workerView {
@@ -189,13 +197,6 @@
 
 // isIdle reports whether a worker without placed tasks needs no orders.
 func (v workerView) isIdle() bool {
-	isInformed := v.isReplaced || len(v.listed) == 0 && v.ackedSequence >= v.committedSequence
+	isInformed := v.hasEnded || len(v.listed) == 0 && v.ackedSequence >= v.committedSequence
 	return len(v.runs) == 0 && len(v.uncommittedEnds) == 0 && isInformed
 }
-
-// withReplaced returns v after another worker answered at its address.
-func (v workerView) withReplaced() workerView {
-	v.isReplaced = true
-	v.isChanged = true
-	return v
-}
--- a/replay/fault.go
+++ b/replay/fault.go
@@ -68,6 +68,12 @@
 	sim.scheduleAt(now+announceDelay, next.announce)
 }
 
+// HideFromInventory leaves a worker out of the inventory of machines, although it
+// is up.
+func (sim *Simulation) HideFromInventory(id string) {
+	sim.workersByID[id].isHidden = true
+}
+
 // ChangeLeader replaces the leader at a time. The new leader knows only the
 // committed state.
 func (sim *Simulation) ChangeLeader(at time.Duration) {
--- a/replay/network.go
+++ b/replay/network.go
@@ -44,6 +44,24 @@
 	w.simulation.observe(r)
 }
 
+// readInventory delivers a reading of the inventory to the dispatcher.
+func (sim *Simulation) readInventory() {
+	r := dispatch.InventoryRead{
+		StartedAt:  sim.at(sim.now),
+		IsComplete: true,
+		Running:    map[string]bool{},
+	}
+	for _, s := range sim.workers {
+		r.Running[s.announced.ID] = !s.isShutDown && !s.isHidden
+	}
+	term := sim.term
+	sim.scheduleAt(sim.now+2*networkDelay, func(time.Duration) {
+		if term == sim.term {
+			sim.observe(r)
+		}
+	})
+}
+
 func (sim *Simulation) observe(o dispatch.Observation) {
 	sim.dispatcher = sim.dispatcher.With(sim.at(sim.now), o)
 }
--- a/replay/replay_suite_test.go
+++ b/replay/replay_suite_test.go
@@ -281,7 +281,9 @@
 // the first kinds. The faults end early enough for all workflows to finish.
 func randomSimulation(seed uint64, kinds int) (sim *replay.Simulation, ids []string) {
 	rng := rand.New(rand.NewPCG(seed, 7))
-	sim = replay.NewSimulation(newConfig(seed))
+	cfg := newConfig(seed)
+	cfg.HasInventory = kinds > 7
+	sim = replay.NewSimulation(cfg)
 	queues := []string{"urgent", "normal", "batch"}
 	for i := range 40 {
 		id := fmt.Sprintf("f-%02d", i)
--- a/replay/simulation.go
+++ b/replay/simulation.go
@@ -40,6 +40,9 @@
 	// MaxReclaimWait is how long an urgent workflow within its organisation's
 	// guarantee may wait for its first run; zero disables the check.
 	MaxReclaimWait time.Duration
+	// HasInventory is true if the dispatcher can read an inventory of the workers
+	// that are up.
+	HasInventory bool
 	// Policy is the placement policy; see dispatch.Config.
 	Policy dispatch.Policy
 }
@@ -188,6 +191,7 @@
 		AnnounceInterval: announceInterval,
 		MaxStopDuration:  sim.cfg.MaxStopDuration,
 		CrossRackFactor:  sim.cfg.CrossRackFactor,
+		HasInventory:     sim.cfg.HasInventory,
 		Policy:           sim.cfg.Policy,
 	}, sim.term)
 }
@@ -360,6 +364,9 @@
 	for _, o := range plan.Orders {
 		sim.sendOrder(o)
 	}
+	if plan.ReadsInventory {
+		sim.readInventory()
+	}
 	if plan.Round == nil {
 		return
 	}
--- a/replay/worker.go
+++ b/replay/worker.go
@@ -38,6 +38,8 @@
 	ended            []dispatch.EndedRun
 	endedSequence    uint64
 	isShutDown       bool
+	// isHidden is true if the inventory of machines lacks the worker.
+	isHidden bool
 	// isReplaced is true once another worker has this worker's address.
 	isReplaced bool
 	// leavingSince is when the worker's announcement that it leaves was
