Recognise, log and count runs under which a worker crashed

What callers saw: a task that crashes its worker was started again and again, and each crash took the runs beside it. The log had one line for each of these runs, "Run counts as ended without a report from its worker.", which is the same for a worker that cannot be reached and does not tell what else ran there.

Change: a run has the end reason crashed if it may have been in progress and its worker has certainly ended without notice: another worker answers at its address, the next incarnation is known, or the inventory lacks it. A worker that announced that it leaves, or that only cannot be reached, does not count. The end says whether any other workflow had a run there. The metric controller_run_crashes_total counts both kinds. Nothing else changes yet.

The age in that line overflowed for a worker that had answered no order; it now counts from the start of the term.

--- a/control/decision_log.go
+++ b/control/decision_log.go
@@ -15,11 +15,30 @@
 	case plantainladder.SubmitWorkflow:
 		return logSubmission(before, after, c)
 	case plantainladder.Round:
-		return logFinished(before, after, envelope.At, c)
+		return append(countCrashes(before, c), logFinished(before, after, envelope.At, c)...)
 	}
 	return nil
 }
 
+// countCrashes counts the runs of a round under which workers crashed.
+func countCrashes(before plantainladder.State, r plantainladder.Round) (out []Effect) {
+	for _, e := range r.RunEnds {
+		w, known := before.Workflow(e.Workflow)
+		if e.EndReason != workflow.EndedCrashed || !known || !w.AcceptsEnd(e) {
+			continue
+		}
+		label := LabelShared
+		if e.WasAlone {
+			label = LabelAlone
+		}
+		out = append(out, IncrementCounter{
+			Name:  CounterRunCrashes,
+			Label: label,
+		})
+	}
+	return out
+}
+
 func logSubmission(before, after plantainladder.State, c plantainladder.SubmitWorkflow) []Effect {
 	w, accepted := after.Workflow(c.Spec.ID)
 	if _, known := before.Workflow(c.Spec.ID); known || !accepted {
--- a/control/effect.go
+++ b/control/effect.go
@@ -111,6 +111,13 @@
 	CounterJobStops     CounterName = "job_stops_total"
 	CounterOrdersPushed CounterName = "orders_pushed_total"
 	CounterOrderRetries CounterName = "order_retries_total"
+	CounterRunCrashes   CounterName = "run_crashes_total"
+)
+
+// Labels of CounterRunCrashes: whether other workflows had runs on the worker.
+const (
+	LabelAlone  = "alone"
+	LabelShared = "shared"
 )
 
 // Answer is the result of a request: NotLeader, Busy, OutcomeUnknown, Committed,
--- a/controller/node/meters.go
+++ b/controller/node/meters.go
@@ -47,6 +47,8 @@
 	for _, r := range job.StopReasons() {
 		counter(control.CounterJobStops, string(r))
 	}
+	counter(control.CounterRunCrashes, control.LabelAlone)
+	counter(control.CounterRunCrashes, control.LabelShared)
 	for _, action := range []string{worker.ActionPrepare, worker.ActionStart, worker.ActionStop} {
 		counter(control.CounterOrdersPushed, action)
 		counter(control.CounterOrderRetries, action)
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -79,7 +79,7 @@
 	})
 	w := v.worker
 	w.Incarnation, w.Leaving = a.Incarnation, false
-	return d.withView(newWorkerView(now, w).withContact(now, d.cfg, a))
+	return d.withView(v.withSuccessor(newWorkerView(now, w)).withContact(now, d.cfg, a))
 }
 
 // resultName returns the keyword for a result in the log.
@@ -198,7 +198,7 @@
 			v = v.withBackoff(now)
 		}
 	case workflow.EndedStopped, workflow.EndedLeaseExpired, workflow.EndedGangAborted, workflow.EndedGangIncomplete,
-		workflow.EndedLost, workflow.EndedNotStarted:
+		workflow.EndedLost, workflow.EndedCrashed, workflow.EndedNotStarted:
 	}
 	return v
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -193,7 +193,7 @@
 			Worker: r.Worker.ID,
 			Reason: r.Worker.Address,
 		})
-		v = newWorkerView(now, r.Worker)
+		v = v.withSuccessor(newWorkerView(now, r.Worker))
 		d.isDirty = true
 	case r.Worker.Incarnation < v.worker.Incarnation || r.Sequence <= v.sequence:
 		return d
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -153,6 +153,7 @@
 		v = newWorkerView(s.now, w)
 		v.isChanged = true
 	}
+	v = v.withPredecessorRuns(tasks)
 	v = v.withOnlyRuns(func(ref workflow.RunKey) bool {
 		return s.index.placedRuns[ref]
 	})
@@ -176,21 +177,25 @@
 // endLostRuns ends the runs on a worker that is neither known nor registered.
 func (s *reconciliation) endLostRuns(tasks []workflow.PlacedTask) {
 	for _, t := range tasks {
-		s.end(t, workflow.EndedLost, "worker-unknown", s.now.Sub(s.dispatcher.termStartedAt))
+		s.end(t, workflow.RunEnd{
+			RunKey:    t.RunKey,
+			EndReason: workflow.EndedLost,
+		}, "worker-unknown", s.now.Sub(s.dispatcher.termStartedAt))
 	}
 }
 
-func (s *reconciliation) end(t workflow.PlacedTask, ending workflow.EndReason, reason string, age time.Duration) {
+func (s *reconciliation) end(t workflow.PlacedTask, e workflow.RunEnd, reason string, age time.Duration) {
 	s.doom(t)
-	s.ends = append(s.ends, workflow.RunEnd{
-		RunKey:    t.RunKey,
-		EndReason: ending,
-	})
+	s.ends = append(s.ends, e)
 	if s.dispatcher.HasPendingRound() {
 		return
 	}
+	text := "Run counts as ended without a report from its worker."
+	if e.EndReason == workflow.EndedCrashed {
+		text = crashText(e.WasAlone)
+	}
 	s.record(DecisionRecord{
-		Text:   "Run counts as ended without a report from its worker.",
+		Text:   text,
 		RunKey: t.RunKey,
 		Worker: t.Worker,
 		Reason: reason,
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -14,12 +14,11 @@
 	}
 	r := v.runs[t.RunKey]
 	if v.hasEnded {
-		s.end(t, workflow.EndedLost, string(reasonWorkerEnded), s.now.Sub(v.lastAnsweredAt))
+		s.endLost(v, t, r, string(reasonWorkerEnded), s.now.Sub(v.lastAnswerAt(s.dispatcher.termStartedAt)))
 		return v
 	}
-	mayHaveStarted := !r.isOwnPlacement || r.startsSent > 0
-	if mayHaveStarted && s.isLeaseExpired(v, t) {
-		s.end(t, workflow.EndedLost, "lease-over", s.now.Sub(v.lastAnsweredAt))
+	if r.mayHaveStarted() && s.isLeaseExpired(v, t) {
+		s.endLost(v, t, r, "lease-over", s.now.Sub(v.lastAnswerAt(s.dispatcher.termStartedAt)))
 		return v
 	}
 	if r.pendingStop == "" {
@@ -179,7 +178,10 @@
 	isUnsent := r.isOwnPlacement && r.startsSent == 0
 	isRejected := r.isOwnPlacement && r.isStartRejected && r.startsSent == 1
 	if isUnsent || isRejected {
-		s.end(t, workflow.EndedNotStarted, string(r.pendingStop), 0)
+		s.end(t, workflow.RunEnd{
+			RunKey:    t.RunKey,
+			EndReason: workflow.EndedNotStarted,
+		}, string(r.pendingStop), 0)
 		return v.withRun(t.RunKey, r)
 	}
 	if r.stopAckedAt.IsZero() {
@@ -188,7 +190,7 @@
 	_, isListed := v.listed[t.RunKey]
 	switch {
 	case v.listingSentAt.After(r.stopAckedAt) && !isListed:
-		s.end(t, workflow.EndedLost, string(r.pendingStop), s.now.Sub(v.listingSentAt))
+		s.endLost(v, t, r, string(r.pendingStop), s.now.Sub(v.listingSentAt))
 	case isListed && s.now.Sub(r.stopAckedAt) > s.dispatcher.cfg.MaxStopDuration+time.Second:
 		return s.sendStop(v, t.RunKey, r)
 	}
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -51,6 +51,7 @@
 	// the zero time if the last one lists it.
 	isListed     bool
 	missingSince time.Time
+	predecessor  predecessor
 	// backoffUntil is when the worker may get new tasks again.
 	backoffUntil time.Time
 	// consecutiveFailures counts the runs that the worker rejected or failed
--- a/workflow/rules.go
+++ b/workflow/rules.go
@@ -109,7 +109,7 @@
 		return t.WithState(Succeeded{})
 	case EndedFailed:
 		t.Failures++
-	case EndedStopped, EndedLeaseExpired, EndedGangAborted, EndedGangIncomplete, EndedLost, EndedNotStarted:
+	case EndedStopped, EndedLeaseExpired, EndedGangAborted, EndedGangIncomplete, EndedLost, EndedCrashed, EndedNotStarted:
 	}
 	return t.WithState(Waiting{})
 }
--- a/workflow/task.go
+++ b/workflow/task.go
@@ -113,6 +113,9 @@
 	// EndedLost means that no end was reported, but the run can no longer be in
 	// progress on any worker.
 	EndedLost EndReason = "lost"
+	// EndedCrashed means that the worker ended without notice while the run may have
+	// been in progress there.
+	EndedCrashed EndReason = "crashed"
 	// EndedNotStarted means that the run was never started: the start was not
 	// sent, or the worker rejected it.
 	EndedNotStarted EndReason = "unstarted"
@@ -131,6 +134,8 @@
 	RunKey
 	// EndReason is the reason why the run ended.
 	EndReason EndReason `json:"ending"`
+	// WasAlone is true if no other workflow had a run on a worker that crashed.
+	WasAlone bool `json:"alone,omitempty"`
 	// Checkpoint names the checkpoint that the run saved. It is empty if there is
 	// none.
 	Checkpoint string `json:"checkpoint,omitempty"`
