--- a/replay/fault.go
+++ b/replay/fault.go
@@ -4,6 +4,7 @@
 	"time"
 
 	plantainladder "github.com/plantainladder/plantainladder"
+	"github.com/plantainladder/plantainladder/workflow"
 )
 
 // A Fault is a failure mode that is injected into a simulated worker for a time.
@@ -28,8 +29,11 @@
 	// Restarts is true if the worker's process restarts at Until and loses its
 	// state.
 	Restarts bool
+	// Crashes is true if the worker's process crashes at From and is back at Until
+	// as its next incarnation.
+	Crashes bool
 	// Leaves is true if the worker announces at From that it leaves, and shuts
-	// down at Until.
+	// down at Until, or restarts then if Restarts is true as well.
 	Leaves bool
 	// ReplacedAfter, if it is positive, is how long after Until another worker,
 	// with an identifier of its own, sends its first announcement from this
@@ -44,9 +48,18 @@
 	if f.Restarts {
 		sim.scheduleAt(f.Until, s.restart)
 	}
+	if f.Crashes {
+		sim.scheduleAt(f.From, func(now time.Duration) {
+			s.crash(now, workflow.RunKey{}, NextIncarnation{
+				After: f.Until - f.From,
+			})
+		})
+	}
 	if f.Leaves {
 		sim.scheduleAt(f.From, func(time.Duration) { s.announced.Leaving = true })
-		sim.scheduleAt(f.Until, s.shutDown)
+		if !f.Restarts {
+			sim.scheduleAt(f.Until, s.shutDown)
+		}
 	}
 	if f.ReplacedAfter > 0 {
 		sim.scheduleAt(f.From, s.shutDown)
--- a/replay/invariants.go
+++ b/replay/invariants.go
@@ -19,6 +19,18 @@
 	cancelBound = 3 * time.Second
 )
 
+// Bounds of the invariants of tasks that crash their workers. Source: the
+// platform's rules.
+const (
+	// minCrashesToGiveUp is the number of crashes under a task from which on it may
+	// be given up.
+	minCrashesToGiveUp = 2
+	// crashBudget is the number of crashes under a deadly task after which it may
+	// start at most maxStartsOverBudget times.
+	crashBudget         = 3
+	maxStartsOverBudget = 2
+)
+
 // checkStart checks the invariants of the start of a run. Those with a time
 // bound do not apply to an order that reached the worker with a delay.
 func (sim *Simulation) checkStart(now time.Duration, s *simWorker, ref workflow.RunKey) {
@@ -43,6 +55,42 @@
 	}
 	if !s.isDelayed {
 		sim.checkTimeBounds(now, s, ref, wf)
+		sim.checkCrashBudget(now, s, ref)
+	}
+}
+
+// checkCrashBudget checks that a deadly task is not started time and again. An
+// order that reached the worker with a delay does not count.
+func (sim *Simulation) checkCrashBudget(now time.Duration, s *simWorker, ref workflow.RunKey) {
+	if !sim.arrivals[ref.Workflow].Deadly.includes(ref) || sim.crashes.under[ref.TaskKey] < crashBudget {
+		return
+	}
+	sim.crashes.startsOverBudget[ref.TaskKey]++
+	if n := sim.crashes.startsOverBudget[ref.TaskKey]; n > maxStartsOverBudget {
+		sim.recordViolation(now, "%v starts on %s, start %d after %d workers have crashed under its task", ref, s.announced.ID, n, crashBudget)
+	}
+}
+
+// checkGivenUp checks that a workflow that is shown as failed had a task with
+// enough crashes or failures.
+func (sim *Simulation) checkGivenUp(wf workflow.Workflow) {
+	if wf.Status() != workflow.StatusFailed {
+		return
+	}
+	mostCrashes, mostFailures := 0, 0
+	for k, n := range sim.crashes.under {
+		if k.Workflow == wf.Spec.ID {
+			mostCrashes = max(mostCrashes, n)
+		}
+	}
+	for k, runs := range sim.crashes.failedRuns {
+		if k.Workflow == wf.Spec.ID {
+			mostFailures = max(mostFailures, len(runs))
+		}
+	}
+	if mostCrashes < minCrashesToGiveUp && mostFailures < wf.QueueSettings.MaxAttempts {
+		sim.recordViolation(sim.now, "%s is shown as failed after at most %d crashes and %d failures of a task",
+			wf.Spec.ID, mostCrashes, mostFailures)
 	}
 }
 
--- a/replay/network.go
+++ b/replay/network.go
@@ -23,7 +23,7 @@
 		return
 	}
 	w.simulation.scheduleAt(now+announceInterval, w.announce)
-	if w.activeFault(now).Partitioned {
+	if w.isDown || w.activeFault(now).Partitioned {
 		return
 	}
 	w.announceSequence++
@@ -52,7 +52,7 @@
 		Running:    map[string]bool{},
 	}
 	for _, s := range sim.workers {
-		r.Running[s.announced.ID] = !s.isShutDown && !s.isHidden
+		r.Running[s.announced.ID] = s.isUp() && !s.isHidden
 	}
 	term := sim.term
 	sim.scheduleAt(sim.now+2*networkDelay, func(time.Duration) {
@@ -91,13 +91,13 @@
 			Order:  o,
 			Result: dispatch.Replaced{},
 		})
-	case s.isShutDown || fault.Partitioned || fault.LosesOrders:
+	case !s.isUp() || fault.Partitioned || fault.LosesOrders:
 		answer(sent+answerTimeout+wait, unanswered)
 	case fault.DelayedShare > 0 && sim.rng.Float64() < fault.DelayedShare:
 		answer(sent+answerTimeout+wait, unanswered)
 		at := sent + minOrderDelay + time.Duration(sim.rng.Int64N(int64(maxOrderDelay-minOrderDelay)))
 		sim.scheduleAt(at, func(now time.Duration) {
-			if !s.isShutDown && !s.activeFault(now).Partitioned {
+			if s.isUp() && !s.activeFault(now).Partitioned {
 				s.isDelayed = true
 				s.handleOrder(now, o)
 				s.isDelayed = false
@@ -129,14 +129,18 @@
 // its time has passed. A delivery fails when the worker restarts.
 func (sim *Simulation) deliver(now time.Duration, d delivery) {
 	s := d.worker
-	if s.isShutDown || s.activeFault(now).Partitioned || s.announced.Incarnation != d.incarnation {
+	var a dispatch.OrderCompleted
+	isReached := s.isUp() && !s.activeFault(now).Partitioned && s.announced.Incarnation == d.incarnation
+	if isReached {
+		a = s.handleOrder(now, d.order)
+	}
+	if !isReached || !s.isUp() {
 		d.answer(now+answerTimeout, dispatch.OrderCompleted{
 			Order:  d.order,
 			Result: dispatch.Unanswered{},
 		})
 		return
 	}
-	a := s.handleOrder(now, d.order)
 	_, isRenewal := d.order.(dispatch.Renew)
 	if _, acknowledged := a.Result.(dispatch.Acknowledged); isRenewal && acknowledged && len(s.ended) == 0 && now < d.until {
 		d.order = withoutLease(d.order)
@@ -202,7 +206,9 @@
 		gangSize:  step.Tasks,
 		startedAt: now,
 
-		alwaysFails: a.AlwaysFails,
+		alwaysFails:   a.AlwaysFails,
+		crashesWorker: a.Deadly.includes(ref),
+		crashDelay:    a.Deadly.After,
 	}
 }
 
@@ -222,6 +228,9 @@
 	if reason == workflow.EndedDone {
 		sim.completedBy[ref.TaskKey] = ref
 	}
+	if reason == workflow.EndedFailed {
+		sim.recordFailure(ref)
+	}
 	step := sim.arrivals[ref.Workflow].Spec.Steps[ref.Step]
 	if !step.IsGang || reason == workflow.EndedGangIncomplete {
 		return
--- a/replay/record.go
+++ b/replay/record.go
@@ -54,6 +54,7 @@
 		r.Status = wf.Status()
 		if !wf.IsOpen() {
 			r.End = wf.FinishedAt().Sub(epoch)
+			sim.checkGivenUp(wf)
 		}
 	}
 }
--- a/replay/simulation.go
+++ b/replay/simulation.go
@@ -76,6 +76,8 @@
 	OddTaskReduction float64
 	// AlwaysFails is true if all runs fail at their end.
 	AlwaysFails bool
+	// Deadly holds the tasks that crash their worker.
+	Deadly Deadly
 	// CancelAfter is the time from submission to cancellation; zero for never.
 	CancelAfter time.Duration
 }
@@ -131,6 +133,7 @@
 	stoppedRuns int
 	// endedRuns counts the runs that ended on workers, by reason.
 	endedRuns map[workflow.EndReason]int
+	crashes   crashLog
 }
 
 // A Record is the outcome of one workflow.
@@ -162,6 +165,7 @@
 		isWaitReported:    map[string]bool{},
 		outOfServiceSince: map[string]time.Duration{},
 		overGuaranteeAt:   map[string]time.Time{},
+		crashes:           newCrashLog(),
 		term:              1,
 	}
 	sim.dispatcher = sim.newDispatcher(0)
@@ -327,7 +331,7 @@
 	for ; sim.now < until; sim.now += tickDuration {
 		sim.runDueEvents()
 		for _, s := range sim.workers {
-			if !s.isShutDown {
+			if s.isUp() {
 				s.tick(sim.now, tickDuration)
 			}
 		}
--- a/replay/worker.go
+++ b/replay/worker.go
@@ -22,6 +22,9 @@
 	stopAt      time.Duration
 	startedAt   time.Duration
 	alwaysFails bool
+	// crashesWorker is true if the worker crashes crashDelay after the start.
+	crashesWorker bool
+	crashDelay    time.Duration
 }
 
 // simWorker is a simulated worker.
@@ -38,6 +41,8 @@
 	ended            []dispatch.EndedRun
 	endedSequence    uint64
 	isShutDown       bool
+	// isDown is true from a crash until the worker is back.
+	isDown bool
 	// isHidden is true if the inventory of machines lacks the worker.
 	isHidden bool
 	// isReplaced is true once another worker has this worker's address.
@@ -68,24 +73,18 @@
 
 // restart begins a new incarnation without state.
 func (w *simWorker) restart(now time.Duration) {
+	w.loseRuns(now, workflow.RunKey{})
 	w.announced.Incarnation += now.Milliseconds() + 1
 	w.announced.Leaving, w.leavingSince = false, 0
 	w.announceSequence, w.leaderTerm, w.leaseUntil, w.endedSequence = 0, 0, 0, 0
 	w.clockOffset = -now
-	for _, ref := range w.sortedRuns() {
-		delete(w.runs, ref)
-		w.simulation.recordEnd(now, ref, workflow.EndedLost)
-	}
 	w.blockedRuns = map[workflow.TaskKey]int{}
 	w.ended = nil
 }
 
 // shutDown ends the worker and all of its runs for good.
 func (w *simWorker) shutDown(now time.Duration) {
-	for _, ref := range w.sortedRuns() {
-		delete(w.runs, ref)
-		w.simulation.recordEnd(now, ref, workflow.EndedLost)
-	}
+	w.loseRuns(now, workflow.RunKey{})
 	w.isShutDown = true
 }
 
@@ -105,6 +104,7 @@
 		a.Result = w.handleRenew(now, o)
 		a.Listing = w.listing()
 	}
+	w.crashIfDue(now)
 	return a
 }
 
@@ -217,6 +217,9 @@
 
 // tick advances the worker's runs by one time step.
 func (w *simWorker) tick(now, step time.Duration) {
+	if w.crashIfDue(now) {
+		return
+	}
 	fault := w.activeFault(now)
 	if w.leaseUntil < w.clock(now) {
 		w.leaseExpiredAt = now
