Give up a task under which workers keep crashing, and run it alone before

Cause: only the end failed uses up an attempt. A run that is lost with its worker sent the task back to waiting without a trace. Class: a retry without a bound, for an end that nobody reports.

From two crashes on, a task is a suspect: for up to 2 s it waits for a worker of its own, then it gets the emptiest one, and no other workflow is placed beside it. After the third crash, a task that was alone there is given up and its workflow failed, if two of the crashes are confirmed; after the fifth in any case. A start without a connection certainly did not reach the worker, and a placement that is committed after its worker has ended was never sent: neither counts, and both are placed again at once.

--- a/control/decision_log.go
+++ b/control/decision_log.go
@@ -74,9 +74,13 @@
 		if w.IsOpen() {
 			continue
 		}
+		text := "Workflow is finished."
+		if p, failed := w.Phase.(workflow.Failed); failed && p.Cause == workflow.EndedCrashed {
+			text = "Workflow is given up, since workers crashed under one of its tasks."
+		}
 		out = append(out, LogDecision{
 			Record: dispatch.DecisionRecord{
-				Text:       "Workflow is finished.",
+				Text:       text,
 				RunKey:     runKeyOf(w),
 				Reason:     string(w.Status()),
 				Age:        now.Sub(w.Submitted),
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -136,7 +136,11 @@
 	case Unhealthy:
 		r.isStartRejected = true
 		v = v.withBackoff(now)
-	case Unanswered, Replaced:
+	case Unanswered:
+		if result.IsUndelivered {
+			r.startsUndelivered++
+		}
+	case Replaced:
 	}
 	return v.withRun(ref, r)
 }
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -20,6 +20,10 @@
 	releasing pool.ResourceVector
 	// allocations holds the runs that use the rest of the capacity.
 	allocations []allocation
+	// tenancy is the workflows with runs or new placements here.
+	tenancy tenancy
+	// hasNewSuspect is true if this pass has placed a suspect here.
+	hasNewSuspect bool
 	// reservedUntil is when a gang is expected to start here. Until then the
 	// node only takes tasks that are expected to end before. The zero time
 	// means no reservation.
@@ -39,6 +43,8 @@
 	loss float64
 	// isStopping is true if the run is already being stopped.
 	isStopping bool
+	// isSuspect is true if the run is that of a suspect.
+	isSuspect bool
 }
 
 // A fleet is the schedulable nodes of one pool.
@@ -69,6 +75,7 @@
 			worker:      w,
 			free:        w.Capacity,
 			allocations: s.allocations(x, w, v),
+			tenancy:     tenancyOf(x, w.ID),
 		}
 		for _, alloc := range n.allocations {
 			n.free = n.free.Minus(alloc.task.StepSpec.PerTask)
@@ -146,6 +153,7 @@
 			isMeasured: isMeasured,
 			loss:       s.lostWork(v, t),
 			isStopping: v.runs[t.RunKey].pendingStop != "" || !t.IsNeeded,
+			isSuspect:  x.isSuspect(t),
 		}
 	}
 	return list
--- a/dispatch/index.go
+++ b/dispatch/index.go
@@ -11,6 +11,8 @@
 	version   uint64
 	workers   map[string]pool.Worker
 	workflows map[string]workflow.Workflow
+	// withSuspects holds the workflows that have suspects.
+	withSuspects map[string]workflow.Workflow
 	// placedByWorker holds the placed tasks by worker ID.
 	placedByWorker map[string][]workflow.PlacedTask
 	placedRuns     map[workflow.RunKey]bool
@@ -44,6 +46,7 @@
 		version:        state.Version,
 		workers:        make(map[string]pool.Worker, len(state.Workers)),
 		workflows:      make(map[string]workflow.Workflow, len(state.Workflows)),
+		withSuspects:   map[string]workflow.Workflow{},
 		placedByWorker: make(map[string][]workflow.PlacedTask, len(state.Workers)),
 		placedRuns:     map[workflow.RunKey]bool{},
 		isGangBroken:   map[workflow.RunKey]bool{},
@@ -54,6 +57,9 @@
 	}
 	for _, w := range state.Workflows {
 		x.workflows[w.Spec.ID] = w
+		if w.HasSuspect() {
+			x.withSuspects[w.Spec.ID] = w
+		}
 		for _, t := range w.PlacedTasks() {
 			x.placedByWorker[t.Worker] = append(x.placedByWorker[t.Worker], t)
 			x.placedRuns[t.RunKey] = true
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -114,6 +114,9 @@
 type Unanswered struct {
 	// Detail describes the failure, for the log.
 	Detail string
+	// IsUndelivered is true if the order certainly did not reach the worker, since
+	// there was no connection.
+	IsUndelivered bool
 }
 
 func (Acknowledged) result() {}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -72,7 +72,7 @@
 		return
 	}
 	p.blocked[g.requirement()] = true
-	if reserves && g.step.IsGang && p.reservations < maxReservations {
+	if reserves && g.step.IsGang && !g.isExclusive && p.reservations < maxReservations {
 		p.reserve(f, g)
 	}
 }
@@ -88,6 +88,9 @@
 		return
 	}
 	p.blocked[g.requirement()] = true
+	if g.isExclusive {
+		return
+	}
 	hasWaited := p.s.now.Sub(g.wf.Submitted) >= p.s.dispatcher.cfg.MaxStopDuration
 	if (isFirst || hasWaited) && !p.unpreemptable[g.requirement()] {
 		p.unpreemptable[g.requirement()] = !p.preempt(f, g)
@@ -110,8 +113,11 @@
 }
 
 // available returns the capacity of a node that g may use now: none on a node
-// that is reserved from before g would end.
+// that is reserved from before g would end, or whose other workflows do not admit g.
 func (p *placer) available(n *node, g taskGroup) pool.ResourceVector {
+	if !n.tenancy.admits(g) {
+		return pool.ResourceVector{}
+	}
 	// DeclaredRunTime holds the predicted run time.
 	if !n.reservedUntil.IsZero() && p.s.now.Add(g.step.DeclaredRunTime).After(n.reservedUntil) {
 		return pool.ResourceVector{}
@@ -121,7 +127,8 @@
 
 // assignments assigns a number of a task group's tasks to nodes and returns nil
 // if they do not all fit. It fills the fullest nodes first, so that whole nodes
-// stay free, unless the task group uses first fit.
+// stay free, unless the task group uses first fit. A suspect gets the emptiest
+// nodes, where a crash does the least damage.
 func assignments(nodes []*node, g taskGroup, tasks int, available func(n *node) pool.ResourceVector) []assignment {
 	var order []*node
 	for _, n := range nodes {
@@ -131,6 +138,9 @@
 	}
 	if !g.isFirstFit {
 		slices.SortStableFunc(order, func(a, b *node) int {
+			if g.isSuspect {
+				a, b = b, a
+			}
 			return cmp.Or(
 				cmp.Compare(available(a).Accelerators, available(b).Accelerators),
 				cmp.Compare(available(a).MilliCores, available(b).MilliCores),
@@ -174,6 +184,8 @@
 	})
 	for _, assignment := range list {
 		assignment.node.free = assignment.node.free.Minus(g.step.PerTask.Times(assignment.tasks))
+		assignment.node.tenancy = assignment.node.tenancy.withRun(g.wf.Spec.ID, g.isSuspect)
+		assignment.node.hasNewSuspect = assignment.node.hasNewSuspect || g.isSuspect
 		g.perWorker[assignment.node.worker.ID] += assignment.tasks
 		for range assignment.tasks {
 			p.placements = append(p.placements, g.placement(g.waiting[next], assignment.node.worker))
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -147,6 +147,8 @@
 	available map[string]pool.ResourceVector
 	fitCounts map[string]int
 	total     int
+	// stopped holds the chosen candidates.
+	stopped map[gangRun]bool
 }
 
 func newPreemptionSearch(nodes []*node, g taskGroup, freedSoon map[string]pool.ResourceVector) *preemptionSearch {
@@ -155,6 +157,7 @@
 		nodes:     make(map[string]*node, len(nodes)),
 		available: make(map[string]pool.ResourceVector, len(nodes)),
 		fitCounts: make(map[string]int, len(nodes)),
+		stopped:   map[gangRun]bool{},
 	}
 	for _, n := range nodes {
 		e.nodes[n.worker.ID] = n
@@ -167,13 +170,31 @@
 	id := n.worker.ID
 	e.available[id] = available
 	e.total -= e.fitCounts[id]
-	e.fitCounts[id] = e.taskGroup.fitCount(n, available, e.taskGroup.step.Tasks)
+	e.fitCounts[id] = e.taskGroup.fitCount(n, e.usable(n), e.taskGroup.step.Tasks)
 	e.total += e.fitCounts[id]
 }
 
+// usable returns the capacity of a node that is available to the task group: none
+// while a suspect of another workflow stays there.
+func (e *preemptionSearch) usable(n *node) pool.ResourceVector {
+	if !n.tenancy.isSuspect || n.tenancy.isOwnedBy(e.taskGroup) {
+		return e.available[n.worker.ID]
+	}
+	for _, alloc := range n.allocations {
+		if alloc.isSuspect && !alloc.isStopping && !e.stopped[gangRunOf(alloc.task)] {
+			return pool.ResourceVector{}
+		}
+	}
+	if n.hasNewSuspect {
+		return pool.ResourceVector{}
+	}
+	return e.available[n.worker.ID]
+}
+
 // adjust adds the capacity of a candidate to the free capacity if sign is 1,
 // and takes it away again if sign is -1.
 func (e *preemptionSearch) adjust(c preemptionCandidate, sign int) {
+	e.stopped[gangRunOf(c.members[0].task)] = sign > 0
 	for _, alloc := range c.members {
 		if n, ok := e.nodes[alloc.task.Worker]; ok {
 			e.setAvailable(n, e.available[n.worker.ID].Plus(alloc.task.StepSpec.PerTask.Times(sign)))
@@ -212,9 +233,7 @@
 		found.candidates = append(found.candidates, candidates[k])
 		found.loss += candidates[k].loss
 	}
-	found.assignments = assignments(nodes, g, g.step.Tasks, func(n *node) pool.ResourceVector {
-		return e.available[n.worker.ID]
-	})
+	found.assignments = assignments(nodes, g, g.step.Tasks, e.usable)
 	return found
 }
 
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -117,10 +117,14 @@
 	}
 	for _, placement := range p.placements {
 		v, ok := s.dispatcher.workerView(placement.Worker)
-		if ok && v.worker.Incarnation == placement.Incarnation {
+		switch {
+		case !ok:
+		case v.worker.Incarnation == placement.Incarnation:
 			s.dispatcher = s.dispatcher.withView(v.withRun(placement.RunKey, runState{
 				isOwnPlacement: true,
 			}))
+		default:
+			s.dispatcher = s.dispatcher.withView(v.withLatePlacement(placement.RunKey))
 		}
 	}
 }
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -44,12 +44,15 @@
 // never fits. Nodes that are reserved already are left out.
 func (p *placer) earliestFit(nodes []*node, g taskGroup) ([]assignment, time.Time) {
 	type release struct {
-		node     *node
-		capacity pool.ResourceVector
-		at       time.Time
+		node      *node
+		capacity  pool.ResourceVector
+		at        time.Time
+		isSuspect bool
 	}
 	var releases []release
 	capacity := map[*node]pool.ResourceVector{}
+	// suspects counts the runs on a node after which it admits the gang.
+	suspects := map[*node]int{}
 	for _, n := range nodes {
 		if !n.reservedUntil.IsZero() {
 			continue
@@ -57,20 +60,30 @@
 		capacity[n] = n.free
 		for _, alloc := range n.allocations {
 			releases = append(releases, release{
-				node:     n,
-				capacity: alloc.task.StepSpec.PerTask,
-				at:       alloc.endsAt,
+				node:      n,
+				capacity:  alloc.task.StepSpec.PerTask,
+				at:        alloc.endsAt,
+				isSuspect: alloc.isSuspect,
 			})
+			if alloc.isSuspect {
+				suspects[n]++
+			}
 		}
 	}
 	slices.SortStableFunc(releases, func(a, b release) int {
 		return a.at.Compare(b.at)
 	})
 	free := func(n *node) pool.ResourceVector {
+		if suspects[n] > 0 || n.hasNewSuspect {
+			return pool.ResourceVector{}
+		}
 		return capacity[n]
 	}
 	for _, r := range releases {
 		capacity[r.node] = capacity[r.node].Plus(r.capacity)
+		if r.isSuspect {
+			suspects[r.node]--
+		}
 		if list := assignments(nodes, g, g.step.Tasks, free); list != nil {
 			return list, r.at
 		}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -175,9 +175,7 @@
 // listing no longer has it. A run that the worker cannot have started ends at
 // once.
 func (s *reconciliation) stopRun(v workerView, t workflow.PlacedTask, r runState) workerView {
-	isUnsent := r.isOwnPlacement && r.startsSent == 0
-	isRejected := r.isOwnPlacement && r.isStartRejected && r.startsSent == 1
-	if isUnsent || isRejected {
+	if !r.mayHaveStarted() {
 		s.end(t, workflow.RunEnd{
 			RunKey:    t.RunKey,
 			EndReason: workflow.EndedNotStarted,
--- a/dispatch/taskgroup.go
+++ b/dispatch/taskgroup.go
@@ -27,6 +27,9 @@
 	// isGuaranteed is true for work of the highest priority within the
 	// guarantee of its organisation.
 	isGuaranteed bool
+	// isSuspect is true if workers have crashed under the tasks. They should share a
+	// worker with no other workflow; isExclusive is true while they may not.
+	isSuspect, isExclusive bool
 	// isFirstFit is true if the first nodes that fit are taken, not the
 	// fullest.
 	isFirstFit bool
@@ -85,17 +88,41 @@
 			isFirstFit:       usesFirstFit(s.dispatcher.cfg.Policy),
 			targetCompletion: w.TargetCompletion(occurrence, predicted),
 		}
-		for n, t := range r.Tasks {
-			if t.IsWaiting() {
-				g.waiting = append(g.waiting, n)
-			}
+		for _, t := range r.Tasks {
 			if p, ok := t.CurrentPlacement(); ok {
 				g.perWorker[p.Worker]++
 			}
 		}
 		g.isLate = s.now.Add(step.DeclaredRunTime).After(g.targetCompletion)
-		if len(g.waiting) > 0 {
-			list = append(list, g)
+		list = append(list, g.split(s.now, r)...)
+	}
+	return list
+}
+
+// split returns g with the waiting tasks of its step: one task group for a suspect
+// and one for the tasks that are none. A gang with a suspect is a suspect as a whole.
+// Other suspects are placed one after the other, since the next crash under any of
+// them ends the workflow.
+func (g taskGroup) split(now time.Time, r workflow.StepState) (list []taskGroup) {
+	isWhole := g.step.IsGang && r.HasSuspect()
+	isBusy := !g.step.IsGang && r.HasPlacedSuspect()
+	suspects := g
+	suspects.isSuspect, suspects.isExclusive = true, now.Sub(r.LastCrash()) < isolationWait
+	for n, t := range r.Tasks {
+		switch {
+		case !t.IsWaiting():
+		case isWhole:
+			suspects.waiting = append(suspects.waiting, n)
+		case !t.IsSuspect():
+			g.waiting = append(g.waiting, n)
+		case !isBusy:
+			suspects.waiting = append(suspects.waiting, n)
+			isBusy = true
+		}
+	}
+	for _, part := range []taskGroup{g, suspects} {
+		if len(part.waiting) > 0 {
+			list = append(list, part)
 		}
 	}
 	return list
@@ -161,13 +188,14 @@
 	label           string
 	dataRack        string
 	priority        int
+	isExclusive     bool
 	// workflowID is set if the fit also depends on the tasks that the workflow
 	// already has placed; empty otherwise.
 	workflowID string
 }
 
-// requirement returns the requirement of g. With MaxPerWorker set it is
-// specific to the workflow, since the fit depends on the tasks already placed.
+// requirement returns the requirement of g. With MaxPerWorker set, or for a suspect,
+// it is specific to the workflow, since the fit depends on the tasks already placed.
 func (g taskGroup) requirement() requirement {
 	r := requirement{
 		pool:            g.wf.QueueSettings.Pool,
@@ -178,11 +206,12 @@
 		label:           g.step.RequiredLabel,
 		dataRack:        g.step.DataRack,
 		priority:        g.wf.QueueSettings.Priority,
+		isExclusive:     g.isExclusive,
 	}
 	if g.step.IsGang {
 		r.tasks = g.step.Tasks
 	}
-	if g.step.MaxPerWorker > 0 {
+	if g.step.MaxPerWorker > 0 || g.isSuspect {
 		r.workflowID = g.wf.Spec.ID
 	}
 	return r
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -73,8 +73,10 @@
 	firstStartAt time.Time
 	lastStartAt  time.Time
 	startsSent   int
-	// startsInFlight counts the starts without an answer.
-	startsInFlight int
+	// startsInFlight counts the starts without an answer, startsUndelivered those
+	// that certainly did not reach the worker.
+	startsInFlight    int
+	startsUndelivered int
 	// isResumed is true if the run was started from a checkpoint.
 	isResumed bool
 	// startedAt is when the leader learned that the worker has started the run.
--- a/replay/network.go
+++ b/replay/network.go
@@ -91,7 +91,14 @@
 			Order:  o,
 			Result: dispatch.Replaced{},
 		})
-	case !s.isUp() || fault.Partitioned || fault.LosesOrders:
+	case s.isDown:
+		answer(sent+2*networkDelay, dispatch.OrderCompleted{
+			Order: o,
+			Result: dispatch.Unanswered{
+				IsUndelivered: true,
+			},
+		})
+	case s.isShutDown || fault.Partitioned || fault.LosesOrders:
 		answer(sent+answerTimeout+wait, unanswered)
 	case fault.DelayedShare > 0 && sim.rng.Float64() < fault.DelayedShare:
 		answer(sent+answerTimeout+wait, unanswered)
--- a/wire/workflow.go
+++ b/wire/workflow.go
@@ -38,6 +38,9 @@
 type taskRecord struct {
 	Run         int       `json:"run,omitempty"`
 	Failures    int       `json:"failures,omitempty"`
+	Crashes     int       `json:"crashes,omitempty"`
+	Unconfirmed int       `json:"unconfirmed-crashes,omitempty"`
+	CrashedAt   time.Time `json:"crashed-at,omitzero"`
 	Checkpoint  string    `json:"checkpoint,omitempty"`
 	Finished    bool      `json:"finished,omitempty"`
 	Worker      string    `json:"worker,omitempty"`
@@ -79,9 +82,12 @@
 
 func fromTask(t workflow.Task) taskRecord {
 	r := taskRecord{
-		Run:        t.Run,
-		Failures:   t.Failures,
-		Checkpoint: t.Checkpoint,
+		Run:         t.Run,
+		Failures:    t.Failures,
+		Crashes:     t.Crashes,
+		CrashedAt:   t.CrashedAt,
+		Unconfirmed: t.UnconfirmedCrashes,
+		Checkpoint:  t.Checkpoint,
 	}
 	switch p := t.TaskState.(type) {
 	case workflow.Waiting:
@@ -127,9 +133,12 @@
 
 func (r taskRecord) toTask() workflow.Task {
 	t := workflow.Task{
-		Run:        r.Run,
-		Failures:   r.Failures,
-		Checkpoint: r.Checkpoint,
+		Run:                r.Run,
+		Failures:           r.Failures,
+		Crashes:            r.Crashes,
+		CrashedAt:          r.CrashedAt,
+		UnconfirmedCrashes: r.Unconfirmed,
+		Checkpoint:         r.Checkpoint,
 	}
 	switch {
 	case r.Finished:
--- a/workflow/occurrence.go
+++ b/workflow/occurrence.go
@@ -1,6 +1,9 @@
 package workflow
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // A StepState is the state of a step in one occurrence.
 type StepState struct {
@@ -52,6 +55,30 @@
 	})
 }
 
+// HasSuspect reports whether any task is a suspect.
+func (r StepState) HasSuspect() bool {
+	return slices.ContainsFunc(r.Tasks, Task.IsSuspect)
+}
+
+// LastCrash returns when a worker last crashed under any task. It is the zero time
+// for never.
+func (r StepState) LastCrash() (last time.Time) {
+	for _, t := range r.Tasks {
+		if t.CrashedAt.After(last) {
+			last = t.CrashedAt
+		}
+	}
+	return last
+}
+
+// HasPlacedSuspect reports whether any task is a suspect that is placed.
+func (r StepState) HasPlacedSuspect() bool {
+	return slices.ContainsFunc(r.Tasks, func(t Task) bool {
+		_, isPlaced := t.CurrentPlacement()
+		return isPlaced && t.IsSuspect()
+	})
+}
+
 // LatestRun returns the highest run number of any task, or zero if none was
 // placed.
 func (r StepState) LatestRun() int {
@@ -110,3 +137,8 @@
 func (o Occurrence) HasPlacedTask() bool {
 	return slices.ContainsFunc(o.Steps, StepState.HasPlacedTask)
 }
+
+// HasSuspect reports whether any task is a suspect.
+func (o Occurrence) HasSuspect() bool {
+	return slices.ContainsFunc(o.Steps, StepState.HasSuspect)
+}
--- a/workflow/rules.go
+++ b/workflow/rules.go
@@ -95,12 +95,12 @@
 		if isGang {
 			r = r.withGangRunEnd(e)
 		}
-		return r.WithTask(e.Index, r.Tasks[e.Index].withRunEnd(e))
+		return r.WithTask(e.Index, r.Tasks[e.Index].withRunEnd(now, e))
 	})
 	return w.withPhaseAfter(now, e)
 }
 
-func (t Task) withRunEnd(e RunEnd) Task {
+func (t Task) withRunEnd(now time.Time, e RunEnd) Task {
 	if e.Checkpoint != "" {
 		t.Checkpoint = e.Checkpoint
 	}
@@ -109,7 +109,13 @@
 		return t.WithState(Succeeded{})
 	case EndedFailed:
 		t.Failures++
-	case EndedStopped, EndedLeaseExpired, EndedGangAborted, EndedGangIncomplete, EndedLost, EndedCrashed, EndedNotStarted:
+	case EndedCrashed:
+		t.Crashes++
+		t.CrashedAt = now
+		if e.IsUnconfirmed {
+			t.UnconfirmedCrashes++
+		}
+	case EndedStopped, EndedLeaseExpired, EndedGangAborted, EndedGangIncomplete, EndedLost, EndedNotStarted:
 	}
 	return t.WithState(Waiting{})
 }
@@ -132,14 +138,10 @@
 	if !w.IsOpen() {
 		return w
 	}
-	r := w.Occurrences[e.Occurrence].Steps[e.Step]
-	failures := r.Tasks[e.Index].Failures
-	if w.Spec.Steps[e.Step].IsGang {
-		failures = r.Failures
-	}
-	if failures >= w.QueueSettings.MaxAttempts && e.EndReason == EndedFailed && !r.HasSucceeded(w.Spec.Steps[e.Step]) {
+	if w.mustGiveUpAfter(e) {
 		w.Phase = Failed{
-			At: now,
+			At:    now,
+			Cause: e.EndReason,
 		}
 		return w
 	}
@@ -151,6 +153,29 @@
 	return w
 }
 
+// mustGiveUpAfter reports whether the end of a run was the last that its task, or
+// its gang, may have without success.
+func (w Workflow) mustGiveUpAfter(e RunEnd) bool {
+	step := w.Spec.Steps[e.Step]
+	r := w.Occurrences[e.Occurrence].Steps[e.Step]
+	if r.HasSucceeded(step) {
+		return false
+	}
+	t := r.Tasks[e.Index]
+	switch e.EndReason {
+	case EndedFailed:
+		failures := t.Failures
+		if step.IsGang {
+			failures = r.Failures
+		}
+		return failures >= w.QueueSettings.MaxAttempts
+	case EndedCrashed:
+		return t.mustGiveUp(e.WasAlone)
+	case EndedDone, EndedStopped, EndedLeaseExpired, EndedGangAborted, EndedGangIncomplete, EndedLost, EndedNotStarted:
+	}
+	return false
+}
+
 func (w Workflow) countDoneOccurrences() int {
 	n := 0
 	for _, o := range w.Occurrences {
--- a/workflow/task.go
+++ b/workflow/task.go
@@ -52,6 +52,12 @@
 	// Failures counts the failed runs. StepState counts those of a gang as a
 	// whole.
 	Failures int
+	// Crashes counts the runs under which the worker crashed.
+	Crashes int
+	// UnconfirmedCrashes counts those under which the run may not have begun.
+	UnconfirmedCrashes int
+	// CrashedAt is when the last of the crashes was recorded.
+	CrashedAt time.Time
 	// Checkpoint names the last saved checkpoint. It is empty if there is none.
 	Checkpoint string
 	// TaskState is the current state.
@@ -90,6 +96,35 @@
 	return ok
 }
 
+// Limits of the crashes under a task.
+const (
+	// suspectCrashes is the number of crashes from which on a task is a suspect.
+	suspectCrashes = 2
+	// maxCrashes is the number of crashes at which a task is given up if it was
+	// alone on the last of the workers and at least minConfirmedCrashes of them are
+	// confirmed.
+	maxCrashes          = 3
+	minConfirmedCrashes = 2
+	// maxSharedCrashes is the number of crashes at which a task is given up even if
+	// it never was alone. Source: the platform's rules, which allow two more starts
+	// after the third crash.
+	maxSharedCrashes = 5
+)
+
+// IsSuspect reports whether the task may be what crashes its workers, so that it
+// should share them with no other workflow.
+func (t Task) IsSuspect() bool {
+	return t.Crashes >= suspectCrashes
+}
+
+// mustGiveUp reports whether the task may not be started again after the worker
+// crashed under it. Which of several workflows made a worker crash is unknown, so
+// a run that was alone there weighs more.
+func (t Task) mustGiveUp(wasAlone bool) bool {
+	isConfirmed := t.Crashes-t.UnconfirmedCrashes >= minConfirmedCrashes
+	return t.Crashes >= maxCrashes && wasAlone && isConfirmed || t.Crashes >= maxSharedCrashes
+}
+
 // An EndReason is the reason why a run ended.
 type EndReason string
 
@@ -135,7 +170,9 @@
 	// EndReason is the reason why the run ended.
 	EndReason EndReason `json:"ending"`
 	// WasAlone is true if no other workflow had a run on a worker that crashed.
-	WasAlone bool `json:"alone,omitempty"`
+	WasAlone bool `json:"was-alone,omitempty"`
+	// IsUnconfirmed is true if the run may not have begun when the worker crashed.
+	IsUnconfirmed bool `json:"unconfirmed,omitempty"`
 	// Checkpoint names the checkpoint that the run saved. It is empty if there is
 	// none.
 	Checkpoint string `json:"checkpoint,omitempty"`
--- a/workflow/workflow.go
+++ b/workflow/workflow.go
@@ -36,10 +36,13 @@
 }
 
 // Failed is the phase of a workflow with a task or gang that failed MaxAttempts
-// times.
+// times, or with a task under which too many workers crashed.
 type Failed struct {
-	// At is when the last of the failures was recorded.
+	// At is when the last of the failures or crashes was recorded.
 	At time.Time
+	// Cause is EndedFailed or EndedCrashed. It is empty in the records of versions
+	// that did not store it.
+	Cause EndReason
 }
 
 // Cancelled is the phase of a workflow that its caller has cancelled.
@@ -92,6 +95,11 @@
 	return !w.IsOpen() && !slices.ContainsFunc(w.Occurrences, Occurrence.HasPlacedTask)
 }
 
+// HasSuspect reports whether any task is a suspect.
+func (w Workflow) HasSuspect() bool {
+	return slices.ContainsFunc(w.Occurrences, Occurrence.HasSuspect)
+}
+
 // FinishedAt returns when the workflow finished. It is the zero time for an open
 // workflow.
 func (w Workflow) FinishedAt() time.Time {
