Test that a restored replica gives up a task at the same crash

The histories that are compared with a restored replica now have crashes, and a task is given up at the same crash wherever the restore falls.

--- a/restore_test.go
+++ b/restore_test.go
@@ -145,7 +145,7 @@
 	r := plantainladder.Round{
 		ID: h.round,
 	}
-	reasons := []workflow.EndReason{workflow.EndedDone, workflow.EndedFailed, workflow.EndedStopped, workflow.EndedLost}
+	reasons := []workflow.EndReason{workflow.EndedDone, workflow.EndedFailed, workflow.EndedStopped, workflow.EndedLost, workflow.EndedCrashed}
 	for _, w := range s.ActiveWorkflows() {
 		if h.rng.IntN(2) == 0 {
 			continue
@@ -154,6 +154,7 @@
 			r.RunEnds = append(r.RunEnds, workflow.RunEnd{
 				RunKey:    placed[0].RunKey,
 				EndReason: reasons[h.rng.IntN(len(reasons))],
+				WasAlone:  h.rng.IntN(2) == 0,
 			})
 			continue
 		}
@@ -174,13 +175,46 @@
 	return r
 }
 
-var _ = Describe("A replica restored from a snapshot", func() {
-	encode := func(s plantainladder.State) []byte {
-		b, err := wire.MarshalState(s)
-		Expect(err).NotTo(HaveOccurred())
-		return b
+// newConfiguration returns a configuration with one queue and one organisation.
+func newConfiguration() plantainladder.PutConfiguration {
+	return plantainladder.PutConfiguration{
+		Document: configuration.Document{
+			Version: 1,
+			Queues: []configuration.Queue{
+				{
+					Name:        "queue",
+					Host:        "h",
+					Prefix:      "/q/",
+					Pool:        "pool",
+					MaxAttempts: 2,
+					Timeout:     time.Second,
+				},
+			},
+			Pools: []configuration.Pool{
+				{
+					Name: "pool",
+				},
+			},
+			Organisations: []configuration.Organisation{
+				{
+					Name: "o",
+					Tokens: []string{
+						"token",
+					},
+				},
+			},
+		},
 	}
+}
+
+func encode(s plantainladder.State) []byte {
+	GinkgoHelper()
+	b, err := wire.MarshalState(s)
+	Expect(err).NotTo(HaveOccurred())
+	return b
+}
 
+var _ = Describe("A replica restored from a snapshot", func() {
 	// Expiries that were derived from the restored records came earlier than those
 	// of a replica that had lived through the history.
 	for seed := range uint64(histories) {
@@ -191,34 +225,7 @@
 			}
 			lived := newReplica()
 			lived.putContract(newContract())
-			lived.apply("", plantainladder.PutConfiguration{
-				Document: configuration.Document{
-					Version: 1,
-					Queues: []configuration.Queue{
-						{
-							Name:        "queue",
-							Host:        "h",
-							Prefix:      "/q/",
-							Pool:        "pool",
-							MaxAttempts: 2,
-							Timeout:     time.Second,
-						},
-					},
-					Pools: []configuration.Pool{
-						{
-							Name: "pool",
-						},
-					},
-					Organisations: []configuration.Organisation{
-						{
-							Name: "o",
-							Tokens: []string{
-								"token",
-							},
-						},
-					},
-				},
-			})
+			lived.apply("", newConfiguration())
 			state, restored := lived.state, lived.state
 			for i := range uint64(historyLength) {
 				if h.rng.IntN(10) == 0 {
@@ -235,6 +242,69 @@
 			}
 		})
 	}
+
+	DescribeTable("gives up a task at the same crash as one that lived through all of them", func(wasAlone bool, crashes int) {
+		for restoredAfter := range crashes {
+			r := newReplica()
+			r.putContract(newContract())
+			r.apply("", newConfiguration())
+			r.apply("", plantainladder.SubmitWorkflow{
+				Spec: workflow.Spec{
+					ID:    "f",
+					Queue: "queue",
+					Steps: []workflow.Step{
+						{
+							Tasks: 1,
+						},
+					},
+				},
+				Token: "token",
+			})
+			for i := range crashes {
+				w, _ := r.state.Workflow("f")
+				Expect(w.IsOpen()).To(BeTrue(), "after %d crashes, restored after %d", i, restoredAfter)
+				k := workflow.RunKey{
+					TaskKey: workflow.TaskKey{
+						Workflow: "f",
+					},
+					Run: i + 1,
+				}
+				r.apply("", plantainladder.Round{
+					ID: uint64(2*i + 1),
+					Placements: []workflow.Placement{
+						{
+							RunKey: k,
+							Worker: "w",
+						},
+					},
+				})
+				if i == restoredAfter {
+					var err error
+					r.state, err = wire.UnmarshalState(encode(r.state))
+					Expect(err).NotTo(HaveOccurred())
+				}
+				r.apply("", plantainladder.Round{
+					ID: uint64(2*i + 2),
+					RunEnds: []workflow.RunEnd{
+						{
+							RunKey:    k,
+							EndReason: workflow.EndedCrashed,
+							WasAlone:  wasAlone,
+						},
+					},
+				})
+			}
+			w, _ := r.state.Workflow("f")
+			Expect(w.Status()).To(Equal(workflow.StatusFailed), "restored after %d crashes", restoredAfter)
+			restored, err := wire.UnmarshalState(encode(r.state))
+			Expect(err).NotTo(HaveOccurred())
+			again, _ := restored.Workflow("f")
+			Expect(again.Phase).To(Equal(w.Phase))
+		}
+	},
+		Entry("the third, if it was alone", true, 3),
+		Entry("the fifth, if it never was", false, 5),
+	)
 })
 
 var _ = Describe("A snapshot without expiries, from an earlier version", func() {
