--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -23,8 +23,12 @@
 	// written includes what was not synced; disk survives a crash.
 	written consensus.StoredState
 	disk    consensus.StoredState
-	// snapshot is what the host had applied up to its snapshot.
-	snapshot []string
+	// snapshot is what the host had applied up to its snapshot on the disk, and
+	// writtenSnapshot the same for its written snapshot.
+	snapshot        []string
+	writtenSnapshot []string
+	// isFull is true while nothing that the host writes becomes durable.
+	isFull bool
 	// awaitingSync holds messages that may be sent once the disk is synced.
 	awaitingSync []consensus.Message
 	applied      []string
@@ -49,6 +53,8 @@
 	pendingCommands map[uint64]string
 	appendedByToken map[uint64]consensus.Appended
 	blockedLinks    map[[2]string]bool
+	// arriving is what the sender of the snapshot that a host receives had applied.
+	arriving []string
 }
 
 func newCluster(n int) *cluster {
@@ -90,6 +96,7 @@
 	h.alive = true
 	h.written = h.disk
 	h.written.Entries = slices.Clone(h.disk.Entries)
+	h.writtenSnapshot = h.snapshot
 	h.awaitingSync = nil
 	h.applied = slices.Clone(h.snapshot)
 	h.replica = consensus.NewReplica(c.now, config(h.id), h.written)
@@ -139,38 +146,9 @@
 		c.appendedByToken[f.Token] = f
 	case consensus.Refused:
 		delete(c.pendingCommands, f.Token)
-	case consensus.InstallSnapshot, consensus.RoleChanged:
-	}
-}
-
-func (h *host) persist(f consensus.Persist) {
-	h.written.Hard = f.Hard
-	if len(f.Entries) == 0 {
-		return
-	}
-	first := f.Entries[0].Index
-	h.written.Entries = slices.DeleteFunc(slices.Clone(h.written.Entries), func(e consensus.Entry) bool {
-		return e.Index >= first
-	})
-	h.written.Entries = append(h.written.Entries, f.Entries...)
-}
-
-// sync makes everything written durable and sends the messages that waited for
-// it.
-func (c *cluster) sync(h *host) {
-	if !h.alive {
-		return
-	}
-	h.disk = h.written
-	h.disk.Entries = slices.Clone(h.written.Entries)
-	c.inFlight = append(c.inFlight, h.awaitingSync...)
-	h.awaitingSync = nil
-	if n := len(h.disk.Entries); n > 0 {
-		last := h.disk.Entries[n-1]
-		c.step(h, consensus.EntriesSynced{
-			Index: last.Index,
-			Term:  last.Term,
-		})
+	case consensus.InstallSnapshot:
+		h.installSnapshot(f.Meta, c.arriving)
+	case consensus.RoleChanged:
 	}
 }
 
@@ -207,59 +185,6 @@
 	}
 }
 
-// compact makes a durable snapshot of everything that a host has applied.
-func (c *cluster) compact(h *host) {
-	n := uint64(len(h.applied))
-	if !h.alive || n == 0 || n <= h.disk.Snapshot.Index || n < h.replica.Log().BaseIndex() {
-		return
-	}
-	term, ok := h.replica.Log().Term(n)
-	if !ok {
-		return
-	}
-	c.installSnapshot(h, consensus.SnapshotMeta{
-		Index:   n,
-		Term:    term,
-		Members: h.replica.MembersAt(n),
-	}, h.applied)
-	c.step(h, consensus.Compacted{
-		Index: n,
-	})
-}
-
-func (c *cluster) installSnapshot(h *host, meta consensus.SnapshotMeta, applied []string) {
-	h.snapshot = slices.Clone(applied)
-	for _, s := range []*consensus.StoredState{&h.disk, &h.written} {
-		s.Snapshot = meta
-		s.Entries = slices.DeleteFunc(slices.Clone(s.Entries), func(e consensus.Entry) bool {
-			return e.Index <= meta.Index
-		})
-	}
-}
-
-func (c *cluster) sendSnapshot(h *host, f consensus.SendSnapshot) {
-	to := c.hosts[f.To]
-	if to == nil || !to.alive || to == h || c.blockedLinks[linkBetween(h.id, to.id)] || h.disk.Snapshot.Index <= to.replica.CommitIndex() {
-		return
-	}
-	meta, applied := h.disk.Snapshot, h.snapshot
-	if term := to.replica.Hard().Term; f.Term < term {
-		return
-	}
-	c.installSnapshot(to, meta, applied)
-	to.disk.Entries, to.written.Entries = nil, nil
-	to.applied = slices.Clone(applied)
-	c.step(to, consensus.SnapshotReceived{
-		Message: consensus.Message{
-			From:  h.id,
-			To:    to.id,
-			Group: f.Group,
-			Term:  f.Term,
-		},
-		Meta: meta,
-	})
-}
-
 func (c *cluster) reportViolation(format string, args ...any) {
 	c.violations = append(c.violations, fmt.Sprintf(format, args...))
 }
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -306,7 +306,9 @@
 	r.leaderContactAt = now
 	r = r.withElectionTimer(now)
 	r.log = NewLog(e.Meta.Index, e.Meta.Term)
-	r.commitIndex, r.appliedIndex, r.syncedIndex = e.Meta.Index, e.Meta.Index, e.Meta.Index
+	r.commitIndex, r.appliedIndex = e.Meta.Index, e.Meta.Index
+	// The snapshot is not durable yet, and the entries of the old log are gone.
+	r.syncedIndex = 0
 	r.memberships = []membershipEntry{
 		{
 			index: e.Meta.Index,
