Send a member the entries again that it has lost

What callers saw: a controller that had fewer entries than its leader had counted ran and answered its health check, but never took part again. After a second one the group committed nothing, while its leader kept its lease, since rejections are replies too.

Cause: the leader never set a member's next entry below its match index, so the member rejected each append, and each rejection was answered by the same one.

Change: a rejection also lowers the match index. Committed entries stay committed, so this only makes the leader count fewer copies.

--- a/consensus/full_disk_test.go
+++ b/consensus/full_disk_test.go
@@ -32,6 +32,28 @@
 	return c, leader, stale, other
 }
 
+// checkConverges checks that a new command is acknowledged and that all running hosts
+// apply the same entries.
+func (c *cluster) checkConverges(d time.Duration) error {
+	c.runWithoutFaults(d)
+	leader := c.leader()
+	if leader == nil {
+		return fmt.Errorf("no leader\n%s", c)
+	}
+	c.propose(leader, "last")
+	c.runWithoutFaults(time.Second)
+	if _, ok := c.acknowledged["last"]; !ok {
+		return fmt.Errorf("the last command is not acknowledged\n%s", c)
+	}
+	for _, id := range c.ids() {
+		h := c.hosts[id]
+		if h.alive && len(h.applied) != len(leader.applied) {
+			return fmt.Errorf("%s has applied %d entries, the leader %d\n%s", id, len(h.applied), len(leader.applied), c)
+		}
+	}
+	return nil
+}
+
 var _ = Describe("A replica whose disk is full", func() {
 	It("does not acknowledge a snapshot before it is durable", func() {
 		c, leader, stale, _ := newClusterWithStaleFollower()
@@ -42,4 +64,32 @@
 		p, _ := leader.replica.Progress(stale.id)
 		Expect(p.Match).To(BeNumerically("<=", stale.disk.Snapshot.Index+uint64(len(stale.disk.Entries))))
 	})
+
+	It("catches up if it restarts before a snapshot is durable", func() {
+		c, leader, stale, other := newClusterWithStaleFollower()
+		c.start(stale)
+		stale.isFull = true
+		c.runWithoutFaults(2 * time.Second)
+		c.crash(stale)
+		stale.isFull = false
+		c.start(stale)
+		c.crash(other)
+		Expect(c.checkConverges(12 * time.Second)).To(Succeed())
+		Expect(c.leader()).To(Equal(leader))
+	})
+})
+
+var _ = Describe("A leader", func() {
+	It("sends a member the entries again that its disk has lost", func() {
+		c := newFormedCluster(3)
+		lost := c.hosts["c3"]
+		for i := range 10 {
+			c.propose(c.leader(), fmt.Sprint(i))
+		}
+		c.runWithoutFaults(time.Second)
+		c.crash(lost)
+		lost.disk.Entries = lost.disk.Entries[:len(lost.disk.Entries)-5]
+		c.start(lost)
+		Expect(c.checkConverges(2 * time.Second)).To(Succeed())
+	})
 })
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -225,7 +225,9 @@
 		return r, nil
 	}
 	if !reply.Accepted {
-		p.Next = max(p.Match, min(p.Next-1, reply.Match)) + 1
+		// A member whose disk has lost entries gets them again.
+		p.Match = min(p.Match, reply.Match)
+		p.Next = min(p.Next-1, reply.Match) + 1
 		p.Probing = true
 		r.role = l.withProgress(from, p)
 		return r.replicateToOne(now, from)
