--- a/consensus/full_disk_test.go
+++ b/consensus/full_disk_test.go
@@ -6,6 +6,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/plantainladder/plantainladder/consensus"
 )
 
 // newClusterWithStaleFollower returns a cluster of three with a stopped follower
@@ -93,3 +95,50 @@
 		Expect(c.checkConverges(2 * time.Second)).To(Succeed())
 	})
 })
+
+var _ = Describe("A follower", func() {
+	It("preserves acknowledged entries if an older snapshot arrives after them", func() {
+		c := newFormedCluster(3)
+		leader, h, other := c.leader(), c.hosts["c2"], c.hosts["c3"]
+		Expect(leader.id).To(Equal("c1"))
+		c.runWithoutFaults(time.Second)
+		c.crash(other)
+		c.propose(leader, "a")
+		c.deliverInFlightTo(h)
+		c.sync(leader)
+		// The follower gets "b" with the commit index of before "a".
+		c.propose(leader, "b")
+		second := c.inFlight
+		c.inFlight = nil
+		c.sync(h)
+		c.deliverInFlightTo(leader)
+		c.compact(leader)
+		late, applied := leader.disk.Snapshot, leader.snapshot
+		c.inFlight = second
+		c.deliverInFlightTo(h)
+		c.sync(h)
+		c.deliverInFlightTo(leader)
+		Expect(c.acknowledged).To(HaveKey("b"))
+		Expect(h.replica.CommitIndex()).To(BeNumerically("<", late.Index))
+		c.deliverSnapshot(leader.id, h, consensus.SendSnapshot{
+			Group: leader.replica.Group(),
+			Term:  leader.replica.Hard().Term,
+		}, late, applied)
+		Expect(h.replica.Log().LastIndex()).To(Equal(leader.replica.Log().LastIndex()))
+		c.crash(leader)
+		c.start(other)
+		Expect(c.checkConverges(3 * time.Second)).To(Succeed())
+		Expect(c.violations).To(BeEmpty())
+	})
+})
+
+// deliverInFlightTo delivers the messages in flight to one host and loses the others.
+func (c *cluster) deliverInFlightTo(h *host) {
+	inFlight := c.inFlight
+	c.inFlight = nil
+	for _, msg := range inFlight {
+		if msg.To == h.id {
+			c.deliver(msg)
+		}
+	}
+}
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -307,21 +307,30 @@
 	r.leaderID = e.Message.From
 	r.leaderContactAt = now
 	r = r.withElectionTimer(now)
-	r.log = NewLog(e.Meta.Index, e.Meta.Term)
-	r.commitIndex, r.appliedIndex = e.Meta.Index, e.Meta.Index
+	if term, ok := r.log.Term(e.Meta.Index); !ok || term != e.Meta.Term {
+		r = r.withSnapshot(e.Meta)
+		out = append(out, InstallSnapshot{
+			Meta: e.Meta,
+		})
+	}
+	r.commitIndex = max(r.commitIndex, e.Meta.Index)
+	return r, append(out, r.sendAfterSync(e.Message.From, AppendReply{
+		Accepted: true,
+		Match:    e.Meta.Index,
+	}))
+}
+
+// withSnapshot returns r with a snapshot in place of its log.
+func (r Replica) withSnapshot(meta SnapshotMeta) Replica {
+	r.log = NewLog(meta.Index, meta.Term)
+	r.commitIndex, r.appliedIndex = meta.Index, meta.Index
 	// The snapshot is not durable yet, and the entries of the old log are gone.
 	r.syncedIndex = 0
 	r.memberships = []membershipEntry{
 		{
-			index: e.Meta.Index,
-			set:   e.Meta.Members,
+			index: meta.Index,
+			set:   meta.Members,
 		},
 	}
-	out = append(out, InstallSnapshot{
-		Meta: e.Meta,
-	})
-	return r, append(out, r.sendAfterSync(e.Message.From, AppendReply{
-		Accepted: true,
-		Match:    e.Meta.Index,
-	}))
+	return r
 }
