--- a/consensus/full_disk_test.go
+++ b/consensus/full_disk_test.go
@@ -94,6 +94,28 @@
 		c.start(lost)
 		Expect(c.checkConverges(2 * time.Second)).To(Succeed())
 	})
+
+	It("goes on with a member whose acknowledgement of a snapshot was lost", func() {
+		c, leader, stale, other := newClusterWithStaleFollower()
+		c.start(stale)
+		for stale.written.Snapshot.Index == 0 {
+			c.now = c.now.Add(heartbeat)
+			c.step(leader, consensus.Tick{})
+			inFlight := c.inFlight
+			c.inFlight = nil
+			for _, msg := range inFlight {
+				c.deliver(msg)
+			}
+		}
+		c.sync(stale)
+		c.inFlight = nil
+		c.crash(stale)
+		c.start(stale)
+		c.crash(other)
+		c.propose(leader, "needs the member")
+		Expect(c.checkConverges(25 * time.Second)).To(Succeed())
+		Expect(c.acknowledged).To(HaveKey("needs the member"))
+	})
 })
 
 var _ = Describe("A follower", func() {
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -295,7 +295,7 @@
 }
 
 func (r Replica) stepSnapshotReceived(now time.Time, e SnapshotReceived) (Replica, []Effect) {
-	if e.Message.Term < r.hardState.Term || e.Meta.Index <= r.commitIndex {
+	if e.Message.Term < r.hardState.Term {
 		return r, nil
 	}
 	var out []Effect
@@ -307,19 +307,27 @@
 	r.leaderID = e.Message.From
 	r.leaderContactAt = now
 	r = r.withElectionTimer(now)
-	if term, ok := r.log.Term(e.Meta.Index); !ok || term != e.Meta.Term {
+	if !r.holds(e.Meta) {
 		r = r.withSnapshot(e.Meta)
 		out = append(out, InstallSnapshot{
 			Meta: e.Meta,
 		})
 	}
 	r.commitIndex = max(r.commitIndex, e.Meta.Index)
+	// The leader sends the snapshot until it gets this reply, which may be lost.
 	return r, append(out, r.sendAfterSync(e.Message.From, AppendReply{
 		Accepted: true,
 		Match:    e.Meta.Index,
 	}))
 }
 
+// holds reports whether the log or the applied state covers the same entries as a
+// snapshot.
+func (r Replica) holds(meta SnapshotMeta) bool {
+	term, ok := r.log.Term(meta.Index)
+	return meta.Index <= r.commitIndex || ok && term == meta.Term
+}
+
 // withSnapshot returns r with a snapshot in place of its log.
 func (r Replica) withSnapshot(meta SnapshotMeta) Replica {
 	r.log = NewLog(meta.Index, meta.Term)
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -40,9 +40,6 @@
 }
 
 func (c Core) stepSnapshotReceived(now time.Time, e SnapshotReceived) (Core, []Effect) {
-	if e.Meta.Index <= c.state.Index() {
-		return c, nil
-	}
 	c.receivedSnapshot = &e
 	c, out := c.stepReplica(now, consensus.SnapshotReceived{
 		Message: e.Message,
