Never let the disk writer wait for the event loop

What callers saw: a controller under load whose disk was full for seconds ran and answered its health check, but took part in nothing any more, for good.

Cause: a deadlock. While a disk is full, both queues fill up.

Evidence: "goes on if all its queues have filled up meanwhile" failed: 10 s after the disk had room again, nothing was committed.

The comment on the timeout said that the queue outlasts it, which does not hold under load.

--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -43,8 +43,8 @@
 	maxConcurrentCalls = 256
 	shutdownTimeout    = 3 * time.Second
 	// diskFullTimeout is how long a controller waits on a full disk before it exits.
-	// It is long enough to notice space that an operator frees, and shorter than
-	// the time in which the queue of the disk writer fills up.
+	// It is long enough to notice space that an operator frees. If the queue of the
+	// disk writer fills up before, the event loop waits.
 	diskFullTimeout = 30 * time.Second
 )
 
@@ -55,6 +55,7 @@
 	folder  *disk.Folder
 	log     *disk.Log
 	writer  *disk.Writer
+	synced  syncReporter
 	peers   *replica.Peers
 	pusher  *worker.Pusher
 	pending *gateway.PendingRequests
@@ -84,6 +85,7 @@
 		logger:  util.ForComponent(cfg.Logger, "controller"),
 		folder:  folder,
 		log:     log,
+		synced:  newSyncReporter(),
 		pending: gateway.NewPendingRequests(),
 		meters:  newMeters(),
 		ctx:     ctx,
@@ -137,18 +139,13 @@
 // state.
 func (n *Node) createComponents(logger zerolog.Logger) {
 	n.writer = disk.NewWriter(disk.WriterConfig{
-		Folder: n.folder,
-		Log:    n.log,
-		EntriesSynced: func(e consensus.Entry) {
-			_ = n.loop.Post(n.ctx, control.EntriesSynced{
-				Index: e.Index,
-				Term:  e.Term,
-			})
-		},
-		ObserveSync: n.meters.observeSync,
-		FullChanged: n.reportDiskFull,
-		FullTimeout: diskFullTimeout,
-		QueueLength: diskQueueLength,
+		Folder:        n.folder,
+		Log:           n.log,
+		EntriesSynced: n.synced.report,
+		ObserveSync:   n.meters.observeSync,
+		FullChanged:   n.reportDiskFull,
+		FullTimeout:   diskFullTimeout,
+		QueueLength:   diskQueueLength,
 	})
 	n.peers = replica.NewPeers(replica.Config{
 		Token:      n.cfg.ClusterToken,
@@ -263,6 +260,7 @@
 	failed := make(chan error, 2)
 	go func() { failed <- server.Serve(listener) }()
 	go func() { failed <- n.writer.Run(ctx) }()
+	go n.synced.run(ctx, n.loop.Post)
 	go n.peers.Run(ctx)
 	go n.loop.Run(ctx)
 	go n.loop.Tick(ctx, tickInterval, func() control.Event {
--- /dev/null
+++ b/controller/node/node_suite_test.go
@@ -0,0 +1,110 @@
+package node_test
+
+import (
+	"context"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	plantainladder "github.com/plantainladder/plantainladder"
+	"github.com/plantainladder/plantainladder/control"
+	"github.com/plantainladder/plantainladder/controller/node"
+)
+
+func TestNode(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "node")
+}
+
+// limitFileSize simulates a full disk by limiting the size of the files that this
+// process can write, until the returned function is called.
+func limitFileSize(bytes int64) (restore func()) {
+	var before syscall.Rlimit
+	Expect(syscall.Getrlimit(syscall.RLIMIT_FSIZE, &before)).To(Succeed())
+	limited := before
+	limited.Cur = uint64(bytes)
+	Expect(syscall.Setrlimit(syscall.RLIMIT_FSIZE, &limited)).To(Succeed())
+	return sync.OnceFunc(func() {
+		Expect(syscall.Setrlimit(syscall.RLIMIT_FSIZE, &before)).To(Succeed())
+	})
+}
+
+// startLeader starts a controller that is the only voter of its group.
+func startLeader(path string, snapshotEvery int) (n *node.Node, stopped chan error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	n, err := node.New(ctx, node.Config{
+		Listen:        "127.0.0.1:0",
+		DataDir:       path,
+		SnapshotEvery: snapshotEvery,
+		Voters:        1,
+		FormGroup:     true,
+		Seeds:         func() []string { return nil },
+		Logger:        zerolog.Nop(),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	stopped = make(chan error, 1)
+	stopping := make(chan struct{})
+	go func() { stopped <- n.Run(ctx, stopping) }()
+	DeferCleanup(func() {
+		close(stopping)
+		cancel()
+	})
+	Eventually(func() bool { return n.Core().HasLease(time.Now()) }).WithTimeout(5 * time.Second).Should(BeTrue())
+	return n, stopped
+}
+
+// submit posts a command, and waits while the queue of the event loop is full.
+func submit(ctx context.Context, n *node.Node, outOfService bool) error {
+	return n.Post(ctx, control.Submit{
+		Command: plantainladder.SetDataCentre{
+			Name:         "a",
+			OutOfService: outOfService,
+		},
+	})
+}
+
+// largestFile returns the size in bytes of the largest file in a folder.
+func largestFile(path string) (size int64) {
+	Expect(filepath.WalkDir(path, func(_ string, d fs.DirEntry, _ error) error {
+		info, err := os.Stat(filepath.Join(path, d.Name()))
+		if err == nil && !d.IsDir() {
+			size = max(size, info.Size())
+		}
+		return nil
+	})).To(Succeed())
+	return size
+}
+
+var _ = Describe("A controller whose disk was full", func() {
+	It("goes on if all its queues have filled up meanwhile", func() {
+		path := GinkgoT().TempDir()
+		n, stopped := startLeader(path, 1_000_000)
+		restore := limitFileSize(largestFile(path) + 10)
+		DeferCleanup(restore)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		posted := 0
+		for submit(ctx, n, posted%2 == 0) == nil {
+			posted++
+		}
+		before := n.Core().Replica().CommitIndex()
+		restore()
+		Eventually(func() uint64 { return n.Core().Replica().CommitIndex() }).WithTimeout(10 * time.Second).
+			Should(BeNumerically(">", before))
+		ctx, cancel = context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		Expect(submit(ctx, n, true)).To(Succeed())
+		last := n.Core().Replica().Log().LastIndex()
+		Eventually(func() uint64 { return n.Core().Replica().CommitIndex() }).WithTimeout(5 * time.Second).
+			Should(BeNumerically(">=", last))
+		Expect(stopped).NotTo(Receive())
+	})
+})
--- a/controller/node/perform.go
+++ b/controller/node/perform.go
@@ -125,16 +125,20 @@
 		return
 	}
 	n.meters.observeSnapshot(len(state), time.Since(startedAt))
+	saved := make(chan struct{})
 	n.writer.Enqueue(n.ctx, disk.SaveSnapshot{
 		Snapshot: disk.Snapshot{
 			Meta:  f.Meta,
 			State: state,
 		},
 		KeepAfter: f.KeepAfter,
-		Done: func() {
-			_ = n.loop.Post(n.ctx, control.SnapshotSaved{
-				Index: f.Meta.Index,
-			})
-		},
+		Done:      func() { close(saved) },
 	})
+	select {
+	case <-n.ctx.Done():
+	case <-saved:
+		_ = n.loop.Post(n.ctx, control.SnapshotSaved{
+			Index: f.Meta.Index,
+		})
+	}
 }
