--- a/controller/node/node_suite_test.go
+++ b/controller/node/node_suite_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
@@ -56,11 +57,22 @@
 	DeferCleanup(func() {
 		close(stopping)
 		cancel()
+		// Each controller registers its metrics with the process.
+		metrics.UnregisterAllMetrics()
 	})
 	Eventually(func() bool { return n.Core().HasLease(time.Now()) }).WithTimeout(5 * time.Second).Should(BeTrue())
 	return n, stopped
 }
 
+// fillLog submits n commands and waits until they are committed.
+func fillLog(n *node.Node, commands int) {
+	for i := range commands {
+		Expect(submit(context.Background(), n, i%2 == 0)).To(Succeed())
+	}
+	Eventually(func() uint64 { return n.Core().Replica().CommitIndex() }).WithTimeout(5 * time.Second).
+		Should(BeNumerically(">=", commands))
+}
+
 // submit posts a command, and waits while the queue of the event loop is full.
 func submit(ctx context.Context, n *node.Node, outOfService bool) error {
 	return n.Post(ctx, control.Submit{
@@ -87,6 +99,7 @@
 	It("goes on if all its queues have filled up meanwhile", func() {
 		path := GinkgoT().TempDir()
 		n, stopped := startLeader(path, 1_000_000)
+		fillLog(n, 500)
 		restore := limitFileSize(largestFile(path) + 10)
 		DeferCleanup(restore)
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
@@ -107,4 +120,33 @@
 			Should(BeNumerically(">=", last))
 		Expect(stopped).NotTo(Receive())
 	})
+
+	It("goes on to compact its log if snapshots were due each time", func() {
+		const snapshotEvery = 100
+		path := GinkgoT().TempDir()
+		n, stopped := startLeader(path, snapshotEvery)
+		fillLog(n, 1500)
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+		defer cancel()
+		for range 6 {
+			restore := limitFileSize(largestFile(path) / 2)
+			DeferCleanup(restore)
+			until := time.Now().Add(400 * time.Millisecond)
+			for i := 0; i < 500 || time.Now().Before(until); i++ {
+				Expect(submit(ctx, n, i%2 == 0)).To(Succeed())
+				time.Sleep(time.Millisecond)
+			}
+			restore()
+			last := n.Core().Replica().Log().LastIndex()
+			Eventually(func() uint64 { return n.Core().Replica().CommitIndex() }).WithTimeout(5 * time.Second).
+				Should(BeNumerically(">=", last))
+		}
+		// The last snapshot may be that of before the last fill.
+		Expect(submit(ctx, n, true)).To(Succeed())
+		Eventually(func() uint64 {
+			l := n.Core().Replica().Log()
+			return l.LastIndex() - l.BaseIndex()
+		}).WithTimeout(5 * time.Second).Should(BeNumerically("<=", 1000+2*snapshotEvery))
+		Expect(stopped).NotTo(Receive())
+	})
 })
