--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -29,6 +29,8 @@
 	writtenSnapshot []string
 	// isFull is true while nothing that the host writes becomes durable.
 	isFull bool
+	// refusesSnapshots is true while the transfers of snapshots to the host fail.
+	refusesSnapshots bool
 	// awaitingSync holds messages that may be sent once the disk is synced.
 	awaitingSync []consensus.Message
 	applied      []string
--- a/consensus/disk_test.go
+++ b/consensus/disk_test.go
@@ -77,10 +77,12 @@
 
 func (c *cluster) sendSnapshot(h *host, f consensus.SendSnapshot) {
 	to := c.hosts[f.To]
-	if to == nil || to == h || c.blockedLinks[linkBetween(h.id, to.id)] {
-		return
+	if to != nil && to != h && !to.refusesSnapshots && !c.blockedLinks[linkBetween(h.id, to.id)] {
+		c.deliverSnapshot(h.id, to, f, h.disk.Snapshot, h.snapshot)
 	}
-	c.deliverSnapshot(h.id, to, f, h.disk.Snapshot, h.snapshot)
+	c.step(h, consensus.SnapshotSent{
+		To: f.To,
+	})
 }
 
 func (c *cluster) deliverSnapshot(from string, to *host, f consensus.SendSnapshot, meta consensus.SnapshotMeta, applied []string) {
--- a/consensus/event.go
+++ b/consensus/event.go
@@ -82,6 +82,13 @@
 	Meta SnapshotMeta
 }
 
+// SnapshotSent reports that the transfer of a snapshot to a member has ended,
+// whether the snapshot has arrived or not.
+type SnapshotSent struct {
+	// To is the identity of the member.
+	To string
+}
+
 // TransferLeadership asks the leader to hand leadership over to another voter,
 // before a planned stop. It has no effect if no other voter is reachable.
 type TransferLeadership struct{}
@@ -94,6 +101,7 @@
 func (EntriesSynced) event()      {}
 func (Compacted) event()          {}
 func (SnapshotReceived) event()   {}
+func (SnapshotSent) event()       {}
 func (TransferLeadership) event() {}
 
 // SnapshotMeta describes a snapshot without its state.
--- a/consensus/full_disk_test.go
+++ b/consensus/full_disk_test.go
@@ -95,6 +95,18 @@
 		Expect(c.checkConverges(2 * time.Second)).To(Succeed())
 	})
 
+	It("soon sends a snapshot again whose transfer failed", func() {
+		c, leader, stale, other := newClusterWithStaleFollower()
+		stale.refusesSnapshots = true
+		c.start(stale)
+		c.runWithoutFaults(time.Second)
+		stale.refusesSnapshots = false
+		c.crash(other)
+		c.propose(leader, "needs the member")
+		c.runWithoutFaults(2500 * time.Millisecond)
+		Expect(c.acknowledged).To(HaveKey("needs the member"), "%s", c)
+	})
+
 	It("goes on with a member whose acknowledgement of a snapshot was lost", func() {
 		c, leader, stale, other := newClusterWithStaleFollower()
 		c.start(stale)
--- a/consensus/replica.go
+++ b/consensus/replica.go
@@ -222,6 +222,8 @@
 		r = r.stepCompacted(e)
 	case SnapshotReceived:
 		r, out = r.stepSnapshotReceived(now, e)
+	case SnapshotSent:
+		r = r.stepSnapshotSent(now, e)
 	case TransferLeadership:
 		r, out = r.stepTransferLeadership(now)
 	}
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -2,9 +2,14 @@
 
 import "time"
 
-// snapshotRetryInterval is how long a leader waits for a member to install a
-// snapshot before it sends the snapshot again.
-const snapshotRetryInterval = 10 * time.Second
+const (
+	// snapshotRetryInterval is how long a leader waits for the end of the transfer
+	// of a snapshot before it sends the snapshot again.
+	snapshotRetryInterval = 10 * time.Second
+	// snapshotReplyTimeout is how long a member may take to install a snapshot
+	// after its transfer.
+	snapshotReplyTimeout = time.Second
+)
 
 func (r Replica) tickLeader(now time.Time, l Leader) (Replica, []Effect) {
 	contact := l.quorumContact(now, r.cfg.ID, r.Members())
@@ -153,6 +158,19 @@
 	})
 }
 
+func (r Replica) stepSnapshotSent(now time.Time, e SnapshotSent) Replica {
+	l, ok := r.role.(Leader)
+	if !ok {
+		return r
+	}
+	p := l.progress[e.To]
+	if retryAt := now.Add(snapshotReplyTimeout); retryAt.Before(p.SnapshotRetryAt) {
+		p.SnapshotRetryAt = retryAt
+		r.role = l.withProgress(e.To, p)
+	}
+	return r
+}
+
 func (r Replica) stepAppend(now time.Time, msg Message, request Append) (Replica, []Effect) {
 	r.role = Follower{}
 	r.leaderID = msg.From
--- a/control/event.go
+++ b/control/event.go
@@ -71,6 +71,13 @@
 	Encoded []byte
 }
 
+// SnapshotSent reports that the transfer of a snapshot to a member has ended,
+// whether the snapshot has arrived or not.
+type SnapshotSent struct {
+	// To is the identity of the member.
+	To string
+}
+
 // FormGroup makes this controller the only voter of a new group.
 type FormGroup struct {
 	// Token is repeated in the Reply.
@@ -112,6 +119,7 @@
 func (EntriesSynced) event()       {}
 func (SnapshotSaved) event()       {}
 func (SnapshotReceived) event()    {}
+func (SnapshotSent) event()        {}
 func (FormGroup) event()           {}
 func (ChangeMembers) event()       {}
 func (StepDown) event()            {}
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -148,11 +148,16 @@
 		QueueLength:   diskQueueLength,
 	})
 	n.peers = replica.NewPeers(replica.Config{
-		Token:      n.cfg.ClusterToken,
-		Source:     n.cfg.Source,
-		Self:       n.folder.ID(),
-		Folder:     n.folder,
-		Logger:     util.ForComponent(logger, "controller/replica"),
+		Token:  n.cfg.ClusterToken,
+		Source: n.cfg.Source,
+		Self:   n.folder.ID(),
+		Folder: n.folder,
+		Logger: util.ForComponent(logger, "controller/replica"),
+		SnapshotSent: func(to string) {
+			_ = n.loop.Post(n.ctx, control.SnapshotSent{
+				To: to,
+			})
+		},
 		CountBytes: n.meters.countBytes,
 	})
 	n.pusher = worker.NewPusher(worker.Config{
--- a/controller/replica/peers.go
+++ b/controller/replica/peers.go
@@ -36,6 +36,9 @@
 	Folder *disk.Folder
 	// Logger is the logger of this component.
 	Logger zerolog.Logger
+	// SnapshotSent is called with the identity of the member once the transfer of a
+	// snapshot has ended, whether the snapshot has arrived or not.
+	SnapshotSent func(to string)
 	// CountBytes is called with the numbers of bytes written and read.
 	CountBytes func(written, read int)
 }
@@ -128,6 +131,7 @@
 			if err := p.sendSnapshot(ctx, t); err != nil {
 				p.cfg.Logger.Warn().Err(err).Str("to", t.address).Msg("Sending a snapshot to a controller failed.")
 			}
+			p.cfg.SnapshotSent(t.send.To)
 		}
 	}
 }
