Remove incomplete files from the data folder

What callers saw: nothing yet; space that a full disk lacks.

Change: the received file is removed once it was read or a write has failed, and files that a killed process left are removed at the start. Temporary files are created in the data folder only.

--- a/controller/disk/folder.go
+++ b/controller/disk/folder.go
@@ -53,6 +53,9 @@
 		path: path,
 		lock: lock,
 	}
+	if err = removeLeftovers(path); err != nil {
+		return nil, errors.Join(err, lock.Close())
+	}
 	if f.id, err = f.readOrCreateIdentity(); err != nil {
 		return nil, errors.Join(err, lock.Close())
 	}
@@ -101,7 +104,7 @@
 		}
 	}
 	id = util.NewID()
-	if err = renameio.WriteFile(path, []byte(id+"\n"), filePerm); err != nil {
+	if err = renameio.WriteFile(path, []byte(id+"\n"), filePerm, renameio.WithTempDir(f.path)); err != nil {
 		return "", err
 	}
 	return id, syncFolder(f.path)
@@ -138,7 +141,8 @@
 	if err != nil {
 		return err
 	}
-	if err = renameio.WriteFile(f.snapshotPath(), appendFrame(nil, body), filePerm); err != nil {
+	err = renameio.WriteFile(f.snapshotPath(), appendFrame(nil, body), filePerm, renameio.WithTempDir(f.path))
+	if err != nil {
 		return asFullError(err, nil)
 	}
 	return syncFolder(f.path)
@@ -194,29 +198,36 @@
 }
 
 // WriteSnapshotChunk writes a chunk of a snapshot received from another
-// controller. An offset of zero discards the chunks received before.
+// controller. An offset of zero discards the chunks received before, and so does
+// an error.
 func (f *Folder) WriteSnapshotChunk(offset int64, chunk []byte) (err error) {
 	defer util.Annotate(&err, "disk: write snapshot chunk")
-	flags := os.O_CREATE | os.O_WRONLY
+	flags := os.O_WRONLY
 	if offset == 0 {
-		flags |= os.O_TRUNC
+		flags |= os.O_CREATE | os.O_TRUNC
 	}
 	file, err := os.OpenFile(f.receivedSnapshotPath(), flags, filePerm)
 	if err != nil {
 		return err
 	}
 	_, err = file.WriteAt(chunk, offset)
-	return errors.Join(err, file.Close())
+	if err = errors.Join(err, file.Close()); err != nil {
+		return errors.Join(err, os.Remove(f.receivedSnapshotPath()))
+	}
+	return nil
 }
 
 // LoadReceivedSnapshot verifies and returns the snapshot whose chunks were
-// received. It takes effect only once SaveSnapshot has stored it.
+// received, and removes these. It takes effect only once SaveSnapshot has stored it.
 func (f *Folder) LoadReceivedSnapshot() (s Snapshot, err error) {
 	defer util.Annotate(&err, "disk: load received snapshot")
 	b, err := os.ReadFile(f.receivedSnapshotPath())
 	if err != nil {
 		return s, err
 	}
+	if err = os.Remove(f.receivedSnapshotPath()); err != nil {
+		return s, err
+	}
 	return f.decodeSnapshot(b)
 }
 
--- a/controller/disk/log.go
+++ b/controller/disk/log.go
@@ -255,10 +255,13 @@
 	return errors.Join(err, syncFolder(l.folder))
 }
 
+// tempSuffix ends the names of segments that are not complete.
+const tempSuffix = ".tmp"
+
 // writeDurably writes a temporary file, syncs it and renames it to path, and
 // returns it open for appending.
 func writeDurably(path string, content []byte) (file *os.File, err error) {
-	tempPath := path + ".tmp"
+	tempPath := path + tempSuffix
 	file, err = os.OpenFile(tempPath, os.O_CREATE|os.O_WRONLY|os.O_TRUNC|os.O_APPEND, filePerm)
 	if err != nil {
 		return nil, err
