Keep the output of go test below the limit that makes a disk full

The limit on the size of a file also applies to the log that go test writes for its cache: "can't write testlog.txt: file too large", depending on the order of the cases. The cases check the same with longer logs and higher limits.

--- a/controller/disk/disk_suite_test.go
+++ b/controller/disk/disk_suite_test.go
@@ -208,7 +208,12 @@
 }
 
 var _ = Describe("A full disk", func() {
-	const term = 3
+	const (
+		term = 3
+		// filled entries take more space than the log that go test itself writes,
+		// which the limit applies to as well.
+		filled = 2000
+	)
 
 	startWriter := func(path string, timeout time.Duration) (failed chan error, synced chan uint64, full chan error) {
 		f, l, _, err := open(path)
@@ -240,14 +245,14 @@
 				Hard: consensus.HardState{
 					Term: term,
 				},
-				Entries: entries(11, 20),
+				Entries: entries(filled+1, 20),
 			},
 		})
 		return failed, synced, full
 	}
 
 	It("delays writes until space is free, and loses none of them", func() {
-		path := newFilledFolder(10)
+		path := newFilledFolder(filled)
 		info, err := os.Stat(logFile(path))
 		Expect(err).NotTo(HaveOccurred())
 		restore := limitFileSize(info.Size() + 30)
@@ -256,17 +261,17 @@
 		Eventually(full).Should(Receive(MatchError(ContainSubstring("disk is full"))))
 		Consistently(synced, 300*time.Millisecond).ShouldNot(Receive())
 		restore()
-		Eventually(synced).Should(Receive(Equal(uint64(30))))
+		Eventually(synced).Should(Receive(Equal(uint64(filled + 20))))
 		Expect(full).To(Receive(BeNil()))
 		Expect(failed).NotTo(Receive())
 		_, content, err := disk.OpenLog(path)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(content.Entries).To(Equal(entries(1, 30)))
+		Expect(content.Entries).To(Equal(entries(1, filled+20)))
 		Expect(content.Hard.Term).To(Equal(uint64(term)))
 	})
 
 	It("makes the writer fail after the timeout and leaves the log intact", func() {
-		path := newFilledFolder(10)
+		path := newFilledFolder(filled)
 		info, err := os.Stat(logFile(path))
 		Expect(err).NotTo(HaveOccurred())
 		restore := limitFileSize(info.Size() + 30)
@@ -277,12 +282,12 @@
 		Expect(synced).NotTo(Receive())
 		_, content, err := disk.OpenLog(path)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(content.Entries).To(Equal(entries(1, 10)))
+		Expect(content.Entries).To(Equal(entries(1, filled)))
 		Expect(content.TornBytes).To(BeZero())
 	})
 
 	It("preserves the last snapshot and the log if there is no space for a new one", func() {
-		path := newFilledFolder(10)
+		path := newFilledFolder(filled)
 		f, l, _, err := open(path)
 		Expect(err).NotTo(HaveOccurred())
 		meta := consensus.SnapshotMeta{
@@ -293,12 +298,12 @@
 			Meta:  meta,
 			State: []byte("first"),
 		})).To(Succeed())
-		restore := limitFileSize(64)
+		restore := limitFileSize(64 << 10)
 		DeferCleanup(restore)
 		var full *disk.FullError
 		err = f.SaveSnapshot(disk.Snapshot{
 			Meta:  meta,
-			State: make([]byte, 4096),
+			State: make([]byte, 128<<10),
 		})
 		Expect(errors.As(err, &full)).To(BeTrue())
 		Expect(errors.As(l.CompactLog(0), &full)).To(BeTrue())
@@ -308,7 +313,7 @@
 		_, _, r, err := open(path)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(r.State).To(Equal([]byte("first")))
-		Expect(r.StoredState.Entries).To(Equal(entries(6, 5)))
+		Expect(r.StoredState.Entries).To(Equal(entries(6, filled-5)))
 	})
 })
 
