--- a/consensus/replica_test.go
+++ b/consensus/replica_test.go
@@ -100,6 +100,7 @@
 				}
 			}
 			for _, id := range c.ids() {
+				c.hosts[id].isFull, c.hosts[id].refusesSnapshots = false, false
 				if !c.hosts[id].alive {
 					c.start(c.hosts[id])
 				}
@@ -107,13 +108,16 @@
 			c.inFlight, c.blockedLinks = nil, map[[2]string]bool{}
 			c.runWithoutFaults(5 * time.Second)
 			checkAcknowledged(t, c)
+			if err := c.checkConverges(10 * time.Second); err != nil {
+				t.Fatalf("%v", err)
+			}
 		})
 	})
 })
 
 func stepRandomly(t *rapid.T, c *cluster) {
 	h := c.hosts[rapid.SampledFrom(c.ids()).Draw(t, "host")]
-	switch rapid.IntRange(0, 13).Draw(t, "action") {
+	switch rapid.IntRange(0, 14).Draw(t, "action") {
 	case 0, 1, 2:
 		c.now = c.now.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * time.Millisecond)
 		for _, id := range c.ids() {
@@ -146,6 +150,9 @@
 		} else {
 			c.start(h)
 		}
+	case 14:
+		h.isFull = rapid.Bool().Draw(t, "full")
+		h.refusesSnapshots = h.isFull
 	}
 }
 
