Confirm the addition of a member that is sent again

What callers saw: "members replace" was refused with "is already a member", though the change was made, if the group could not commit it within 0.9 s, as while the disk of a controller that the majority needs is full.

Cause: the gateway repeats a request that stays unanswered for 0.9 s. The second one met the first one's uncommitted change.

Change: an Add of a member that the set has with the same address and the same member to replace is answered with the position of the set, at once if that is committed. Other additions under the same identity are refused as before.

--- a/consensus/effect.go
+++ b/consensus/effect.go
@@ -57,7 +57,7 @@
 }
 
 // Appended reports the position of a proposal in the log. The proposal is not
-// yet committed.
+// yet committed, unless it is a change of members that was made before.
 type Appended struct {
 	// Token is the token that came with the proposal.
 	Token uint64
--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -52,6 +52,10 @@
 		return r, []Effect{
 			refusal,
 		}
+	case r.Members().HasAddition(e.Change):
+		return r, []Effect{
+			r.appendedMembers(e.Token),
+		}
 	case r.isChangePending() || r.commitIndex < l.termStartIndex:
 		refusal.Reason = RefusedChangePending
 		refusal.Detail = "an earlier change of members is not yet committed"
@@ -74,6 +78,18 @@
 	})
 }
 
+// appendedMembers returns the answer to a change that the latest set of members
+// includes already.
+func (r Replica) appendedMembers(token uint64) Appended {
+	index := r.memberships[len(r.memberships)-1].index
+	term, _ := r.log.Term(index)
+	return Appended{
+		Token: token,
+		Index: index,
+		Term:  term,
+	}
+}
+
 // isChangePending reports whether the latest set of members is not yet
 // committed.
 func (r Replica) isChangePending() bool {
--- a/control/core.go
+++ b/control/core.go
@@ -180,7 +180,7 @@
 	case consensus.Apply:
 		return c.applyCommitted(f.Entries)
 	case consensus.Appended:
-		return c.withPendingReply(f), nil
+		return c.replyOnceCommitted(f)
 	case consensus.Refused:
 		return c.replyRefused(f)
 	case consensus.RoleChanged:
@@ -191,15 +191,29 @@
 	return c, nil
 }
 
-func (c Core) withPendingReply(f consensus.Appended) Core {
+// replyOnceCommitted replies to a request whose entry is committed, and otherwise
+// makes the reply wait for that.
+func (c Core) replyOnceCommitted(f consensus.Appended) (Core, []Effect) {
 	if f.Token == 0 {
-		return c
+		return c, nil
+	}
+	if f.Index <= c.replica.CommitIndex() {
+		return c, []Effect{
+			Reply{
+				Token: f.Token,
+				Answer: Committed{
+					Outcome: plantainladder.Outcome{
+						Index: f.Index,
+					},
+				},
+			},
+		}
 	}
 	c.pendingReplies = c.pendingReplies.Set(f.Index, pendingReply{
 		token: f.Token,
 		term:  f.Term,
 	})
-	return c
+	return c, nil
 }
 
 func (c Core) replyRefused(f consensus.Refused) (Core, []Effect) {
--- a/member/member.go
+++ b/member/member.go
@@ -160,6 +160,17 @@
 	return s, newChangeError("unknown membership change")
 }
 
+// HasAddition reports whether c is an Add of a member that the set has already, as
+// when a request was sent again because its answer was lost.
+func (s Set) HasAddition(c Change) bool {
+	add, ok := c.(Add)
+	if !ok {
+		return false
+	}
+	m, known := s.Get(add.Member.ID)
+	return known && m.Address == add.Member.Address && m.Replaces == add.Member.Replaces
+}
+
 func (s Set) withAdded(m Member) (Set, error) {
 	if m.ID == "" || m.Address == "" {
 		return s, newChangeError("a member must have an identity and an address")
--- a/prove/control/disks_test.go
+++ b/prove/control/disks_test.go
@@ -82,10 +82,10 @@
 		}),
 	)
 
-	It("do not stop a change of the members", func() {
-		names := cluster.Names("c", 5)
+	DescribeTable("do not stop a change of the members", func(controllers int) {
+		names := cluster.Names("c", controllers)
 		c := startCluster(cluster.Config{
-			Controllers:   5,
+			Controllers:   controllers,
 			Gateways:      2,
 			SnapshotEvery: 200,
 		})
@@ -95,10 +95,21 @@
 			lead := leader(c, "g1")
 			if lead != name {
 				c.Process(name).Kill()
-				fillDisk(c, lead, func() { replaceController(c, e, name) })
+				// Three controllers have no majority until the disk has room.
+				filled := make(chan struct{})
+				go func() {
+					defer GinkgoRecover()
+					defer close(filled)
+					fillDisk(c, lead, func() {})
+				}()
+				replaceController(c, e, name)
+				<-filled
 			}
 			fillDisk(c, name, func() {})
 		}
 		checkAllCount(c, e, stop, names)
-	})
+	},
+		Entry("of three", 3),
+		Entry("of five", 5),
+	)
 })
