--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -2,9 +2,14 @@
 
 import "time"
 
-// snapshotRetryInterval is how long a leader waits for a member to install a
-// snapshot before it sends the snapshot again.
-const snapshotRetryInterval = 10 * time.Second
+const (
+	// snapshotRetryInterval is how long a leader waits for the end of the transfer
+	// of a snapshot before it sends the snapshot again.
+	snapshotRetryInterval = 10 * time.Second
+	// snapshotReplyTimeout is how long a member may take to install a snapshot
+	// after its transfer.
+	snapshotReplyTimeout = time.Second
+)
 
 func (r Replica) tickLeader(now time.Time, l Leader) (Replica, []Effect) {
 	contact := l.quorumContact(now, r.cfg.ID, r.Members())
@@ -153,6 +158,19 @@
 	})
 }
 
+func (r Replica) stepSnapshotSent(now time.Time, e SnapshotSent) Replica {
+	l, ok := r.role.(Leader)
+	if !ok {
+		return r
+	}
+	p := l.progress[e.To]
+	if retryAt := now.Add(snapshotReplyTimeout); retryAt.Before(p.SnapshotRetryAt) {
+		p.SnapshotRetryAt = retryAt
+		r.role = l.withProgress(e.To, p)
+	}
+	return r
+}
+
 func (r Replica) stepAppend(now time.Time, msg Message, request Append) (Replica, []Effect) {
 	r.role = Follower{}
 	r.leaderID = msg.From
@@ -225,7 +243,9 @@
 		return r, nil
 	}
 	if !reply.Accepted {
-		p.Next = max(p.Match, min(p.Next-1, reply.Match)) + 1
+		// A member whose disk has lost entries gets them again.
+		p.Match = min(p.Match, reply.Match)
+		p.Next = min(p.Next-1, reply.Match) + 1
 		p.Probing = true
 		r.role = l.withProgress(from, p)
 		return r.replicateToOne(now, from)
@@ -293,7 +313,7 @@
 }
 
 func (r Replica) stepSnapshotReceived(now time.Time, e SnapshotReceived) (Replica, []Effect) {
-	if e.Message.Term < r.hardState.Term || e.Meta.Index <= r.commitIndex {
+	if e.Message.Term < r.hardState.Term {
 		return r, nil
 	}
 	var out []Effect
@@ -305,19 +325,38 @@
 	r.leaderID = e.Message.From
 	r.leaderContactAt = now
 	r = r.withElectionTimer(now)
-	r.log = NewLog(e.Meta.Index, e.Meta.Term)
-	r.commitIndex, r.appliedIndex, r.syncedIndex = e.Meta.Index, e.Meta.Index, e.Meta.Index
-	r.memberships = []membershipEntry{
-		{
-			index: e.Meta.Index,
-			set:   e.Meta.Members,
-		},
+	if !r.holds(e.Meta) {
+		r = r.withSnapshot(e.Meta)
+		out = append(out, InstallSnapshot{
+			Meta: e.Meta,
+		})
 	}
-	out = append(out, InstallSnapshot{
-		Meta: e.Meta,
-	})
+	r.commitIndex = max(r.commitIndex, e.Meta.Index)
+	// The leader sends the snapshot until it gets this reply, which may be lost.
 	return r, append(out, r.sendAfterSync(e.Message.From, AppendReply{
 		Accepted: true,
 		Match:    e.Meta.Index,
 	}))
 }
+
+// holds reports whether the log or the applied state covers the same entries as a
+// snapshot.
+func (r Replica) holds(meta SnapshotMeta) bool {
+	term, ok := r.log.Term(meta.Index)
+	return meta.Index <= r.commitIndex || ok && term == meta.Term
+}
+
+// withSnapshot returns r with a snapshot in place of its log.
+func (r Replica) withSnapshot(meta SnapshotMeta) Replica {
+	r.log = NewLog(meta.Index, meta.Term)
+	r.commitIndex, r.appliedIndex = meta.Index, meta.Index
+	// The snapshot is not durable yet, and the entries of the old log are gone.
+	r.syncedIndex = 0
+	r.memberships = []membershipEntry{
+		{
+			index: meta.Index,
+			set:   meta.Members,
+		},
+	}
+	return r
+}
