Place nothing on a worker that any component of its capacity is exceeded on

A worker's capacity may shrink below what runs there. A task that needs nothing of the exceeded component was still placed on it, and was even placed there first, since the fullest worker is preferred.

Cause: FitCount looked only at the components that the task needs.

Evidence: the replay can now shrink the capacity of a worker; a start counts as in excess 4.5 s after that (contact time and one announcement interval). "gets no start while its runs exceed another component of its capacity" failed before: "9.05s: {{b 0 0 0} 1} starts on w-00-00 in excess of the worker's capacity".

Change: FitCount is 0 if any component of the free capacity is negative.

--- a/pool/pool_suite_test.go
+++ b/pool/pool_suite_test.go
@@ -63,4 +63,16 @@
 		Expect(free.Minus(each.Times(4)).IsNegative()).To(BeTrue())
 		Expect(each.WeightedCores()).To(BeNumerically("~", 11))
 	})
+
+	It("fits nowhere while any component of the free capacity is negative", func() {
+		free := pool.ResourceVector{
+			MilliCores:   10_000,
+			MemoryMB:     100,
+			Accelerators: -1,
+		}
+		each := pool.ResourceVector{
+			MilliCores: 1000,
+		}
+		Expect(each.FitCount(free, 9)).To(BeZero())
+	})
 })
--- a/pool/resources.go
+++ b/pool/resources.go
@@ -44,8 +44,12 @@
 	return r.MilliCores <= free.MilliCores && r.MemoryMB <= free.MemoryMB && r.Accelerators <= free.Accelerators
 }
 
-// FitCount returns how many copies of r fit into free, from 0 to limit.
+// FitCount returns how many copies of r fit into free, from 0 to limit. It is 0 if
+// any component of free is negative, also one of which r needs nothing.
 func (r ResourceVector) FitCount(free ResourceVector, limit int) int {
+	if free.IsNegative() {
+		return 0
+	}
 	n := limit
 	if r.MilliCores > 0 {
 		n = min(n, free.MilliCores/r.MilliCores)
--- /dev/null
+++ b/replay/capacity_test.go
@@ -0,0 +1,48 @@
+package replay_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainladder/plantainladder/pool"
+	"github.com/plantainladder/plantainladder/replay"
+	"github.com/plantainladder/plantainladder/workflow"
+)
+
+var _ = Describe("A worker whose capacity shrinks", func() {
+	const shrunkAt = 4 * time.Second
+
+	newFleet := func(seed uint64, workers int) (sim *replay.Simulation, id string) {
+		cfg := newConfig(seed)
+		cfg.Racks, cfg.WorkersPerRack, cfg.DataCentres = 1, workers, 1
+		sim = replay.NewSimulation(cfg)
+		return sim, sim.Workers()[0]
+	}
+	withAccelerators := func(n int) pool.ResourceVector {
+		c := newConfig(0).Capacity
+		c.Accelerators = n
+		return c
+	}
+
+	It("gets no start while its runs exceed another component of its capacity", func() {
+		sim, id := newFleet(2, 2)
+		sim.Submit("a", newArrival(2*time.Second, "normal", independentTasks(8, 10*time.Second)))
+		sim.InjectFault(id, replay.Fault{
+			From:     shrunkAt,
+			Until:    30 * time.Second,
+			Capacity: withAccelerators(4),
+		})
+		sim.Submit("b", newArrival(shrunkAt+5*time.Second, "normal", withoutAccelerators(independentTasks(2, time.Second))))
+		sim.Run(20 * time.Second)
+		Expect(sim.Violations()).To(BeEmpty())
+		Expect(sim.Record("b").Status).To(Equal(workflow.StatusCompleted))
+		Expect(sim.LastRun("a", 0)).To(Equal(1))
+	})
+})
+
+func withoutAccelerators(step workflow.Step) workflow.Step {
+	step.PerTask.Accelerators, step.PerTask.MilliCores = 0, 3000
+	return step
+}
--- a/replay/fault.go
+++ b/replay/fault.go
@@ -4,6 +4,7 @@
 	"time"
 
 	plantainladder "github.com/plantainladder/plantainladder"
+	"github.com/plantainladder/plantainladder/pool"
 )
 
 // A Fault is a failure mode that is injected into a simulated worker for a time.
@@ -25,6 +26,12 @@
 	// DelayedShare is the share of orders that are handled seconds late and not
 	// answered, from 0 to 1.
 	DelayedShare float64
+	// DelayedAnnouncements is the share of announcements that arrive seconds late,
+	// from 0 to 1.
+	DelayedAnnouncements float64
+	// Capacity, if it is not zero, is the worker's capacity during the fault, which
+	// has no other effect then.
+	Capacity pool.ResourceVector
 	// Restarts is true if the worker's process restarts at Until and loses its
 	// state.
 	Restarts bool
@@ -40,6 +47,12 @@
 // InjectFault injects a fault into a worker.
 func (sim *Simulation) InjectFault(id string, f Fault) {
 	s := sim.workersByID[id]
+	if f.Capacity != (pool.ResourceVector{}) {
+		// The worker may have another fault at the same time.
+		sim.scheduleAt(f.From, func(now time.Duration) { s.setCapacity(now, f.Capacity) })
+		sim.scheduleAt(f.Until, func(now time.Duration) { s.setCapacity(now, sim.cfg.Capacity) })
+		return
+	}
 	s.faults = append(s.faults, f)
 	if f.Restarts {
 		sim.scheduleAt(f.Until, s.restart)
@@ -62,6 +75,7 @@
 	failed.isReplaced = true
 	announced := failed.announced
 	announced.ID += "-next"
+	announced.Capacity = sim.cfg.Capacity
 	next := sim.newWorker(announced)
 	sim.workers = append(sim.workers, next)
 	sim.workersByID[announced.ID] = next
--- a/replay/network.go
+++ b/replay/network.go
@@ -23,7 +23,8 @@
 		return
 	}
 	w.simulation.scheduleAt(now+announceInterval, w.announce)
-	if w.activeFault(now).Partitioned {
+	fault := w.activeFault(now)
+	if fault.Partitioned {
 		return
 	}
 	w.announceSequence++
@@ -32,16 +33,33 @@
 		Sequence: w.announceSequence,
 		ClockMS:  w.clock(now),
 	}
-	known, ok := w.simulation.state.PoolWorker(w.announced.ID)
-	if !ok || w.announced.Supersedes(known) {
-		w.simulation.apply(now, plantainladder.Announce{
-			Worker: w.announced,
+	if fault.DelayedAnnouncements > 0 && w.simulation.rng.Float64() < fault.DelayedAnnouncements {
+		w.simulation.scheduleAt(w.simulation.delayedArrival(now), func(now time.Duration) {
+			w.simulation.receiveAnnouncement(now, w, r)
 		})
-		if w.announced.Leaving && w.leavingSince == 0 {
+		return
+	}
+	w.simulation.receiveAnnouncement(now, w, r)
+}
+
+// receiveAnnouncement commits an announcement of w that replaces the known one, and
+// delivers it to the dispatcher.
+func (sim *Simulation) receiveAnnouncement(now time.Duration, w *simWorker, r dispatch.WorkerAnnounced) {
+	known, ok := sim.state.PoolWorker(r.Worker.ID)
+	if !ok || r.Worker.Supersedes(known) {
+		sim.apply(now, plantainladder.Announce{
+			Worker: r.Worker,
+		})
+		if r.Worker.Leaving && w.leavingSince == 0 {
 			w.leavingSince = now
 		}
 	}
-	w.simulation.observe(r)
+	sim.observe(r)
+}
+
+// delayedArrival draws when a message sent now arrives with a delay.
+func (sim *Simulation) delayedArrival(now time.Duration) time.Duration {
+	return now + minOrderDelay + time.Duration(sim.rng.Int64N(int64(maxOrderDelay-minOrderDelay)))
 }
 
 // readInventory delivers a reading of the inventory to the dispatcher.
@@ -95,8 +113,7 @@
 		answer(sent+answerTimeout+wait, unanswered)
 	case fault.DelayedShare > 0 && sim.rng.Float64() < fault.DelayedShare:
 		answer(sent+answerTimeout+wait, unanswered)
-		at := sent + minOrderDelay + time.Duration(sim.rng.Int64N(int64(maxOrderDelay-minOrderDelay)))
-		sim.scheduleAt(at, func(now time.Duration) {
+		sim.scheduleAt(sim.delayedArrival(sent), func(now time.Duration) {
 			if !s.isShutDown && !s.activeFault(now).Partitioned {
 				s.isDelayed = true
 				s.handleOrder(now, o)
--- a/replay/worker.go
+++ b/replay/worker.go
@@ -45,6 +45,9 @@
 	// leavingSince is when the worker's announcement that it leaves was
 	// committed, zero if it was not.
 	leavingSince time.Duration
+	// formerCapacities holds the capacities that the worker had before the
+	// announced one.
+	formerCapacities []formerCapacity
 	// isDelayed is true while the worker handles a delayed order.
 	isDelayed bool
 	// endedAt holds when each listed run ended, by its sequence number;
@@ -53,6 +56,32 @@
 	leaseExpiredAt time.Duration
 }
 
+// A formerCapacity is a capacity that a worker had until a time.
+type formerCapacity struct {
+	capacity pool.ResourceVector
+	until    time.Duration
+}
+
+// setCapacity changes the capacity, which the next announcement states.
+func (w *simWorker) setCapacity(now time.Duration, capacity pool.ResourceVector) {
+	w.formerCapacities = append(w.formerCapacities, formerCapacity{
+		capacity: w.announced.Capacity,
+		until:    now,
+	})
+	w.announced.Capacity = capacity
+}
+
+// hasCapacityFor reports whether used fits in the capacity that the worker has or
+// had since a time.
+func (w *simWorker) hasCapacityFor(used pool.ResourceVector, since time.Duration) bool {
+	if used.FitsIn(w.announced.Capacity) {
+		return true
+	}
+	return slices.ContainsFunc(w.formerCapacities, func(f formerCapacity) bool {
+		return f.until >= since && used.FitsIn(f.capacity)
+	})
+}
+
 func (w *simWorker) activeFault(now time.Duration) (t Fault) {
 	for _, known := range w.faults {
 		if now >= known.From && now < known.Until {
