Check a worker's capacity again when a run is started

A placement whose commit took long was started on a worker whose capacity had shrunk in the meantime, and brought it over its capacity long after the shrink was known.

Cause: the capacity was only checked when a task was placed.

Change: before a start is sent, also again, the runs that may hold capacity on the worker and the new one must fit in its capacity. A run that does not fit is not started and is placed again. Starts of runs that the worker lists are not checked: they change nothing, and runs that are there already go on.

--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -151,6 +151,12 @@
 	if !r.startedAt.IsZero() || !isListingFresh || !v.clock.isKnown() {
 		return v.withRun(t.RunKey, r)
 	}
+	if !s.hasCapacityFor(v, t) {
+		r.pendingStop = reasonCapacityShrunk
+		s.recordStop(v, t, r)
+		s.doom(t)
+		return s.stopRun(v, t, r)
+	}
 	if r.startsSent == 0 {
 		r.firstStartAt = s.now
 	}
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -104,6 +104,7 @@
 	reasonStartUnanswered  stopReason = "start-not-answered"
 	reasonStartRejected    stopReason = "start-refused"
 	reasonWorkerLeaving    stopReason = "worker-leaving"
+	reasonCapacityShrunk   stopReason = "capacity-shrunk"
 	reasonDataCentreOut    stopReason = "data-centre-out"
 	reasonNotListed        stopReason = "not-listed"
 	reasonWorkerRestarted  stopReason = "worker-restarted"
--- a/replay/capacity_test.go
+++ b/replay/capacity_test.go
@@ -1,6 +1,7 @@
 package replay_test
 
 import (
+	"strconv"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -26,6 +27,24 @@
 		return c
 	}
 
+	It("gets no start of a round that was committed late", func() {
+		sim, id := newFleet(1, 1)
+		sim.StallCommits(shrunkAt-time.Second, shrunkAt+6*time.Second)
+		sim.InjectFault(id, replay.Fault{
+			From:     shrunkAt,
+			Until:    20 * time.Second,
+			Capacity: withAccelerators(3),
+		})
+		for i := range 8 {
+			sim.Submit(strconv.Itoa(i), newArrival(shrunkAt-500*time.Millisecond, "normal", independentTasks(1, time.Second)))
+		}
+		sim.Run(18 * time.Second)
+		Expect(sim.Violations()).To(BeEmpty())
+		for i := range 8 {
+			Expect(sim.Record(strconv.Itoa(i)).Status).To(Equal(workflow.StatusCompleted))
+		}
+	})
+
 	It("gets no start while its runs exceed another component of its capacity", func() {
 		sim, id := newFleet(2, 2)
 		sim.Submit("a", newArrival(2*time.Second, "normal", independentTasks(8, 10*time.Second)))
