Place with the smaller of the committed and the newest announced capacity

An announcement that arrived late, after the worker had announced a smaller capacity, restored the old capacity until the next announcement, and tasks were started in excess of the smaller one.

Cause: any announcement of the same incarnation whose content differs is committed, whatever its sequence number. The dispatcher ignores late ones, but took the capacity from the committed one.

Change: placement and the check before a start use the smaller of both capacities, each component by itself. While a growth is not committed yet, or a late announcement states less, the smaller one counts until the next announcement.

--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -17,7 +17,7 @@
 			used = used.Plus(other.StepSpec.PerTask)
 		}
 	}
-	return used.FitsIn(s.capacity(v))
+	return used.FitsIn(v.capacity(s.index.workers[t.Worker]))
 }
 
 // mayHoldCapacity reports whether a placed run may have been started on the worker
@@ -28,11 +28,12 @@
 	return mayHaveStarted && !v.hasUncommittedEnd(t.RunKey)
 }
 
-// capacity returns the capacity that the last committed announcement of a worker
-// states.
-func (s *reconciliation) capacity(v workerView) pool.ResourceVector {
-	if w, ok := s.index.workers[v.worker.ID]; ok && w.Incarnation == v.worker.Incarnation {
-		return w.Capacity
+// capacity returns the smaller of the capacities that the committed and the newest
+// announcement of a worker state. An announcement that arrives late may have been
+// committed after a newer one, since it has different content.
+func (v workerView) capacity(committed pool.Worker) pool.ResourceVector {
+	if committed.Incarnation != v.worker.Incarnation {
+		return v.worker.Capacity
 	}
-	return v.worker.Capacity
+	return committed.Capacity.Min(v.worker.Capacity)
 }
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -65,6 +65,7 @@
 		if !ok || !s.isSchedulable(w, v) {
 			continue
 		}
+		w.Capacity = v.capacity(w)
 		n := &node{
 			worker:      w,
 			free:        w.Capacity,
--- a/pool/resources.go
+++ b/pool/resources.go
@@ -30,6 +30,15 @@
 	}
 }
 
+// Min returns the smaller of each component of r and other.
+func (r ResourceVector) Min(other ResourceVector) ResourceVector {
+	return ResourceVector{
+		MilliCores:   min(r.MilliCores, other.MilliCores),
+		MemoryMB:     min(r.MemoryMB, other.MemoryMB),
+		Accelerators: min(r.Accelerators, other.Accelerators),
+	}
+}
+
 // Times returns r with every component multiplied by n.
 func (r ResourceVector) Times(n int) ResourceVector {
 	return ResourceVector{
--- a/replay/capacity_test.go
+++ b/replay/capacity_test.go
@@ -1,6 +1,7 @@
 package replay_test
 
 import (
+	"fmt"
 	"strconv"
 	"time"
 
@@ -59,6 +60,43 @@
 		Expect(sim.Record("b").Status).To(Equal(workflow.StatusCompleted))
 		Expect(sim.LastRun("a", 0)).To(Equal(1))
 	})
+
+	It("gets no start for a capacity from an announcement that arrives late", func() {
+		for seed := range uint64(20) {
+			sim, id := newFleet(seed, 1)
+			sim.InjectFault(id, replay.Fault{
+				From:                 2 * time.Second,
+				Until:                20 * time.Second,
+				DelayedAnnouncements: 0.5,
+			})
+			sim.InjectFault(id, replay.Fault{
+				From:     shrunkAt,
+				Until:    30 * time.Second,
+				Capacity: withAccelerators(1),
+			})
+			for i := range 60 {
+				at := 8*time.Second + time.Duration(i)*200*time.Millisecond
+				sim.Submit(fmt.Sprintf("a-%02d", i), newArrival(at, "normal", independentTasks(1, 400*time.Millisecond)))
+			}
+			sim.Run(30 * time.Second)
+			Expect(sim.Violations()).To(BeEmpty(), "%d", seed)
+		}
+	})
+
+	It("gets tasks again once the capacity has grown", func() {
+		sim, id := newFleet(3, 1)
+		sim.InjectFault(id, replay.Fault{
+			From:     2 * time.Second,
+			Until:    10 * time.Second,
+			Capacity: withAccelerators(3),
+		})
+		sim.Submit("a", newArrival(6*time.Second, "normal", gang(2, 4, time.Second)))
+		sim.Run(9 * time.Second)
+		Expect(sim.PlacedTaskCount("a")).To(BeZero())
+		sim.Run(14 * time.Second)
+		Expect(sim.Violations()).To(BeEmpty())
+		Expect(sim.Record("a").Status).To(Equal(workflow.StatusCompleted))
+	})
 })
 
 func withoutAccelerators(step workflow.Step) workflow.Step {
--- a/replay/fault.go
+++ b/replay/fault.go
@@ -26,8 +26,8 @@
 	// DelayedShare is the share of orders that are handled seconds late and not
 	// answered, from 0 to 1.
 	DelayedShare float64
-	// DelayedAnnouncements is the share of announcements that arrive seconds late,
-	// from 0 to 1.
+	// DelayedAnnouncements is the share of announcements, from 0 to 1, that arrive
+	// seconds late and that the worker sends again in time.
 	DelayedAnnouncements float64
 	// Capacity, if it is not zero, is the worker's capacity during the fault, which
 	// has no other effect then.
--- a/replay/network.go
+++ b/replay/network.go
@@ -37,6 +37,10 @@
 		w.simulation.scheduleAt(w.simulation.delayedArrival(now), func(now time.Duration) {
 			w.simulation.receiveAnnouncement(now, w, r)
 		})
+		w.announceSequence++
+		latest := r
+		latest.Sequence = w.announceSequence
+		w.simulation.receiveAnnouncement(now, w, latest)
 		return
 	}
 	w.simulation.receiveAnnouncement(now, w, r)
