Keep an exceeded worker from hiding the free accelerators of others

After the capacity of a worker had shrunk below what runs there, work that is not urgent waited although another worker was free.

Cause: the headroom for urgent work is computed from the sum of the free accelerators, to which such a worker contributed a negative number.

Evidence: "leaves the free capacity of other workers usable" (replay) failed before: the gang was still pending 4 s after its submission.

Change: a worker contributes no less than zero.

Result: the test passes, and so do the suites of replay and dispatch.

--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -209,7 +209,7 @@
 	all, free, urgent := 0, 0, 0
 	for _, n := range f.nodes {
 		all += n.worker.Capacity.Accelerators
-		free += n.free.Accelerators
+		free += max(n.free.Accelerators, 0)
 		for _, alloc := range n.allocations {
 			if alloc.priority == 0 {
 				urgent += alloc.task.StepSpec.PerTask.Accelerators
--- a/replay/capacity_test.go
+++ b/replay/capacity_test.go
@@ -83,6 +83,22 @@
 		}
 	})
 
+	It("leaves the free capacity of other workers usable", func() {
+		sim, id := newFleet(4, 3)
+		sim.Submit("urgent", newArrival(2*time.Second, "urgent", gang(1, 8, 10*time.Second)))
+		sim.Run(3 * time.Second)
+		Expect(sim.AllocatedOn(id).Accelerators).To(Equal(8))
+		sim.InjectFault(id, replay.Fault{
+			From:     shrunkAt,
+			Until:    30 * time.Second,
+			Capacity: withAccelerators(1),
+		})
+		sim.Submit("a", newArrival(shrunkAt+2*time.Second, "normal", gang(1, 8, time.Second)))
+		sim.Run(10 * time.Second)
+		Expect(sim.Violations()).To(BeEmpty())
+		Expect(sim.Record("a").Status).To(Equal(workflow.StatusCompleted))
+	})
+
 	It("gets tasks again once the capacity has grown", func() {
 		sim, id := newFleet(3, 1)
 		sim.InjectFault(id, replay.Fault{
