Place tasks only on workers whose announcements the leader itself receives

A worker whose capacity had shrunk got starts in excess of it for as long as its announcements were lost while it answered orders; and from a new leader that it had answered before it announced itself, if the old leader had not committed the shrunken capacity.

Cause: an answer to an order counted as contact, but does not state the capacity.

Evidence: "gets no new tasks while its announcements are lost" (replay), both cases failed before: "9.05s: {{b 0 0 0} 1} starts on w-00-00 in excess of the worker's capacity".

Change: a worker gets new tasks only within three intervals of an announcement that the leader itself received. After a change of the leader, workers with runs get new tasks up to one interval later than before; those without runs already waited for their announcement.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -208,7 +208,7 @@
 		d.isDirty = true
 	}
 	v.sequence = r.Sequence
-	v.lastContact = now
+	v.lastContact, v.announcedAt = now, now
 	v = v.withClockReading(now, d.cfg, r.ClockMS, false)
 	return d.withView(v)
 }
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -88,8 +88,9 @@
 	return m
 }
 
-// maxMissedAnnouncements is the number of announcement intervals without
-// contact after which a worker gets no new tasks.
+// maxMissedAnnouncements is the number of announcement intervals without an
+// announcement after which a worker gets no new tasks, and without contact after
+// which it is not probed.
 const maxMissedAnnouncements = 3
 
 // hasRecentContact reports whether a worker has sent an announcement or an answer
@@ -98,13 +99,19 @@
 	return s.now.Sub(v.lastContact) < maxMissedAnnouncements*s.dispatcher.cfg.AnnounceInterval
 }
 
+// hasRecentAnnouncement reports whether this leader knows the worker's capacity: an
+// answer to an order does not state it, and the committed one may have shrunk.
+func (s *reconciliation) hasRecentAnnouncement(v workerView) bool {
+	return s.now.Sub(v.announcedAt) < maxMissedAnnouncements*s.dispatcher.cfg.AnnounceInterval
+}
+
 // isSchedulable reports whether a worker may get new tasks: the announcement
 // that is committed is that of the current incarnation, its clock is known, it
-// was heard from recently and answered the last order, it and its data centre
-// stay in service, and it is not in backoff.
+// has announced itself recently and answered the last order, it and its data
+// centre stay in service, and it is not in backoff.
 func (s *reconciliation) isSchedulable(w pool.Worker, v workerView) bool {
 	isCurrent := v.worker.Incarnation == w.Incarnation && v.clock.isKnown() && !v.hasEnded
-	isReachable := s.hasRecentContact(v) && v.unanswered == 0
+	isReachable := s.hasRecentAnnouncement(v) && v.unanswered == 0
 	isStaying := !w.Leaving && !v.worker.Leaving && !s.state.IsOutOfService(w.DataCentre)
 	return isCurrent && isReachable && isStaying && !s.now.Before(v.backoffUntil)
 }
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -17,6 +17,9 @@
 	sequence uint64
 	// lastContact is when the worker last sent an announcement or an answer.
 	lastContact time.Time
+	// announcedAt is when this leader last received an announcement; zero if it
+	// received none.
+	announcedAt time.Time
 	clock       clock
 	// maxLeaseUntilMS is the latest end of a lease that any leader may have
 	// granted, in milliseconds on the worker's clock.
--- a/replay/capacity_test.go
+++ b/replay/capacity_test.go
@@ -83,6 +83,31 @@
 		}
 	})
 
+	DescribeTable("gets no new tasks while its announcements are lost",
+		func(leaderChange time.Duration) {
+			sim, id := newFleet(5, 1)
+			sim.Submit("a", newArrival(2*time.Second, "normal", independentTasks(1, 30*time.Second)))
+			sim.Run(3 * time.Second)
+			sim.InjectFault(id, replay.Fault{
+				From:               shrunkAt,
+				Until:              shrunkAt + 12*time.Second,
+				LosesAnnouncements: true,
+			})
+			sim.InjectFault(id, replay.Fault{
+				From:     shrunkAt,
+				Until:    40 * time.Second,
+				Capacity: withAccelerators(1),
+			})
+			sim.ChangeLeader(leaderChange)
+			sim.Submit("b", newArrival(shrunkAt+5*time.Second, "normal", independentTasks(1, time.Second)))
+			sim.Run(50 * time.Second)
+			Expect(sim.Violations()).To(BeEmpty())
+			Expect(sim.Record("b").Status).To(Equal(workflow.StatusCompleted))
+		},
+		Entry("the leader stays", time.Hour),
+		Entry("the leader changes", shrunkAt+4*time.Second),
+	)
+
 	It("leaves the free capacity of other workers usable", func() {
 		sim, id := newFleet(4, 3)
 		sim.Submit("urgent", newArrival(2*time.Second, "urgent", gang(1, 8, 10*time.Second)))
--- a/replay/fault.go
+++ b/replay/fault.go
@@ -29,6 +29,9 @@
 	// DelayedAnnouncements is the share of announcements, from 0 to 1, that arrive
 	// seconds late and that the worker sends again in time.
 	DelayedAnnouncements float64
+	// LosesAnnouncements is true if the worker's announcements are lost, although
+	// orders reach it and are answered.
+	LosesAnnouncements bool
 	// Capacity, if it is not zero, is the worker's capacity during the fault, which
 	// has no other effect then.
 	Capacity pool.ResourceVector
--- a/replay/network.go
+++ b/replay/network.go
@@ -24,7 +24,7 @@
 	}
 	w.simulation.scheduleAt(now+announceInterval, w.announce)
 	fault := w.activeFault(now)
-	if fault.Partitioned {
+	if fault.Partitioned || fault.LosesAnnouncements {
 		return
 	}
 	w.announceSequence++
