--- /dev/null
+++ b/dispatch/capacity.go
@@ -0,0 +1,37 @@
+package dispatch
+
+import (
+	"github.com/plantainladder/plantainladder/pool"
+	"github.com/plantainladder/plantainladder/workflow"
+)
+
+// hasCapacityFor reports whether a start of t keeps the worker within its capacity,
+// which may have shrunk since t was placed. A start of a listed run changes nothing.
+func (s *reconciliation) hasCapacityFor(v workerView, t workflow.PlacedTask) bool {
+	if _, isListed := v.listed[t.RunKey]; isListed {
+		return true
+	}
+	used := t.StepSpec.PerTask
+	for _, other := range s.index.placedByWorker[t.Worker] {
+		if other.RunKey != t.RunKey && v.mayHoldCapacity(other) {
+			used = used.Plus(other.StepSpec.PerTask)
+		}
+	}
+	return used.FitsIn(v.capacity(s.index.workers[t.Worker]))
+}
+
+// mayHoldCapacity reports whether a placed run may have been started on the worker
+// and may not have ended there yet.
+func (v workerView) mayHoldCapacity(t workflow.PlacedTask) bool {
+	return v.runs[t.RunKey].mayHaveStarted() && !v.hasUncommittedEnd(t.RunKey)
+}
+
+// capacity returns the smaller of the capacities that the committed and the newest
+// announcement of a worker state. An announcement that arrives late may have been
+// committed after a newer one, since it has different content.
+func (v workerView) capacity(committed pool.Worker) pool.ResourceVector {
+	if committed.Incarnation != v.worker.Incarnation {
+		return v.worker.Capacity
+	}
+	return committed.Capacity.Min(v.worker.Capacity)
+}
--- a/pool/resources.go
+++ b/pool/resources.go
@@ -30,6 +30,15 @@
 	}
 }
 
+// Min returns the smaller of each component of r and other.
+func (r ResourceVector) Min(other ResourceVector) ResourceVector {
+	return ResourceVector{
+		MilliCores:   min(r.MilliCores, other.MilliCores),
+		MemoryMB:     min(r.MemoryMB, other.MemoryMB),
+		Accelerators: min(r.Accelerators, other.Accelerators),
+	}
+}
+
 // Times returns r with every component multiplied by n.
 func (r ResourceVector) Times(n int) ResourceVector {
 	return ResourceVector{
@@ -44,8 +53,12 @@
 	return r.MilliCores <= free.MilliCores && r.MemoryMB <= free.MemoryMB && r.Accelerators <= free.Accelerators
 }
 
-// FitCount returns how many copies of r fit into free, from 0 to limit.
+// FitCount returns how many copies of r fit into free, from 0 to limit. It is 0 if
+// any component of free is negative, also one of which r needs nothing.
 func (r ResourceVector) FitCount(free ResourceVector, limit int) int {
+	if free.IsNegative() {
+		return 0
+	}
 	n := limit
 	if r.MilliCores > 0 {
 		n = min(n, free.MilliCores/r.MilliCores)
