Hedge a silent request on the only minion too

Callers saw "unknown no-whole-answer" at their deadline if the connection to a minion went silent and no other minion could be given the request, although new connections to that minion worked.

Cause: a minion with a copy of the request was excluded for all further copies. The hedge was queued and never started; as the head of its queue it also kept later requests of the organisation and class waiting.

Evidence: the new suite of gateway/caller, entry "the first on the only minion", failed before: "Expected <string>: unknown to equal <string>: done".

Change: a request tells minions where a copy failed (excluded, as before) from minions whose copy is silent (avoided). A hedge goes to an avoided minion only if no other minion may be given it. Retries after a failure are placed as before. The budget of retries and hedges is unchanged.

Measured: the entry passes; the request is answered by its second copy.

--- a/admission/admission_suite_test.go
+++ b/admission/admission_suite_test.go
@@ -251,6 +251,29 @@
 		Expect(gaps[3]).To(BeNumerically(">", gaps[2]))
 	})
 
+	It("gives a hedge to a minion that has a silent copy only if no other minion may be given it", func() {
+		reply := pollReply(1, map[string]int{
+			"m1": 2,
+			"m2": 1,
+		}, contractOf("o", 0))
+		hedge := newRequest(1, "o", admission.Normal{}, true)
+		hedge.Request.IsHedge = true
+		hedge.Request.AvoidedMinions = []string{"m1"}
+		g := newGateway(reply)
+		Expect(g.step(0, hedge)).To(ConsistOf(HaveField("Minion", "m2")))
+		hedge.Request.Token = 2
+		Expect(g.step(0, hedge)).To(BeEmpty(), "waits for the slot of the other minion")
+		g = newGateway(reply)
+		hedge.Request.AvoidedMinions = []string{"m1", "m2"}
+		Expect(g.step(0, hedge)).To(ConsistOf(HaveField("Minion", Not(BeEmpty()))))
+		g = newGateway(reply)
+		hedge.Request.AvoidedMinions, hedge.Request.ExcludedMinions = []string{"m1"}, []string{"m2"}
+		Expect(g.step(0, hedge)).To(ConsistOf(HaveField("Minion", "m1")))
+		hedge.Request.Token = 3
+		hedge.Request.ExcludedMinions = []string{"m1", "m2"}
+		Expect(g.step(0, hedge)).To(BeEmpty(), "never where a copy failed")
+	})
+
 	It("refuses retries beyond the retry budget", func() {
 		g := newGateway(pollReply(1, map[string]int{
 			"m1": 100,
--- a/admission/intake.go
+++ b/admission/intake.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/plantainladder/plantainladder/lease"
+	"github.com/plantainladder/plantainladder/minion"
 )
 
 func queueName(organisation string, c Class) string {
@@ -201,18 +202,16 @@
 func (s State) pickMinion(now time.Time, r Request) (name, address string, ok bool) {
 	bestShare := -1.0
 	all := s.minions.All()
+	avoid := s.hasUnavoided(now, all, r)
 	for i := range all {
 		m := all[(i+int(r.Token%uint64(len(all))))%len(all)]
 		a := m.Announcement
 		resource := lease.MinionSlots(a.Name)
 		free := s.grantedUnits[resource] - s.usedUnits(resource)
-		if free <= 0 || a.Leaving || !m.IsAlive(now) || s.view.IsOutOfService(a.DataCentre) {
+		if free <= 0 || !s.isEligible(now, m, r) {
 			continue
 		}
-		if h, known := s.health.Get(a.Name); known && !h.isRetryDue(now) {
-			continue
-		}
-		if slices.Contains(r.ExcludedMinions, a.Name) {
+		if avoid && slices.Contains(r.AvoidedMinions, a.Name) {
 			continue
 		}
 		if share := float64(free) / float64(a.Slots); share > bestShare {
@@ -221,3 +220,25 @@
 	}
 	return name, address, bestShare >= 0
 }
+
+// isEligible reports whether a minion may be given the request once it has a
+// free slot.
+func (s State) isEligible(now time.Time, m minion.Minion, r Request) bool {
+	a := m.Announcement
+	if a.Leaving || !m.IsAlive(now) || s.view.IsOutOfService(a.DataCentre) {
+		return false
+	}
+	h, known := s.health.Get(a.Name)
+	return (!known || h.isRetryDue(now)) && !slices.Contains(r.ExcludedMinions, a.Name)
+}
+
+// hasUnavoided reports whether a minion other than the request's avoided ones
+// may be given the request.
+func (s State) hasUnavoided(now time.Time, all []minion.Minion, r Request) bool {
+	if len(r.AvoidedMinions) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(all, func(m minion.Minion) bool {
+		return !slices.Contains(r.AvoidedMinions, m.Announcement.Name) && s.isEligible(now, m, r)
+	})
+}
--- a/admission/request.go
+++ b/admission/request.go
@@ -83,12 +83,15 @@
 	// Idempotent requests may be run more than once.
 	Idempotent bool
 	// ExcludedMinions holds the names of minions that must not be given the
-	// request, since it was sent to them before.
+	// request, since a copy of it failed there.
 	ExcludedMinions []string
+	// AvoidedMinions holds the names of minions that have a copy of the request
+	// without an answer. They are given another only if no other minion may be.
+	AvoidedMinions []string
 	// IsRetry is true if an earlier copy of the request was sent and failed.
 	IsRetry bool
-	// IsHedge is true for a second copy of a request whose first copy is still
-	// running.
+	// IsHedge is true for a further copy of a request whose earlier copies are
+	// still running.
 	IsHedge bool
 	// ArrivedAt is when the request reached the gateway.
 	ArrivedAt time.Time
--- /dev/null
+++ b/gateway/caller/caller_suite_test.go
@@ -0,0 +1,201 @@
+package caller_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	plantainladder "github.com/plantainladder/plantainladder"
+	"github.com/plantainladder/plantainladder/admission"
+	"github.com/plantainladder/plantainladder/api"
+	"github.com/plantainladder/plantainladder/contract"
+	"github.com/plantainladder/plantainladder/control"
+	"github.com/plantainladder/plantainladder/gateway/caller"
+	gatewayminion "github.com/plantainladder/plantainladder/gateway/minion"
+	"github.com/plantainladder/plantainladder/lease"
+	"github.com/plantainladder/plantainladder/loop"
+	"github.com/plantainladder/plantainladder/minion"
+)
+
+func TestCaller(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "caller")
+}
+
+const (
+	organisation = "o"
+	slots        = 8
+	tickInterval = 20 * time.Millisecond
+)
+
+// startGateway starts a handler whose state has a lease and all slots of the
+// given minions, by address, and returns the handler's URL.
+func startGateway(addresses map[string]string) string {
+	router := caller.NewEffectRouter()
+	l := loop.New(loop.Config[admission.State, admission.Event, admission.Effect]{
+		Initial: admission.NewState(admission.Config{
+			Gateway:   "g1",
+			MaxQueued: 100,
+		}),
+		Step:        admission.State.Step,
+		Perform:     router.Perform,
+		Clock:       time.Now,
+		QueueLength: 100,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	go l.Run(ctx)
+	sequence := uint64(0)
+	go l.Tick(ctx, tickInterval, func() admission.Event {
+		sequence++
+		return pollReply(sequence, addresses)
+	})
+	go l.Tick(ctx, tickInterval, func() admission.Event {
+		return admission.Tick{}
+	})
+	mux := http.NewServeMux()
+	caller.NewHandler(caller.Config{
+		Gateway:        "g1",
+		EffectRouter:   router,
+		Post:           l.Post,
+		State:          l.State,
+		Clock:          time.Now,
+		Minions:        gatewayminion.NewClient("", ""),
+		AllowAnonymous: true,
+		Logger:         zerolog.Nop(),
+	}).Register(mux)
+	server := httptest.NewServer(mux)
+	DeferCleanup(server.Close)
+	Eventually(func() bool { return l.State().Lease().IsValid(time.Now()) }).Should(BeTrue())
+	return server.URL
+}
+
+func pollReply(sequence uint64, addresses map[string]string) admission.PollReplyReceived {
+	r := control.PollReply{
+		Leader: true,
+		Index:  1,
+		Contracts: []plantainladder.Versioned[contract.Contract]{
+			{
+				Index: 1,
+				Value: contract.Contract{
+					Organisation: organisation,
+					CeilingSlots: slots,
+					Classes:      contract.Classes(),
+				},
+			},
+		},
+		Grant: lease.Grant{
+			Sequence: sequence,
+			Units: map[lease.Resource]int{
+				lease.OrganisationRequests(organisation): slots,
+			},
+		},
+	}
+	for name, address := range addresses {
+		r.Grant.Units[lease.MinionSlots(name)] = slots
+		r.Minions = append(r.Minions, control.RelayedAnnouncement{
+			Announcement: minion.Announcement{
+				Name:       name,
+				Address:    address,
+				DataCentre: "a",
+				Sequence:   sequence,
+				Slots:      slots,
+			},
+		})
+	}
+	return admission.PollReplyReceived{
+		SentAt: time.Now(),
+		Reply:  r,
+	}
+}
+
+// minions are stand-ins that answer nothing to the first copies they receive,
+// and answer all others.
+type minions struct {
+	// silent is the number of copies that are not answered.
+	silent int
+	mu     sync.Mutex
+	// copies holds the name of the minion of each copy received.
+	copies []string
+}
+
+// start starts a stand-in for each name and returns their addresses.
+func (m *minions) start(names ...string) map[string]string {
+	addresses := map[string]string{}
+	for _, name := range names {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			if m.receive(name) <= m.silent {
+				<-r.Context().Done()
+				return
+			}
+			w.Header().Set(api.HeaderRequestID, r.Header.Get(api.HeaderRequestID))
+			_, _ = io.WriteString(w, "done")
+		}))
+		DeferCleanup(server.Close)
+		addresses[name] = strings.TrimPrefix(server.URL, "http://")
+	}
+	return addresses
+}
+
+// receive records a copy and returns the number of copies so far.
+func (m *minions) receive(name string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.copies = append(m.copies, name)
+	return len(m.copies)
+}
+
+func (m *minions) received() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.copies)
+}
+
+// request sends an idempotent request and returns the outcome.
+func request(url string, deadline time.Duration) string {
+	req, err := http.NewRequest(http.MethodPost, url+"/v1/requests", strings.NewReader("work"))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set(api.HeaderOrganisation, organisation)
+	req.Header.Set(api.HeaderDeadline, strconv.FormatInt(deadline.Milliseconds(), 10))
+	resp, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	return resp.Header.Get(api.HeaderOutcome)
+}
+
+var _ = Describe("An idempotent request", func() {
+	const deadline = 3 * time.Second
+
+	DescribeTable("is answered by a new copy while time is left, although earlier copies stay silent:",
+		func(silent int, names ...string) {
+			m := &minions{
+				silent: silent,
+			}
+			url := startGateway(m.start(names...))
+			Expect(request(url, deadline)).To(Equal(api.OutcomeDone))
+			copies := m.received()
+			Expect(copies).To(HaveLen(silent + 1))
+			n := min(len(copies), len(names))
+			Expect(uniqueNames(copies[:n])).To(HaveLen(n), "each minion before one is tried again")
+		},
+		Entry("the first", 1, "m1", "m2", "m3"),
+		Entry("the first on the only minion", 1, "m1"),
+	)
+})
+
+func uniqueNames(names []string) []string {
+	names = slices.Sorted(slices.Values(names))
+	return slices.Compact(names)
+}
--- a/gateway/caller/idempotent.go
+++ b/gateway/caller/idempotent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -90,7 +91,8 @@
 			return answered{}, false
 		case name := <-ir.started:
 			ir.sent++
-			ir.call.request.ExcludedMinions = append(ir.call.request.ExcludedMinions[:len(ir.call.request.ExcludedMinions):len(ir.call.request.ExcludedMinions)], name)
+			r := &ir.call.request
+			r.AvoidedMinions = append(slices.Clip(r.AvoidedMinions), name)
 			hedge.Reset(ir.hedgeDelay())
 		case <-hedge.C:
 			if !ir.hedged {
@@ -127,30 +129,34 @@
 		if res.sent {
 			ir.sent--
 		}
-		ir.unexclude(res.minion)
+		ir.stopAvoiding(res.minion)
 		ir.launch(false, false)
 	case unanswered:
 		countRetry(retryUnanswered)
+		ir.stopAvoiding(res.minion)
+		r := &ir.call.request
+		r.ExcludedMinions = append(slices.Clip(r.ExcludedMinions), res.minion)
 		if ir.pending == 0 {
 			ir.launch(true, false)
 		}
 	case revoked:
 		countRetry(retryRevoked)
+		ir.call.request.AvoidedMinions = nil
 		ir.call.request.ExcludedMinions = nil
 		ir.launch(false, false)
 	case refused, answered:
 	}
 }
 
-// unexclude allows the minion to be chosen again.
-func (ir *idempotentRequest) unexclude(name string) {
+// stopAvoiding removes the minion of a copy that has ended.
+func (ir *idempotentRequest) stopAvoiding(name string) {
 	var kept []string
-	for _, n := range ir.call.request.ExcludedMinions {
+	for _, n := range ir.call.request.AvoidedMinions {
 		if n != name {
 			kept = append(kept, n)
 		}
 	}
-	ir.call.request.ExcludedMinions = kept
+	ir.call.request.AvoidedMinions = kept
 }
 
 // failure returns the failure for a request without an answer. The outcome is
