Park a job if workers are lost soon after each of its last starts

A job of the product's own interface whose task crashes its worker was queued again after each loss, without a limit, and took one worker down after the other.

Cause: only attempts in which a task reports its failure are counted; one that is lost with its worker is not.

Change: three attempts in a row that each lost a task with its worker within 10 minutes of the start park the job with the reason, and an operator can release it. A long attempt resets the count, since over hours workers are lost for other causes.

--- a/control/control_suite_test.go
+++ b/control/control_suite_test.go
@@ -239,8 +239,13 @@
 	})
 })
 
-// submitJob submits the job "j" with one task for the organisation "o".
+// submitJob submits the job "j" with one task for the organisation "o". It may not
+// run twice.
 func (l *leader) submitJob() {
+	l.submitJobThat(false)
+}
+
+func (l *leader) submitJobThat(isIdempotent bool) {
 	l.submit(plantainladder.PutContract{
 		Contract: contract.Contract{
 			Organisation:        "o",
@@ -256,6 +261,7 @@
 			ID:           "j",
 			Organisation: "o",
 			Class:        "normal",
+			Idempotent:   isIdempotent,
 			Shape: shape.Shape{
 				Tasks: 1,
 				PerTask: shape.Resources{
--- a/job/job.go
+++ b/job/job.go
@@ -17,6 +17,10 @@
 	maxDeadlineMS   = 30 * 24 * 3600 * 1000
 	// MaxFailures is the number of failed attempts after which a job is parked.
 	MaxFailures = 4
+	// maxEarlyLosses is the number of successive attempts after which a job is parked
+	// if each lost a task with its worker within earlyLoss of the start.
+	maxEarlyLosses = 3
+	earlyLoss      = 10 * time.Minute
 	// MaxHistory is the number of history entries kept for a job.
 	MaxHistory = 24
 )
@@ -127,6 +131,9 @@
 	Attempt int
 	// Failures counts the attempts that ended because a task failed.
 	Failures int
+	// EarlyLosses counts the last successive attempts that lost a task with its
+	// worker soon after the start, as if the task crashed its worker.
+	EarlyLosses int
 	// Phase is the current phase of the life cycle.
 	Phase Phase
 	// TaskPlacements holds the tasks of the current attempt, by index.
--- a/job/job_suite_test.go
+++ b/job/job_suite_test.go
@@ -96,6 +96,37 @@
 		Expect(phaseOf(j.WithReleased(epoch))).To(Equal("queued"))
 	})
 
+	// afterLoss returns j, queued or parked, after a worker was lost some time after
+	// the start of an attempt.
+	afterLoss := func(j job.Job, ranFor time.Duration) job.Job {
+		if phaseOf(j) == "queued" {
+			j = j.WithPlacement(epoch, make([]job.TaskPlacement, 2), false).WithStart(epoch)
+		}
+		at := epoch.Add(ranFor)
+		return j.WithStop(at, job.StopTaskLost).WithTaskEnded(at, 0, job.TaskResult{}).WithTaskEnded(at, 1, job.TaskResult{})
+	}
+
+	It("is parked if workers are lost soon after each of three successive starts", func() {
+		j := started(idempotent)
+		for range 2 {
+			j = afterLoss(j, time.Second)
+			Expect(phaseOf(j)).To(Equal("queued"))
+		}
+		j = afterLoss(j, time.Second)
+		Expect(phaseOf(j)).To(Equal("parked"))
+		Expect(phaseOf(j.WithReleased(epoch))).To(Equal("queued"))
+	})
+
+	It("is not parked if workers are lost late", func() {
+		j := started(idempotent)
+		for range 2 {
+			j = afterLoss(j, time.Second)
+		}
+		j = afterLoss(j, time.Hour)
+		j = afterLoss(j, time.Second)
+		Expect(phaseOf(j)).To(Equal("queued"))
+	})
+
 	It("keeps a bounded history that includes the first entry", func() {
 		j := started(idempotent)
 		for i := range 100 {
--- a/job/rules.go
+++ b/job/rules.go
@@ -156,19 +156,35 @@
 	if saved {
 		j.SavedMS += p.Since.Sub(p.StartedAt).Milliseconds()
 	}
-	if p.Reason == StopTaskFailed {
-		j.Failures++
-	}
+	j = j.withAttemptCounted(p)
 	j.TaskPlacements = nil
 	j.Borrowed = false
-	if j.Failures >= MaxFailures {
+	switch {
+	case j.Failures >= MaxFailures:
 		return j.withParked(now, "Failed too often.")
+	case j.EarlyLosses >= maxEarlyLosses:
+		return j.withParked(now, "A worker was lost soon after each of the last starts.")
 	}
 	return j.withPhase(Queued{
 		Since: now,
 	}).withHistory(now, fmt.Sprintf("Queued again after %s.", p.Reason))
 }
 
+// withAttemptCounted returns j with its counts of failures and early losses after an
+// attempt. Over a long attempt, a worker is likely to be lost for other causes.
+func (j Job) withAttemptCounted(p Stopping) Job {
+	isEarly := p.WasStarted() && p.Since.Sub(p.StartedAt) < earlyLoss
+	switch {
+	case p.Reason == StopTaskFailed:
+		j.Failures++
+	case p.Reason == StopTaskLost && isEarly:
+		j.EarlyLosses++
+	case p.WasStarted() && !isEarly:
+		j.EarlyLosses = 0
+	}
+	return j
+}
+
 // WithParked returns a queued job in phase Parked; jobs in other phases stay as
 // they are.
 func (j Job) WithParked(now time.Time, reason string) Job {
@@ -191,7 +207,7 @@
 	if _, parked := j.Phase.(Parked); !parked {
 		return j
 	}
-	j.Failures = 0
+	j.Failures, j.EarlyLosses = 0, 0
 	return j.withPhase(Queued{
 		Since: now,
 	}).withHistory(now, "Released by an operator.")
--- a/wire/snapshot.go
+++ b/wire/snapshot.go
@@ -31,6 +31,7 @@
 	Submitted    time.Time           `json:"submitted"`
 	Attempt      int                 `json:"attempt"`
 	Failures     int                 `json:"failures"`
+	EarlyLosses  int                 `json:"early-losses,omitempty"`
 	Phase        []byte              `json:"phase"`
 	Parts        []job.TaskPlacement `json:"parts"`
 	Borrowed     bool                `json:"borrowed"`
@@ -135,6 +136,7 @@
 		Submitted:    j.Submitted,
 		Attempt:      j.Attempt,
 		Failures:     j.Failures,
+		EarlyLosses:  j.EarlyLosses,
 		Phase:        phase,
 		Parts:        j.TaskPlacements,
 		Borrowed:     j.Borrowed,
@@ -151,6 +153,7 @@
 		Submitted:      r.Submitted,
 		Attempt:        r.Attempt,
 		Failures:       r.Failures,
+		EarlyLosses:    r.EarlyLosses,
 		Phase:          phase,
 		TaskPlacements: r.Parts,
 		Borrowed:       r.Borrowed,
