--- a/replay/crash_test.go
+++ b/replay/crash_test.go
@@ -202,4 +202,23 @@
 			Expect(r.End-r.Arrival.At).To(BeNumerically("<", 30*time.Second), id)
 		}
 	})
+
+	for _, after := range []time.Duration{0, 400 * time.Millisecond} {
+		It(fmt.Sprintf("is given up among many like it, %v after their starts, and the others complete", after), func() {
+			sim, sound := newBusyFleet(true)
+			var deadly []string
+			for i := range 12 {
+				id := fmt.Sprintf("deadly-%02d", i)
+				deadly = append(deadly, id)
+				sim.Submit(id, newDeadlyArrival(submittedAt+time.Duration(i)*800*time.Millisecond, "normal",
+					independentTasks(1+i%3, 2*time.Second), replay.Deadly{
+						Indices: []int{0, 1, 2},
+						After:   after,
+						Return:  restartsSoon,
+					}))
+			}
+			sim.Run(100 * time.Second)
+			expectGivenUp(sim, deadly, sound)
+		})
+	}
 })
--- a/replay/fault.go
+++ b/replay/fault.go
@@ -86,8 +86,11 @@
 }
 
 // replaceWorker adds a worker at the address of one that has failed. It first
-// announces itself after a delay.
+// announces itself after a delay. Nothing is done if there is one already.
 func (sim *Simulation) replaceWorker(now time.Duration, failed *simWorker, announceDelay time.Duration) {
+	if failed.isReplaced {
+		return
+	}
 	failed.isReplaced = true
 	announced := failed.announced
 	announced.ID += "-next"
--- a/replay/network.go
+++ b/replay/network.go
@@ -124,8 +124,9 @@
 		answer(sent+answerTimeout+wait, unanswered)
 	case fault.DelayedShare > 0 && sim.rng.Float64() < fault.DelayedShare:
 		answer(sent+answerTimeout+wait, unanswered)
+		crashes := s.crashes
 		sim.scheduleAt(sim.delayedArrival(sent), func(now time.Duration) {
-			if s.isUp() && !s.activeFault(now).Partitioned {
+			if s.isUp() && !s.activeFault(now).Partitioned && s.crashes == crashes {
 				s.isDelayed = true
 				s.handleOrder(now, o)
 				s.isDelayed = false
