Count a run that is lost with a silent worker as an unconfirmed crash

What callers saw: a task whose workers crash and stay away for longer than their lease was started without end (BUDGET), where nothing but the lease tells that a run is over: without a list of machines, or with a new leader that never saw the worker listed.

Cause: such a run ended as lost, which did not count.

Change: the end counts as a crash that is not confirmed, unless the worker is still in contact.

--- a/control/decision_log.go
+++ b/control/decision_log.go
@@ -75,7 +75,7 @@
 			continue
 		}
 		text := "Workflow is finished."
-		if p, failed := w.Phase.(workflow.Failed); failed && p.Cause == workflow.EndedCrashed {
+		if p, failed := w.Phase.(workflow.Failed); failed && (p.Cause == workflow.EndedCrashed || p.Cause == workflow.EndedLost) {
 			text = "Workflow is given up, since workers crashed under one of its tasks."
 		}
 		out = append(out, LogDecision{
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -92,8 +92,8 @@
 }
 
 // endLost ends a run whose end was not reported. It counts as a crash if the run
-// may have been in progress and its worker has certainly ended without notice, as
-// opposed to one that cannot be reached.
+// may have been in progress and its worker has ended without notice. A worker that
+// was out of reach until its lease expired may have crashed.
 func (s *reconciliation) endLost(v workerView, t workflow.PlacedTask, r runState, reason string, age time.Duration) {
 	e := workflow.RunEnd{
 		RunKey:    t.RunKey,
@@ -111,6 +111,8 @@
 		e = v.predecessor.scene.crashEnd(t.RunKey, r)
 	case !isPredecessor && v.hasEnded && !v.worker.Leaving:
 		e = newCrashScene(s.index.placedByWorker[v.worker.ID], v.runs).crashEnd(t.RunKey, r)
+	case !isPredecessor && reason == reasonLeaseExpired:
+		e.IsUnconfirmed = !s.hasRecentContact(v)
 	}
 	s.end(t, e, reason, age)
 }
@@ -122,6 +124,10 @@
 	return !r.isOwnPlacement || !isUndelivered && !isRejected
 }
 
+// reasonLeaseExpired is the logged reason of an end that follows from the lease of
+// the worker alone.
+const reasonLeaseExpired = "lease-over"
+
 // crashText returns the log message about a run whose worker crashed.
 func crashText(wasAlone bool) string {
 	if wasAlone {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -18,7 +18,7 @@
 		return v
 	}
 	if r.mayHaveStarted() && s.isLeaseExpired(v, t) {
-		s.endLost(v, t, r, "lease-over", s.now.Sub(v.lastAnswerAt(s.dispatcher.termStartedAt)))
+		s.endLost(v, t, r, reasonLeaseExpired, s.now.Sub(v.lastAnswerAt(s.dispatcher.termStartedAt)))
 		return v
 	}
 	if r.pendingStop == "" {
--- a/workflow/rules.go
+++ b/workflow/rules.go
@@ -104,18 +104,19 @@
 	if e.Checkpoint != "" {
 		t.Checkpoint = e.Checkpoint
 	}
+	if e.isCrash() {
+		t.Crashes++
+		t.CrashedAt = now
+	}
+	if e.isCrash() && e.IsUnconfirmed {
+		t.UnconfirmedCrashes++
+	}
 	switch e.EndReason {
 	case EndedDone:
 		return t.WithState(Succeeded{})
 	case EndedFailed:
 		t.Failures++
-	case EndedCrashed:
-		t.Crashes++
-		t.CrashedAt = now
-		if e.IsUnconfirmed {
-			t.UnconfirmedCrashes++
-		}
-	case EndedStopped, EndedLeaseExpired, EndedGangAborted, EndedGangIncomplete, EndedLost, EndedNotStarted:
+	case EndedStopped, EndedLeaseExpired, EndedGangAborted, EndedGangIncomplete, EndedLost, EndedCrashed, EndedNotStarted:
 	}
 	return t.WithState(Waiting{})
 }
@@ -169,9 +170,9 @@
 			failures = r.Failures
 		}
 		return failures >= w.QueueSettings.MaxAttempts
-	case EndedCrashed:
-		return t.mustGiveUp(e.WasAlone)
-	case EndedDone, EndedStopped, EndedLeaseExpired, EndedGangAborted, EndedGangIncomplete, EndedLost, EndedNotStarted:
+	case EndedCrashed, EndedLost:
+		return e.isCrash() && t.mustGiveUp(e.WasAlone)
+	case EndedDone, EndedStopped, EndedLeaseExpired, EndedGangAborted, EndedGangIncomplete, EndedNotStarted:
 	}
 	return false
 }
--- a/workflow/task.go
+++ b/workflow/task.go
@@ -52,9 +52,10 @@
 	// Failures counts the failed runs. StepState counts those of a gang as a
 	// whole.
 	Failures int
-	// Crashes counts the runs under which the worker crashed.
-	Crashes int
-	// UnconfirmedCrashes counts those under which the run may not have begun.
+	// Crashes counts the runs under which the worker crashed or may have crashed.
+	// UnconfirmedCrashes counts those under which it may not have; see
+	// RunEnd.IsUnconfirmed.
+	Crashes            int
 	UnconfirmedCrashes int
 	// CrashedAt is when the last of the crashes was recorded.
 	CrashedAt time.Time
@@ -171,9 +172,15 @@
 	EndReason EndReason `json:"ending"`
 	// WasAlone is true if no other workflow had a run on a worker that crashed.
 	WasAlone bool `json:"was-alone,omitempty"`
-	// IsUnconfirmed is true if the run may not have begun when the worker crashed.
+	// IsUnconfirmed is true if the worker may have crashed under the run, but the run
+	// may not have begun by then, or the worker may only be out of reach.
 	IsUnconfirmed bool `json:"unconfirmed,omitempty"`
 	// Checkpoint names the checkpoint that the run saved. It is empty if there is
 	// none.
 	Checkpoint string `json:"checkpoint,omitempty"`
 }
+
+// isCrash reports whether the worker crashed, or may have crashed, under the run.
+func (e RunEnd) isCrash() bool {
+	return e.EndReason == EndedCrashed || e.EndReason == EndedLost && e.IsUnconfirmed
+}
--- a/workflow/workflow.go
+++ b/workflow/workflow.go
@@ -40,8 +40,8 @@
 type Failed struct {
 	// At is when the last of the failures or crashes was recorded.
 	At time.Time
-	// Cause is EndedFailed or EndedCrashed. It is empty in the records of versions
-	// that did not store it.
+	// Cause is EndedFailed, or EndedCrashed or EndedLost after crashes. It is empty in
+	// the records of versions that did not store it.
 	Cause EndReason
 }
 
