Hedge a request again while its copies stay silent

Callers saw "unknown no-whole-answer" at their deadline of 4 s although new connections to minions worked.

Cause: a request was hedged once. If the connection of the hedge went silent as well, the gateway waited until the deadline. A hedge that was refused, as when the retry budget was spent, was not tried again either.

Change: each time the copies are silent for a quarter of the time left, but at least 500 ms, a further hedge is sent on a new connection, at most three per request and each within the retry budget. The next one is timed from the start or the refusal of the last, so none queues behind another. A refused hedge does not count. gateway_retries_total{reason="silent"} counts hedges when they start, no longer when they ask for a slot.

--- a/gateway/caller/caller_suite_test.go
+++ b/gateway/caller/caller_suite_test.go
@@ -39,9 +39,11 @@
 	tickInterval = 20 * time.Millisecond
 )
 
+type eventLoop = loop.Loop[admission.State, admission.Event, admission.Effect]
+
 // startGateway starts a handler whose state has a lease and all slots of the
-// given minions, by address, and returns the handler's URL.
-func startGateway(addresses map[string]string) string {
+// given minions, by address, and returns the handler's URL and its event loop.
+func startGateway(addresses map[string]string) (string, *eventLoop) {
 	router := caller.NewEffectRouter()
 	l := loop.New(loop.Config[admission.State, admission.Event, admission.Effect]{
 		Initial: admission.NewState(admission.Config{
@@ -78,7 +80,30 @@
 	server := httptest.NewServer(mux)
 	DeferCleanup(server.Close)
 	Eventually(func() bool { return l.State().Lease().IsValid(time.Now()) }).Should(BeTrue())
-	return server.URL
+	return server.URL, l
+}
+
+// spendRetryBudget spends the retry budget for a time.
+func spendRetryBudget(l *eventLoop, d time.Duration) {
+	const firstToken = 1 << 32
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	for token := uint64(firstToken); ctx.Err() == nil; token++ {
+		_ = l.Post(ctx, admission.RequestReceived{
+			Request: admission.Request{
+				Token:        token,
+				Organisation: organisation,
+				Class:        admission.Normal{},
+				Deadline:     time.Now().Add(time.Minute),
+				IsRetry:      true,
+			},
+		})
+		_ = l.Post(ctx, admission.RequestFinished{
+			Token:  token,
+			Result: admission.NotSent{},
+		})
+		time.Sleep(time.Millisecond)
+	}
 }
 
 func pollReply(sequence uint64, addresses map[string]string) admission.PollReplyReceived {
@@ -183,7 +208,7 @@
 			m := &minions{
 				silent: silent,
 			}
-			url := startGateway(m.start(names...))
+			url, _ := startGateway(m.start(names...))
 			Expect(request(url, deadline)).To(Equal(api.OutcomeDone))
 			copies := m.received()
 			Expect(copies).To(HaveLen(silent + 1))
@@ -192,7 +217,28 @@
 		},
 		Entry("the first", 1, "m1", "m2", "m3"),
 		Entry("the first on the only minion", 1, "m1"),
+		Entry("the hedge too", 2, "m1", "m2", "m3"),
+		Entry("one on each minion", 3, "m1", "m2", "m3"),
 	)
+
+	It("is hedged later if the retry budget is spent at first", func() {
+		m := &minions{
+			silent: 1,
+		}
+		url, l := startGateway(m.start("m1", "m2", "m3"))
+		go spendRetryBudget(l, time.Second)
+		Expect(request(url, deadline)).To(Equal(api.OutcomeDone))
+		Expect(m.received()).To(HaveLen(2))
+	})
+
+	It("is sent at most four times if no copy is answered", func() {
+		m := &minions{
+			silent: 100,
+		}
+		url, _ := startGateway(m.start("m1", "m2", "m3", "m4", "m5", "m6"))
+		Expect(request(url, deadline)).To(Equal(api.OutcomeUnknown))
+		Expect(m.received()).To(HaveLen(4))
+	})
 })
 
 func uniqueNames(names []string) []string {
--- a/gateway/caller/idempotent.go
+++ b/gateway/caller/idempotent.go
@@ -19,8 +19,17 @@
 	// hedgeDivisor determines the delay of a hedged request, as the time until
 	// the deadline divided by it.
 	hedgeDivisor = 4
+	// maxHedges bounds the hedges of one request, so that a slow request cannot
+	// spend the retry budget of the others.
+	maxHedges = 3
 )
 
+// A startedCopy is a copy of a request that is about to be sent to a minion.
+type startedCopy struct {
+	minion  string
+	isHedge bool
+}
+
 // idempotentRequest is the state of an idempotent request, of which several copies
 // may run. Only the goroutine that handles the caller's call uses it.
 type idempotentRequest struct {
@@ -28,30 +37,35 @@
 	ctx     context.Context
 	call    call
 	results chan result
-	// started receives the minion of each copy that is about to be sent.
-	started chan string
+	// started receives each copy that is about to be sent.
+	started chan startedCopy
 	// pending is the number of copies without a result.
 	pending int
 	// sent is the number of copies that may have run.
-	sent   int
-	hedged bool
+	sent int
+	// hedges is the number of hedges that were started.
+	hedges int
+	// hedgeTimer fires when the copies have been silent for too long.
+	hedgeTimer *time.Timer
 	// last is the latest result; a refusal does not replace an earlier result.
 	last result
 }
 
 // runIdempotent runs a request until one copy gets a complete answer. Copies that
-// fail are retried on other minions. If a copy stays without an answer for too
-// long, a hedged request is sent on a new connection.
+// fail are retried on other minions. Each time the copies stay without an answer
+// for too long, a hedged request is sent on a new connection.
 func (h *Handler) runIdempotent(ctx context.Context, w http.ResponseWriter, c call) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ir := &idempotentRequest{
-		h:       h,
-		ctx:     ctx,
-		call:    c,
-		results: make(chan result),
-		started: make(chan string),
+		h:          h,
+		ctx:        ctx,
+		call:       c,
+		results:    make(chan result),
+		started:    make(chan startedCopy),
+		hedgeTimer: time.NewTimer(maxDeadline),
 	}
+	defer ir.hedgeTimer.Stop()
 	ir.launch(false, false)
 	a, ok := ir.run()
 	if ok {
@@ -71,7 +85,10 @@
 	go func() {
 		res := ir.h.attempt(ir.ctx, r, work, func(name string) {
 			select {
-			case ir.started <- name:
+			case ir.started <- startedCopy{
+				minion:  name,
+				isHedge: hedge,
+			}:
 			case <-ir.ctx.Done():
 			}
 		})
@@ -83,21 +100,14 @@
 }
 
 func (ir *idempotentRequest) run() (answered, bool) {
-	hedge := time.NewTimer(time.Hour)
-	defer hedge.Stop()
 	for ir.pending > 0 {
 		select {
 		case <-ir.ctx.Done():
 			return answered{}, false
-		case name := <-ir.started:
-			ir.sent++
-			r := &ir.call.request
-			r.AvoidedMinions = append(slices.Clip(r.AvoidedMinions), name)
-			hedge.Reset(ir.hedgeDelay())
-		case <-hedge.C:
-			if !ir.hedged {
-				ir.hedged = true
-				countRetry(retrySilent)
+		case c := <-ir.started:
+			ir.handleStarted(c)
+		case <-ir.hedgeTimer.C:
+			if ir.hedges < maxHedges {
 				ir.launch(false, true)
 			}
 		case res := <-ir.results:
@@ -111,6 +121,17 @@
 	return answered{}, false
 }
 
+func (ir *idempotentRequest) handleStarted(c startedCopy) {
+	ir.sent++
+	if c.isHedge {
+		ir.hedges++
+		countRetry(retrySilent)
+	}
+	r := &ir.call.request
+	r.AvoidedMinions = append(slices.Clip(r.AvoidedMinions), c.minion)
+	ir.hedgeTimer.Reset(ir.hedgeDelay())
+}
+
 func (ir *idempotentRequest) hedgeDelay() time.Duration {
 	left := ir.call.request.Deadline.Sub(ir.h.cfg.Clock())
 	return max(minHedgeDelay, left/hedgeDivisor)
@@ -144,7 +165,10 @@
 		ir.call.request.AvoidedMinions = nil
 		ir.call.request.ExcludedMinions = nil
 		ir.launch(false, false)
-	case refused, answered:
+	case refused:
+		// The copies that are still silent may be hedged later.
+		ir.hedgeTimer.Reset(ir.hedgeDelay())
+	case answered:
 	}
 }
 
--- a/prove/requests/whole_test.go
+++ b/prove/requests/whole_test.go
@@ -69,6 +69,35 @@
 		Expect(l.stopAndCollect()).To(HaveLen(1), "only whole answers")
 	})
 
+	It("is answered although the connections of its first copies stall one after the other", func() {
+		c := startCluster(clusterSpec{
+			gateways: 1,
+			minions:  []string{"a", "a", "a"},
+		})
+		Expect(c.PutContract(cluster.Contract("again", 0, 0, 8, 24))).To(Succeed())
+		call := idempotent("again", 6*time.Second, 500*time.Millisecond)
+		call.Work.ID = "w1"
+		responses := make(chan cluster.Response, 1)
+		go func() {
+			r, _ := c.Request(context.Background(), "g1", call)
+			responses <- r
+		}()
+		for copies := 1; copies <= 2; copies++ {
+			Eventually(func() (map[string]int, error) {
+				if len(responses) > 0 {
+					return nil, StopTrying("the request has ended").Attach("reason", (<-responses).Reason())
+				}
+				return c.RunCounts()
+			}).WithTimeout(call.Deadline).WithPolling(10 * time.Millisecond).Should(HaveKeyWithValue("w1", copies))
+			for _, m := range []string{"m1", "m2", "m3"} {
+				c.Network.StallOpenConnections(c.IP("g1"), m)
+			}
+		}
+		r := <-responses
+		Expect(r.Outcome()).To(Equal(api.OutcomeDone))
+		Expect(isWhole(r, call)).To(BeTrue())
+	})
+
 	It("is answered although all open connections between gateways and controllers stall for good", func() {
 		c := startCluster(clusterSpec{
 			gateways: 2,
