Let requests pass a queued one that waits for certain minions

Callers waited, up to their deadline, although a minion had free slots, while an earlier request of their organisation and class was queued for a retry or a hedge and the minions left to it had no free slot or were gone.

Cause: if the first request of a queue could not be started, the whole queue was skipped. A retry or a hedge has excluded or avoided minions and the earliest deadline, so it was first.

Evidence: "does not let a request that only certain minions may be given hold up its queue" failed before: "Expected nil to equal [2, 3]". Found while the hedges of silent requests were traced.

Change: a request with excluded or avoided minions that cannot be started is skipped alone; the next one of its queue is tried. Any other still stands for all that wait behind it.

Measured: the spec passes.

--- a/admission/admission_suite_test.go
+++ b/admission/admission_suite_test.go
@@ -274,6 +274,22 @@
 		Expect(g.step(0, hedge)).To(BeEmpty(), "never where a copy failed")
 	})
 
+	It("does not let a request that only certain minions may be given hold up its queue", func() {
+		g := newGateway(pollReply(1, map[string]int{
+			"m1": 2,
+		}, contractOf("o", 0)))
+		retry := newRequest(1, "o", admission.Normal{}, true)
+		retry.Request.IsRetry = true
+		retry.Request.ExcludedMinions = []string{"m1"}
+		retry.Request.Deadline = epoch.Add(time.Second)
+		g.step(0, retry)
+		g.step(0, newRequest(2, "o", admission.Normal{}, true))
+		g.step(0, newRequest(3, "o", admission.Normal{}, true))
+		g.step(0, newRequest(4, "o", admission.Normal{}, true))
+		Expect(startedTokens(g.effects)).To(Equal([]uint64{2, 3}))
+		Expect(g.state.QueuedCount()).To(Equal(2))
+	})
+
 	It("refuses retries beyond the retry budget", func() {
 		g := newGateway(pollReply(1, map[string]int{
 			"m1": 100,
--- a/admission/match.go
+++ b/admission/match.go
@@ -37,7 +37,10 @@
 	if s.queuedCount == 0 || !s.lease.IsValid(now) {
 		return s, nil
 	}
-	skipped := map[string]bool{}
+	skipped := skippedRequests{
+		queues: map[string]bool{},
+		tokens: map[uint64]bool{},
+	}
 	for s.queuedCount > 0 {
 		c, ok := s.nextCandidate(now, skipped)
 		if !ok {
@@ -56,19 +59,36 @@
 			out = append(out, f)
 			continue
 		}
-		skipped[queueName(c.request.Organisation, c.request.Class)] = true
+		skipped.add(c.request)
 	}
 	s, more := s.revokeBorrowed()
 	return s, append(out, more...)
 }
 
+// skippedRequests are the requests that cannot be started now: all of a queue,
+// by name, or single ones, by token.
+type skippedRequests struct {
+	queues map[string]bool
+	tokens map[uint64]bool
+}
+
+// add skips a request that could not be started. The next ones of its queue
+// could not either, unless they may be given to more minions.
+func (k skippedRequests) add(r Request) {
+	if len(r.ExcludedMinions) > 0 || len(r.AvoidedMinions) > 0 {
+		k.tokens[r.Token] = true
+		return
+	}
+	k.queues[queueName(r.Organisation, r.Class)] = true
+}
+
 // nextCandidate returns the request to start next among the first of each
 // queue, or false if none may start.
-func (s State) nextCandidate(now time.Time, skipped map[string]bool) (best candidate, ok bool) {
+func (s State) nextCandidate(now time.Time, skipped skippedRequests) (best candidate, ok bool) {
 	for itr := s.queues.Iterator(); !itr.Done(); {
 		name, q, _ := itr.Next()
-		r, waits := q.head()
-		if !waits || skipped[name] || !s.isBelowCeiling(r.Organisation) {
+		r, waits := q.first(skipped.tokens)
+		if !waits || skipped.queues[name] || !s.isBelowCeiling(r.Organisation) {
 			continue
 		}
 		c := candidate{
--- a/admission/request.go
+++ b/admission/request.go
@@ -166,10 +166,15 @@
 }
 
 func (q requestQueue) head() (Request, bool) {
-	itr := q.m.Iterator()
-	if itr.Done() {
-		return Request{}, false
+	return q.first(nil)
+}
+
+// first returns the first request whose token is not among the skipped ones.
+func (q requestQueue) first(skipped map[uint64]bool) (Request, bool) {
+	for itr := q.m.Iterator(); !itr.Done(); {
+		if _, r, _ := itr.Next(); !skipped[r.Token] {
+			return r, true
+		}
 	}
-	_, r, _ := itr.Next()
-	return r, true
+	return Request{}, false
 }
