Bound inherited leases by an answer of the worker, not by a late announcement

After a change of the leader, runs were started a second time while the first ones were still running.

Cause: a new leader bounds the leases that an earlier one can have granted by the first reading of the worker's clock. If that came with an announcement that arrived seconds late, the bound was as much too early, and the next reading was past it.

Evidence: "does not make a new leader take the leases of an earlier one for expired" (replay) failed before: "11.08s: {{a 0 0 8} 2} starts on w-00-01 while {{a 0 0 8} 1} is running on w-00-01".

Change: the first reading in an answer to an order sets the bound too. Until there is one, no lease counts as expired before the longest inherited one must be.

--- a/dispatch/clock.go
+++ b/dispatch/clock.go
@@ -16,6 +16,9 @@
 	// boundMS and boundAt are the reading that the lower bound is based on.
 	boundMS int64
 	boundAt time.Time
+	// isConfirmed is true once there was a direct reading. Any other may have been
+	// delayed for long.
+	isConfirmed bool
 }
 
 // maxReadingAge is the age from which a reading is replaced by any newer one.
@@ -32,6 +35,7 @@
 	if readingMS == 0 {
 		return c
 	}
+	c.isConfirmed = c.isConfirmed || direct
 	if c.boundAt.IsZero() || readingMS > c.lowerBound(now) {
 		c.boundMS, c.boundAt = readingMS, now
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -222,10 +222,10 @@
 }
 
 // withClockReading returns v after a reading of the worker's clock. Before the
-// first reading an earlier leader may have granted a lease of full length, so
-// the reading also sets the latest lease that may be in force.
+// first direct reading an earlier leader may have granted a lease of full length, so
+// that reading also sets the latest lease that may be in force.
 func (v workerView) withClockReading(now time.Time, cfg Config, ms int64, direct bool) workerView {
-	if ms != 0 && !v.clock.isKnown() {
+	if ms != 0 && (!v.clock.isKnown() || direct && !v.clock.isConfirmed) {
 		v.maxLeaseUntilMS = max(v.maxLeaseUntilMS, ms+cfg.LeaseDuration.Milliseconds()+leaseMargin.Milliseconds())
 	}
 	v.clock = v.clock.withReading(now, ms, direct)
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -33,7 +33,7 @@
 }
 
 // isLeaseExpired reports whether the worker must have killed a run that was
-// started under its lease. If the worker's clock was never read, the longest
+// started under its lease. If no answer of the worker had its clock, the longest
 // lease that an earlier leader can have granted is the bound.
 func (s *reconciliation) isLeaseExpired(v workerView, t workflow.PlacedTask) bool {
 	known := s.now.Sub(later(v.firstSeenAt, s.dispatcher.termStartedAt))
@@ -46,6 +46,8 @@
 	switch {
 	case !v.clock.isKnown():
 		return known > bound
+	case !v.clock.isConfirmed && known <= bound:
+		return false
 	case v.worker.Incarnation != t.Incarnation && known <= bound:
 		return false
 	}
