Start no run that counts as lost while its end is not committed

After commits had stalled for long, a task was run twice at once on a worker, and workers got starts in excess of their capacity.

Cause: a placement whose round was given up and was committed after all may be that of a run that was never started, on a worker whose lease has expired. It then counts as lost, but in the next pass, before that is committed, the lease is renewed, the run does not count as lost any more, and it is started; its successor is placed meanwhile.

Evidence: the randomised test of shrinking capacities failed with seeds 227 and 236: "14.54s: {{s-17 0 0 2} 2} starts on w-01-00 while {{s-17 0 0 2} 1} is running on w-01-00". They are kept as regression seeds.

Change: a run that counts as lost is marked as being stopped.

--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -19,8 +19,10 @@
 	}
 	mayHaveStarted := !r.isOwnPlacement || r.startsSent > 0
 	if mayHaveStarted && s.isLeaseExpired(v, t) {
-		s.end(t, workflow.EndedLost, "lease-over", s.now.Sub(v.lastAnsweredAt))
-		return v
+		s.end(t, workflow.EndedLost, string(reasonLeaseExpired), s.now.Sub(v.lastAnsweredAt))
+		// A renewal makes the lease valid again before the end is committed.
+		r.pendingStop = reasonLeaseExpired
+		return v.withRun(t.RunKey, r)
 	}
 	if r.pendingStop == "" {
 		r = s.withStopReason(v, t, r)
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -116,6 +116,7 @@
 	reasonWorkerReplaced   stopReason = "worker-replaced"
 	reasonWorkerMissing    stopReason = "worker-missing"
 	reasonWorkerEnded      stopReason = "worker-ended"
+	reasonLeaseExpired     stopReason = "lease-over"
 )
 
 func newWorkerView(now time.Time, w pool.Worker) workerView {
--- a/replay/capacity_random_test.go
+++ b/replay/capacity_random_test.go
@@ -15,7 +15,9 @@
 )
 
 var _ = Describe("Workers whose capacities shrink and grow", func() {
-	for _, seed := range capacitySeeds() {
+	// Seeds 43 and 241: a late announcement set the bound of inherited leases. Seeds
+	// 227 and 236: a run was started after it had counted as lost.
+	for _, seed := range append([]uint64{43, 241, 227, 236}, capacitySeeds()...) {
 		It(fmt.Sprintf("get no start in excess of them under random faults, seed %d", seed), func() {
 			sim, ids := randomShrinkingSimulation(seed)
 			sim.Run(90 * time.Second)
