--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -111,7 +111,7 @@
 		e = v.predecessor.scene.crashEnd(t.RunKey, r)
 	case !isPredecessor && v.hasEnded && !v.worker.Leaving:
 		e = newCrashScene(s.index.placedByWorker[v.worker.ID], v.runs).crashEnd(t.RunKey, r)
-	case !isPredecessor && reason == reasonLeaseExpired:
+	case !isPredecessor && reason == string(reasonLeaseExpired):
 		e.IsUnconfirmed = !s.hasRecentContact(v)
 	}
 	s.end(t, e, reason, age)
@@ -124,10 +124,6 @@
 	return !r.isOwnPlacement || !isUndelivered && !isRejected
 }
 
-// reasonLeaseExpired is the logged reason of an end that follows from the lease of
-// the worker alone.
-const reasonLeaseExpired = "lease-over"
-
 // crashText returns the log message about a run whose worker crashed.
 func crashText(wasAlone bool) string {
 	if wasAlone {
