Leave a controller that redirects to itself

What callers saw: a front whose last leader had hung got no answer any more, though the group had another leader.

Cause: the client follows each redirect. A controller whose event loop has stopped goes on to answer queries from its last published state: it has no lease, and names itself as the leader.

Evidence: "leaves a controller without a lease that names itself as the leader" failed after 1 s with a leader next in the ring.

Change: after ten redirects in a row, 0.3 s, the client tries the next controller in the ring.

--- a/gateway/controller/leader.go
+++ b/gateway/controller/leader.go
@@ -24,6 +24,10 @@
 	callTimeout  = 900 * time.Millisecond
 	retryBackoff = 30 * time.Millisecond
 	queueLength  = 1024
+	// maxRedirects is the number of redirects in a row that a call follows. A leader
+	// that waits for its lease, and a controller that has hung, redirect to
+	// themselves.
+	maxRedirects = 10
 )
 
 // Reasons to retry a call, as labels of the counter of retries.
@@ -174,6 +178,7 @@
 	sent := false
 	address := *l.leader.Load()
 	ringPosition := address
+	redirects := 0
 	last := errNoAttempt
 	for ctx.Err() == nil {
 		c, err := l.client(ctx, address)
@@ -190,11 +195,12 @@
 		last = l.recordRetry(method, err, last)
 		sent = sent || wasSent(err)
 		address = redirect
-		if address == "" {
+		if redirects++; address == "" || redirects > maxRedirects {
 			// Each call has its own position in the ring: calls that shared one
 			// could skip the same controller again and again.
 			ringPosition = nextInRing(*l.ring.Load(), ringPosition)
 			address = ringPosition
+			redirects = 0
 		}
 		util.SleepContext(ctx, retryBackoff)
 	}
