Begin the next call after a controller that has not answered

What callers saw: each change sent through a front whose last leader accepted calls but did not answer stayed unanswered, for as long as that lasted.

Cause: each call began at the last leader.

Evidence: "begins its next call at another controller if one has not answered" failed: the second call got no answer either.

Change: a call whose first controller has not answered makes later calls begin at the next one, unless another call has found the leader meanwhile. If the leader was only slow, that costs one redirect.

--- a/gateway/controller/controller_suite_test.go
+++ b/gateway/controller/controller_suite_test.go
@@ -72,4 +72,15 @@
 		})
 		Expect(queryMembers(startClient(stale, startController(lead)), time.Second)).To(Succeed())
 	})
+
+	It("begins its next call at another controller if one has not answered", func() {
+		silent := startController(func(ctx context.Context, _ string) wire.LeaderReply[api.Members] {
+			<-ctx.Done()
+			return wire.LeaderReply[api.Members]{}
+		})
+		l := startClient(silent, startController(lead))
+		const timeout = 500 * time.Millisecond
+		Expect(queryMembers(l, timeout)).NotTo(Succeed())
+		Expect(queryMembers(l, timeout)).To(Succeed())
+	})
 })
--- a/gateway/controller/leader.go
+++ b/gateway/controller/leader.go
@@ -176,8 +176,8 @@
 // withLeader calls controllers until a leader replies or ctx ends.
 func (l *LeaderClient) withLeader(ctx context.Context, method string, try attempt) (err error) {
 	sent := false
-	address := *l.leader.Load()
-	ringPosition := address
+	start := l.leader.Load()
+	address, ringPosition := *start, *start
 	redirects := 0
 	last := errNoAttempt
 	for ctx.Err() == nil {
@@ -194,6 +194,9 @@
 		}
 		last = l.recordRetry(method, err, last)
 		sent = sent || wasSent(err)
+		if err != nil && address == *start && !errors.Is(ctx.Err(), context.Canceled) {
+			l.skip(start)
+		}
 		address = redirect
 		if redirects++; address == "" || redirects > maxRedirects {
 			// Each call has its own position in the ring: calls that shared one
@@ -210,6 +213,14 @@
 	}
 }
 
+// skip makes the next call begin after a controller that has not answered, unless
+// another call has found the leader meanwhile. Otherwise short calls would never
+// get beyond it.
+func (l *LeaderClient) skip(leader *string) {
+	next := nextInRing(*l.ring.Load(), *leader)
+	l.leader.CompareAndSwap(leader, &next)
+}
+
 // recordRetry counts a retry and returns the latest error, which is last if there
 // is no new one.
 func (l *LeaderClient) recordRetry(method string, err, last error) error {
