--- a/prove/control/disks_test.go
+++ b/prove/control/disks_test.go
@@ -29,6 +29,19 @@
 	Expect(c.Process(name).LimitFileSize(cluster.NoLimit)).To(Succeed())
 }
 
+// replaceWhileFull replaces a controller that was killed, while the disk of another one
+// is full: three controllers have no majority until it has room.
+func replaceWhileFull(c *cluster.Cluster, e *history.Editor, killed, full string) {
+	freed := make(chan struct{})
+	defer func() { <-freed }()
+	go func() {
+		defer GinkgoRecover()
+		defer close(freed)
+		fillDisk(c, full, func() {})
+	}()
+	replaceController(c, e, killed)
+}
+
 // checkAllCount checks that edits are accepted, without any controller in turn too, and
 // that none is lost.
 func checkAllCount(c *cluster.Cluster, e *history.Editor, stop func() error, names []string) {
@@ -95,15 +108,7 @@
 			lead := leader(c, "g1")
 			if lead != name {
 				c.Process(name).Kill()
-				// Three controllers have no majority until the disk has room.
-				filled := make(chan struct{})
-				go func() {
-					defer GinkgoRecover()
-					defer close(filled)
-					fillDisk(c, lead, func() {})
-				}()
-				replaceController(c, e, name)
-				<-filled
+				replaceWhileFull(c, e, name, lead)
 			}
 			fillDisk(c, name, func() {})
 		}
