--- a/gateway/controller/leader.go
+++ b/gateway/controller/leader.go
@@ -24,6 +24,10 @@
 	callTimeout  = 900 * time.Millisecond
 	retryBackoff = 30 * time.Millisecond
 	queueLength  = 1024
+	// maxRedirects is the number of redirects in a row that a call follows. A leader
+	// that waits for its lease, and a controller that has hung, redirect to
+	// themselves.
+	maxRedirects = 10
 )
 
 // Reasons to retry a call, as labels of the counter of retries.
@@ -172,8 +176,9 @@
 // withLeader calls controllers until a leader replies or ctx ends.
 func (l *LeaderClient) withLeader(ctx context.Context, method string, try attempt) (err error) {
 	sent := false
-	address := *l.leader.Load()
-	ringPosition := address
+	start := l.leader.Load()
+	address, ringPosition := *start, *start
+	redirects := 0
 	last := errNoAttempt
 	for ctx.Err() == nil {
 		c, err := l.client(ctx, address)
@@ -189,12 +194,16 @@
 		}
 		last = l.recordRetry(method, err, last)
 		sent = sent || wasSent(err)
+		if err != nil && address == *start && !errors.Is(ctx.Err(), context.Canceled) {
+			l.skip(start)
+		}
 		address = redirect
-		if address == "" {
+		if redirects++; address == "" || redirects > maxRedirects {
 			// Each call has its own position in the ring: calls that shared one
 			// could skip the same controller again and again.
 			ringPosition = nextInRing(*l.ring.Load(), ringPosition)
 			address = ringPosition
+			redirects = 0
 		}
 		util.SleepContext(ctx, retryBackoff)
 	}
@@ -204,6 +213,14 @@
 	}
 }
 
+// skip makes the next call begin after a controller that has not answered, unless
+// another call has found the leader meanwhile. Otherwise short calls would never
+// get beyond it.
+func (l *LeaderClient) skip(leader *string) {
+	next := nextInRing(*l.ring.Load(), *leader)
+	l.leader.CompareAndSwap(leader, &next)
+}
+
 // recordRetry counts a retry and returns the latest error, which is last if there
 // is no new one.
 func (l *LeaderClient) recordRetry(method string, err, last error) error {
