Check in the replay that no workflow waits while workers have capacity for it

A workflow with nothing running for 3 s, of which a step is ready and fits twice over while under half of the capacity of the workers in service is in use, is a violation. The tests of random faults check it from 40 s on, ten seconds after the last fault.

--- a/replay/reborn_test.go
+++ b/replay/reborn_test.go
@@ -90,4 +90,37 @@
 		Expect(sim.Violations()).To(BeEmpty())
 		Expect(sim.Record("a").Status).To(Equal(workflow.StatusCompleted))
 	})
+
+	It("does not keep its gang waiting after the worker has failed for good", func() {
+		cfg := newConfig(2)
+		cfg.CheckWaitsFrom = 28 * time.Second
+		sim := replay.NewSimulation(cfg)
+		sim.Submit("a", newArrival(3*time.Second, "normal", gang(4, 8, 20*time.Second)))
+		sim.Run(4 * time.Second)
+		for _, id := range sim.Workers() {
+			if sim.AllocatedOn(id).Accelerators == 0 {
+				continue
+			}
+			sim.InjectFault(id, replay.Fault{
+				From:        4 * time.Second,
+				Until:       5 * time.Second,
+				Restarts:    true,
+				LosesOrders: true,
+			})
+			sim.InjectFault(id, replay.Fault{
+				From:        5 * time.Second,
+				Until:       7 * time.Second,
+				LosesOrders: true,
+			})
+			sim.InjectFault(id, replay.Fault{
+				From:        7 * time.Second,
+				Until:       time.Hour,
+				Partitioned: true,
+			})
+			break
+		}
+		sim.Run(60 * time.Second)
+		Expect(sim.Violations()).To(BeEmpty())
+		Expect(sim.Record("a").Status).To(Equal(workflow.StatusCompleted))
+	})
 })
--- a/replay/record.go
+++ b/replay/record.go
@@ -107,3 +107,17 @@
 	wf, _ := sim.state.Workflow(id)
 	return len(wf.PlacedTasks())
 }
+
+// A decision identifies the records of one kind of decision.
+type decision struct {
+	text, reason string
+}
+
+// DecisionCount returns how many decisions with a text and a reason were
+// recorded.
+func (sim *Simulation) DecisionCount(text, reason string) int {
+	return sim.decisions[decision{
+		text:   text,
+		reason: reason,
+	}]
+}
--- a/replay/replay_suite_test.go
+++ b/replay/replay_suite_test.go
@@ -283,6 +283,7 @@
 	rng := rand.New(rand.NewPCG(seed, 7))
 	cfg := newConfig(seed)
 	cfg.HasInventory = kinds > 7
+	cfg.CheckWaitsFrom = 40 * time.Second
 	sim = replay.NewSimulation(cfg)
 	queues := []string{"urgent", "normal", "batch"}
 	for i := range 40 {
--- a/replay/simulation.go
+++ b/replay/simulation.go
@@ -37,6 +37,9 @@
 	// CrossRackFactor is how many times longer a task takes off the rack of its
 	// data; see dispatch.Config.
 	CrossRackFactor float64
+	// CheckWaitsFrom is when the check of workflows that wait although there is
+	// capacity begins, in simulated time; zero disables the check.
+	CheckWaitsFrom time.Duration
 	// MaxReclaimWait is how long an urgent workflow within its organisation's
 	// guarantee may wait for its first run; zero disables the check.
 	MaxReclaimWait time.Duration
@@ -115,6 +118,10 @@
 	stalledFrom, stalledUntil time.Duration
 	// isWaitReported holds the workflows whose wait was reported as a violation.
 	isWaitReported map[string]bool
+	// waitingSince is from when workflows have had nothing running although there
+	// is capacity; isIdleReported holds those that were reported as violations.
+	waitingSince   map[string]time.Duration
+	isIdleReported map[string]bool
 	// outOfServiceSince is when data centres were taken out of service, by name.
 	outOfServiceSince map[string]time.Duration
 	// overGuaranteeAt is when the demand of an organisation last exceeded its
@@ -129,6 +136,8 @@
 	wastedWork float64
 	// stoppedRuns counts the runs that ended on a stop order.
 	stoppedRuns int
+	// decisions counts the records of decisions by text and reason.
+	decisions map[decision]int
 	// endedRuns counts the runs that ended on workers, by reason.
 	endedRuns map[workflow.EndReason]int
 }
@@ -158,8 +167,11 @@
 		isRestarted:    map[workflow.RunKey]bool{},
 		records:        map[string]*Record{},
 
+		decisions:         map[decision]int{},
 		endedRuns:         map[workflow.EndReason]int{},
 		isWaitReported:    map[string]bool{},
+		waitingSince:      map[string]time.Duration{},
+		isIdleReported:    map[string]bool{},
 		outOfServiceSince: map[string]time.Duration{},
 		overGuaranteeAt:   map[string]time.Time{},
 		term:              1,
@@ -338,6 +350,9 @@
 		if sim.cfg.MaxReclaimWait > 0 && sim.now%(10*tickDuration) == 0 {
 			sim.checkReclaimWaits()
 		}
+		if from := sim.cfg.CheckWaitsFrom; from > 0 && sim.now >= from && sim.now%(10*tickDuration) == 0 {
+			sim.checkWaits()
+		}
 	}
 }
 
@@ -361,6 +376,12 @@
 	sim.dispatcher = dispatcher
 	sim.reconcilePasses++
 	sim.reconcileTime += time.Since(began)
+	for _, r := range plan.DecisionRecords {
+		sim.decisions[decision{
+			text:   r.Text,
+			reason: r.Reason,
+		}]++
+	}
 	for _, o := range plan.Orders {
 		sim.sendOrder(o)
 	}
