Log task groups that wait although workers have capacity for them

Every five seconds at most, up to five lines: task groups that have waited for 3 s and fit on the workers in service by their free capacity, with the check that turned them away (headroom, an equal requirement, their rack, capacity, preemption) and the number of workers that are not schedulable, by cause. Likewise workers whose runs have to be waited for, because they do not answer or the gang is broken.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -103,7 +103,11 @@
 	// placement pass.
 	placedAt      time.Time
 	placedVersion uint64
-	inventory     inventory
+	// waitsReportedAt and heldReportedAt are when task groups that wait, and runs
+	// that have to be waited for, were last logged.
+	waitsReportedAt time.Time
+	heldReportedAt  time.Time
+	inventory       inventory
 	// decisionRecords holds the decisions made since the last Reconcile.
 	decisionRecords []DecisionRecord
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -31,6 +31,9 @@
 	unpreemptable map[requirement]bool
 	reservations  int
 	placements    []workflow.Placement
+	// waits holds task groups that were not placed, if reportsWaits is true.
+	waits        []wait
+	reportsWaits bool
 }
 
 // place runs a placement pass and returns the new placements. It returns nil if
@@ -49,6 +52,7 @@
 		fleets:        s.fleets(state),
 		blocked:       map[requirement]bool{},
 		unpreemptable: map[requirement]bool{},
+		reportsWaits:  s.now.Sub(s.dispatcher.waitsReportedAt) >= waitReportInterval,
 	}
 	for _, g := range groups {
 		f := p.fleets[g.wf.QueueSettings.Pool]
@@ -58,8 +62,11 @@
 			p.placeUrgent(f, g)
 		case !p.blocked[g.requirement()]:
 			p.placeGroup(f, g)
+		default:
+			p.wait(g, waitsBehindEqual)
 		}
 	}
+	p.reportWaits(state)
 	return p.placements
 }
 
@@ -68,10 +75,15 @@
 // pass, and a gang may get a reservation.
 func (p *placer) placeGroup(f *fleet, g taskGroup) {
 	reserves := reservesCapacity(p.s.dispatcher.cfg.Policy)
-	if reserves && !f.hasHeadroom(g) || p.tryPlace(f, g) {
+	if reserves && !f.hasHeadroom(g) {
+		p.wait(g, waitsForHeadroom)
+		return
+	}
+	if p.tryPlace(f, g) {
 		return
 	}
 	p.blocked[g.requirement()] = true
+	p.wait(g, p.waitReason(f, g))
 	if reserves && g.step.IsGang && p.reservations < maxReservations {
 		p.reserve(f, g)
 	}
@@ -88,6 +100,7 @@
 		return
 	}
 	p.blocked[g.requirement()] = true
+	p.wait(g, waitsForPreemption)
 	hasWaited := p.s.now.Sub(g.wf.Submitted) >= p.s.dispatcher.cfg.MaxStopDuration
 	if (isFirst || hasWaited) && !p.unpreemptable[g.requirement()] {
 		p.unpreemptable[g.requirement()] = !p.preempt(f, g)
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -83,6 +83,7 @@
 	}
 	s.stopDoomedGangs()
 	s.requestInventory()
+	s.reportHeldRuns()
 	if !s.dispatcher.HasPendingRound() {
 		s.proposeRound(after)
 	}
--- /dev/null
+++ b/dispatch/waits.go
@@ -0,0 +1,190 @@
+package dispatch
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/plantainladder/plantainladder/workflow"
+)
+
+// A waitReason is why a placement pass did not place a task group.
+type waitReason string
+
+// Reasons why a task group waits.
+const (
+	waitsForHeadroom   waitReason = "headroom"
+	waitsBehindEqual   waitReason = "equal-requirement"
+	waitsForRack       waitReason = "rack"
+	waitsForCapacity   waitReason = "capacity"
+	waitsForPreemption waitReason = "preemption"
+)
+
+const (
+	// waitReportAge is how long a task group waits, or a worker does not answer,
+	// before it is logged.
+	waitReportAge = 3 * time.Second
+	// waitReportInterval is the time between two reports on task groups that wait.
+	waitReportInterval = 5 * time.Second
+	// maxWaitRecords is the largest number of records of one report.
+	maxWaitRecords = 5
+)
+
+// A wait is a task group that a placement pass did not place.
+type wait struct {
+	taskGroup taskGroup
+	reason    waitReason
+}
+
+// wait notes why a task group was not placed, for the log.
+func (p *placer) wait(g taskGroup, reason waitReason) {
+	if p.reportsWaits && p.s.now.Sub(g.since()) >= waitReportAge {
+		p.waits = append(p.waits, wait{
+			taskGroup: g,
+			reason:    reason,
+		})
+	}
+}
+
+// waitReason returns why a task group that was tried did not fit.
+func (p *placer) waitReason(f *fleet, g taskGroup) waitReason {
+	hasRack := g.step.IsGang && g.step.IsRackSensitive || g.step.DataRack != ""
+	if p.reportsWaits && hasRack && p.isWorthWaiting(f, g) {
+		return waitsForRack
+	}
+	return waitsForCapacity
+}
+
+// since returns from when a task group counts as waiting: its due time, or the
+// submission of its workflow.
+func (g taskGroup) since() time.Time {
+	return later(g.wf.Spec.DueAt(g.occurrence), g.wf.Submitted)
+}
+
+// reportWaits logs task groups that wait although they fit on the workers in
+// service, schedulable or not, by their free capacity.
+func (p *placer) reportWaits(state ClusterState) {
+	if len(p.waits) == 0 {
+		return
+	}
+	p.s.dispatcher.waitsReportedAt = p.s.now
+	nodes, excluded := p.s.nodesInService(state)
+	n := 0
+	for _, w := range p.waits {
+		g := w.taskGroup
+		if n == maxWaitRecords || !g.fitsOn(nodes[g.wf.QueueSettings.Pool]) {
+			continue
+		}
+		n++
+		p.s.record(DecisionRecord{
+			Text: "Tasks wait although workers have capacity for them.",
+			RunKey: workflow.RunKey{
+				TaskKey: g.key(g.waiting[0]),
+				Run:     g.wf.NextRun(g.key(g.waiting[0])),
+			},
+			Reason:     string(w.reason) + excluded,
+			Age:        p.s.now.Sub(g.since()),
+			Tasks:      len(g.waiting),
+			Queue:      g.wf.Spec.Queue,
+			CompleteBy: g.targetCompletion,
+		})
+	}
+}
+
+// fitsOn reports whether a whole gang, or one task of another group, fits.
+func (g taskGroup) fitsOn(nodes []*node) bool {
+	needed := 1
+	if g.step.IsGang {
+		needed = g.step.Tasks
+	}
+	for _, n := range nodes {
+		if needed -= g.fitCount(n, n.free, needed); needed <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// nodesInService returns the workers in service with their free capacity, by
+// pool, and for the log how many of them are not schedulable, by cause.
+func (s *reconciliation) nodesInService(state ClusterState) (nodes map[string][]*node, excluded string) {
+	nodes = map[string][]*node{}
+	causes := map[string]int{}
+	for _, w := range state.Workers {
+		v, ok := s.dispatcher.workerView(w.ID)
+		if w.Leaving || v.hasEnded || state.IsOutOfService(w.DataCentre) {
+			continue
+		}
+		if !ok || !s.isSchedulable(w, v) {
+			causes[s.exclusionCause(v, ok)]++
+		}
+		free := w.Capacity
+		for _, t := range s.index.placedByWorker[w.ID] {
+			free = free.Minus(t.StepSpec.PerTask)
+		}
+		nodes[w.Pool] = append(nodes[w.Pool], &node{
+			worker: w,
+			free:   free,
+		})
+	}
+	var b strings.Builder
+	for _, cause := range slices.Sorted(maps.Keys(causes)) {
+		fmt.Fprintf(&b, " %s=%d", cause, causes[cause])
+	}
+	return nodes, b.String()
+}
+
+// exclusionCause returns, for the log, why a worker in service is not
+// schedulable.
+func (s *reconciliation) exclusionCause(v workerView, isKnown bool) string {
+	switch {
+	case !isKnown, !s.hasRecentContact(v):
+		return "silent"
+	case v.unanswered > 0:
+		return "unanswered"
+	case !v.clock.isKnown():
+		return "clock-unknown"
+	case s.now.Before(v.backoffUntil):
+		return "backoff"
+	}
+	return "other"
+}
+
+// reportHeldRuns logs workers on which runs have to be waited for, because the
+// worker does not answer or the gang of a run is broken.
+func (s *reconciliation) reportHeldRuns() {
+	if s.now.Sub(s.dispatcher.heldReportedAt) < waitReportInterval {
+		return
+	}
+	s.dispatcher.heldReportedAt = s.now
+	n := 0
+	for _, id := range slices.Sorted(maps.Keys(s.index.placedByWorker)) {
+		v, ok := s.dispatcher.workerView(id)
+		tasks := s.index.placedByWorker[id]
+		silence := s.now.Sub(v.lastAnswerAt(s.dispatcher.termStartedAt))
+		broken := slices.IndexFunc(tasks, func(t workflow.PlacedTask) bool {
+			return s.index.isGangBroken[t.RunKey] && s.now.Sub(t.At) >= waitReportAge
+		})
+		held, reason := 0, "unanswered"
+		switch {
+		case !ok || v.unanswered > 0 && silence >= waitReportAge:
+		case broken >= 0:
+			held, reason = broken, string(reasonGangBroken)
+		default:
+			continue
+		}
+		if n++; n > maxWaitRecords {
+			return
+		}
+		s.record(DecisionRecord{
+			Text:   "Tasks wait for the end of their runs on a worker.",
+			RunKey: tasks[held].RunKey,
+			Worker: id,
+			Reason: reason,
+			Age:    silence,
+			Tasks:  len(tasks),
+		})
+	}
+}
--- /dev/null
+++ b/replay/waits_test.go
@@ -0,0 +1,60 @@
+package replay_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainladder/plantainladder/replay"
+)
+
+// occupyRacks submits a workflow of a queue for each rack, which takes a whole
+// worker there for a time.
+func occupyRacks(sim *replay.Simulation, queue string, runTime time.Duration) {
+	for rack := range 4 {
+		step := gang(1, 8, runTime)
+		step.RequiredLabel = fmt.Sprintf("rack-%d", rack)
+		sim.Submit("long-"+step.RequiredLabel, newArrival(2*time.Second, queue, step))
+	}
+}
+
+var _ = Describe("The log", func() {
+	const waitText, heldText = "Tasks wait although workers have capacity for them.", "Tasks wait for the end of their runs on a worker."
+
+	It("tells that a gang waits for its rack, at most every five seconds", func() {
+		sim := replay.NewSimulation(newConfig(1))
+		occupyRacks(sim, "normal", 11*time.Second)
+		sim.Submit("a", newArrival(4*time.Second, "normal", gang(4, 8, 8*time.Second)))
+		sim.Run(20 * time.Second)
+		Expect(sim.DecisionCount(waitText, "rack")).To(Equal(2))
+	})
+
+	It("tells how many workers are not schedulable, and why", func() {
+		sim := replay.NewSimulation(newConfig(1))
+		occupyRacks(sim, "normal", 11*time.Second)
+		for _, id := range sim.Workers()[12:14] {
+			sim.InjectFault(id, replay.Fault{
+				From:        3 * time.Second,
+				Until:       time.Hour,
+				Partitioned: true,
+			})
+		}
+		sim.Submit("a", newArrival(9*time.Second, "normal", gang(15, 8, 8*time.Second)))
+		sim.Run(20 * time.Second)
+		Expect(sim.DecisionCount(waitText, "headroom silent=2")).To(BeNumerically(">", 0))
+	})
+
+	It("names a worker that holds runs and does not answer", func() {
+		sim := replay.NewSimulation(newConfig(1))
+		sim.Submit("a", newArrival(3*time.Second, "normal", gang(16, 8, 8*time.Second)))
+		sim.InjectFault(sim.Workers()[5], replay.Fault{
+			From:        4 * time.Second,
+			Until:       time.Hour,
+			Partitioned: true,
+		})
+		sim.Run(20 * time.Second)
+		Expect(sim.DecisionCount(heldText, "unanswered")).To(BeNumerically(">", 0))
+	})
+})
