Let a gang wait for a rack only if one is expected to become free in time

What callers saw: a rack-sensitive gang had nothing running for up to twice its predicted run time, with nodes free on many racks, although none of the racks was going to be free by then.

Cause: whether to wait was decided by the time since submission alone; any rack that is large enough when empty counted.

Evidence: "runs across racks at once if no rack becomes free soon" failed for both queues: "7.2s: a has had nothing running for 3.1s, with capacity for it; 0 of its tasks are placed".

Change: a gang that fits across racks waits only if a rack is expected to become free, by the ends of the runs there or by preemption, before it would lose more by not waiting. The time since submission stays a bound, for expectations that slip.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -215,9 +215,8 @@
 }
 
 // gangAssignments finds assignments for a gang. A rack-sensitive gang goes to the
-// rack that it fills best. It is spread over several racks only if no rack is
-// large enough even when empty, or if it has waited longer than it would lose
-// by running across racks.
+// rack that it fills best, and runs across racks only if waiting for a rack is not
+// worthwhile.
 func (p *placer) gangAssignments(f *fleet, g taskGroup, available func(n *node) pool.ResourceVector) []assignment {
 	if !g.step.IsRackSensitive && g.step.DataRack == "" {
 		return assignments(f.nodes, g, g.step.Tasks, available)
@@ -225,10 +224,11 @@
 	if list := bestRack(f, g, available); list != nil {
 		return list
 	}
-	if p.isWorthWaiting(f, g) {
+	list := assignments(f.nodes, g, g.step.Tasks, available)
+	if list != nil && p.isWorthWaiting(f, g) {
 		return nil
 	}
-	return assignments(f.nodes, g, g.step.Tasks, available)
+	return list
 }
 
 // bestRack returns assignments in the rack with the least free capacity among
@@ -259,9 +259,9 @@
 const milliPerCore = 1000
 
 // isWorthWaiting reports whether a task group that runs slower off its rack
-// should wait for capacity there: some rack is large enough when empty, and the
-// task group has not yet waited longer than it would lose by running off its
-// rack.
+// should wait for capacity there: a rack is expected to become free, by the ends of
+// the runs there or by preemption, before as much time has passed as it would lose
+// by running off its rack, and it has not waited for that long already.
 func (p *placer) isWorthWaiting(f *fleet, g taskGroup) bool {
 	// DeclaredRunTime holds the predicted run time.
 	loss := time.Duration(float64(g.step.DeclaredRunTime) * (p.s.dispatcher.cfg.CrossRackFactor - 1))
@@ -272,10 +272,10 @@
 	if p.s.now.Sub(since) > loss {
 		return false
 	}
-	total := func(n *node) pool.ResourceVector {
-		return n.worker.Capacity
+	if list, at := p.earliestStart(f, g); list != nil && at.Sub(p.s.now) <= loss {
+		return true
 	}
-	return bestRack(f, g, total) != nil
+	return mayPreempt(p.s.dispatcher.cfg.Policy, g) && p.s.dispatcher.cfg.MaxStopDuration <= loss && p.canPreemptRack(f, g)
 }
 
 // placeIndependent places as many tasks of a task group that is no gang as fit,
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -69,6 +69,15 @@
 	return best
 }
 
+// canPreemptRack reports whether preemption can free a rack for a task group.
+func (p *placer) canPreemptRack(f *fleet, g taskGroup) bool {
+	candidates := candidatesOf(f, g.wf.QueueSettings.Priority)
+	return slices.ContainsFunc(f.racks, func(r *rack) bool {
+		isUsable := g.step.DataRack == "" || r.name == g.step.DataRack
+		return isUsable && p.findPreemption(r.nodes, g, candidates, nil) != nil
+	})
+}
+
 // markPreempted marks the runs of a candidate to be stopped.
 func (p *placer) markPreempted(c preemptionCandidate, g taskGroup) {
 	for _, alloc := range c.members {
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -11,32 +11,33 @@
 // soonest, judged by the expected ends of the runs there. Until then other
 // tasks may use them if they are expected to end before (backfilling).
 func (p *placer) reserve(f *fleet, g taskGroup) {
-	nodeSets := [][]*node{
-		f.nodes,
+	list, at := p.earliestStart(f, g)
+	if list == nil {
+		return
 	}
-	if g.step.IsRackSensitive || g.step.DataRack != "" {
-		nodeSets = nil
-		for _, r := range f.racks {
-			if g.step.DataRack == "" || r.name == g.step.DataRack {
-				nodeSets = append(nodeSets, r.nodes)
-			}
-		}
+	p.reservations++
+	for _, a := range list {
+		a.node.reservedUntil = at
+	}
+}
+
+// earliestStart returns the assignments with which a task group can start soonest,
+// on a rack if it runs slower off its rack, and when. The assignments are nil if it
+// never fits.
+func (p *placer) earliestStart(f *fleet, g taskGroup) (best []assignment, bestAt time.Time) {
+	if !g.step.IsRackSensitive && g.step.DataRack == "" {
+		return p.earliestFit(f.nodes, g)
 	}
-	var best []assignment
-	var bestAt time.Time
-	for _, nodes := range nodeSets {
-		list, at := p.earliestFit(nodes, g)
+	for _, r := range f.racks {
+		if g.step.DataRack != "" && r.name != g.step.DataRack {
+			continue
+		}
+		list, at := p.earliestFit(r.nodes, g)
 		if list != nil && (best == nil || at.Before(bestAt)) {
 			best, bestAt = list, at
 		}
 	}
-	if best == nil {
-		return
-	}
-	p.reservations++
-	for _, a := range best {
-		a.node.reservedUntil = bestAt
-	}
+	return best, bestAt
 }
 
 // earliestFit returns when a gang fits on nodes if all runs there end as
--- a/replay/waits_test.go
+++ b/replay/waits_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainladder/plantainladder/replay"
+	"github.com/plantainladder/plantainladder/workflow"
 )
 
 // occupyRacks submits a workflow of a queue for each rack, which takes a whole
@@ -20,6 +21,36 @@
 	}
 }
 
+var _ = Describe("A gang for which no rack is free", func() {
+	newFleet := func() *replay.Simulation {
+		cfg := newConfig(1)
+		cfg.CheckWaitsFrom = 3 * time.Second
+		return replay.NewSimulation(cfg)
+	}
+
+	for _, queue := range []string{"urgent", "normal"} {
+		It("runs across racks at once if no rack becomes free soon, queue "+queue, func() {
+			sim := newFleet()
+			occupyRacks(sim, queue, 60*time.Second)
+			sim.Submit("a", newArrival(4*time.Second, queue, gang(4, 8, 8*time.Second)))
+			sim.Run(50 * time.Second)
+			Expect(sim.Violations()).To(BeEmpty())
+			Expect(sim.Record("a").Start).To(BeNumerically("<", 5*time.Second))
+			Expect(sim.Record("a").Status).To(Equal(workflow.StatusCompleted))
+		})
+
+		It("waits for a rack that becomes free soon, queue "+queue, func() {
+			sim := newFleet()
+			occupyRacks(sim, queue, 4*time.Second)
+			sim.Submit("a", newArrival(4*time.Second, queue, gang(4, 8, 8*time.Second)))
+			sim.Run(20 * time.Second)
+			Expect(sim.Violations()).To(BeEmpty())
+			Expect(sim.Record("a").Start).To(BeNumerically("~", 6200*time.Millisecond, 300*time.Millisecond))
+			Expect(sim.Record("a").Status).To(Equal(workflow.StatusCompleted))
+		})
+	}
+})
+
 var _ = Describe("The log", func() {
 	const waitText, heldText = "Tasks wait although workers have capacity for them.", "Tasks wait for the end of their runs on a worker."
 
