Try a gang although an equal one waits for its rack

What callers saw: a short gang that could have run across racks waited for as long as a longer one of the same shape waited for its rack.

Cause: task groups with the requirement of one that was not placed are skipped, but whether to wait for a rack depends on the run time and on the time since submission too, which the requirement does not hold. The same held for tasks with a data rack.

Evidence: "is not held up by an equal gang that waits for its rack" failed: the short gang began at 22.09 s, with its room free from 12.1 s on.

Change: a requirement that fits off its rack does not block task groups that are equal to it; they are tried. When a rack is expected to become free is worked out once a pass for all of them.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -26,6 +26,10 @@
 	// blocked holds the requirements of task groups that did not fit in this
 	// pass.
 	blocked map[requirement]bool
+	// waitsForRack holds those of them that fit off their rack, so that waiting is
+	// a choice that depends on the run time of the task group too.
+	waitsForRack map[requirement]bool
+	rackStarts   map[rackStartKey]rackStart
 	// unpreemptable holds the requirements of urgent task groups for which no
 	// preemption can free enough capacity.
 	unpreemptable map[requirement]bool
@@ -51,6 +55,8 @@
 		s:             s,
 		fleets:        s.fleets(state),
 		blocked:       map[requirement]bool{},
+		waitsForRack:  map[requirement]bool{},
+		rackStarts:    map[rackStartKey]rackStart{},
 		unpreemptable: map[requirement]bool{},
 		reportsWaits:  s.now.Sub(s.dispatcher.waitsReportedAt) >= waitReportInterval,
 	}
@@ -60,7 +66,7 @@
 		case f == nil:
 		case mayPreempt(s.dispatcher.cfg.Policy, g):
 			p.placeUrgent(f, g)
-		case !p.blocked[g.requirement()]:
+		case !p.isBlocked(g):
 			p.placeGroup(f, g)
 		default:
 			p.wait(g, waitsBehindEqual)
@@ -70,6 +76,13 @@
 	return p.placements
 }
 
+// isBlocked reports whether a task group need not be tried, since one with the same
+// requirement did not fit.
+func (p *placer) isBlocked(g taskGroup) bool {
+	r := g.requirement()
+	return p.blocked[r] && !p.waitsForRack[r]
+}
+
 // placeGroup places a task group that may not preempt. Once a task group does
 // not fit, those with the same requirement are skipped for the rest of the
 // pass, and a gang may get a reservation.
@@ -96,7 +109,7 @@
 // because a guarantee has to be met in time.
 func (p *placer) placeUrgent(f *fleet, g taskGroup) {
 	isFirst := !p.blocked[g.requirement()]
-	if isFirst && p.tryPlace(f, g) {
+	if !p.isBlocked(g) && p.tryPlace(f, g) {
 		return
 	}
 	p.blocked[g.requirement()] = true
@@ -225,6 +238,7 @@
 		return list
 	}
 	list := assignments(f.nodes, g, g.step.Tasks, available)
+	p.waitsForRack[g.requirement()] = list != nil
 	if list != nil && p.isWorthWaiting(f, g) {
 		return nil
 	}
@@ -272,7 +286,7 @@
 	if p.s.now.Sub(since) > loss {
 		return false
 	}
-	if list, at := p.earliestStart(f, g); list != nil && at.Sub(p.s.now) <= loss {
+	if start := p.rackStart(f, g); start.isExpected && start.at.Sub(p.s.now) <= loss {
 		return true
 	}
 	return mayPreempt(p.s.dispatcher.cfg.Policy, g) && p.s.dispatcher.cfg.MaxStopDuration <= loss && p.canPreemptRack(f, g)
@@ -293,6 +307,7 @@
 			return true
 		}
 		if len(dataNodes) > 0 && p.isWorthWaiting(f, g.withTasks(1)) {
+			p.waitsForRack[g.requirement()] = true
 			return false
 		}
 	}
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -40,6 +40,38 @@
 	return best, bestAt
 }
 
+// A rackStartKey identifies an expected start, which depends on the nodes that were
+// reserved before.
+type rackStartKey struct {
+	requirement  requirement
+	reservations int
+}
+
+// A rackStart is when a rack is expected to become free for a task group.
+type rackStart struct {
+	at         time.Time
+	isExpected bool
+}
+
+// rackStart returns when a rack is expected to become free for a task group. The
+// answer is kept for the other task groups of the pass with the same requirement.
+func (p *placer) rackStart(f *fleet, g taskGroup) rackStart {
+	k := rackStartKey{
+		requirement:  g.requirement(),
+		reservations: p.reservations,
+	}
+	if known, ok := p.rackStarts[k]; ok {
+		return known
+	}
+	list, at := p.earliestStart(f, g)
+	start := rackStart{
+		at:         at,
+		isExpected: list != nil,
+	}
+	p.rackStarts[k] = start
+	return start
+}
+
 // earliestFit returns when a gang fits on nodes if all runs there end as
 // expected, and its assignments at that time. The assignments are nil if it
 // never fits. Nodes that are reserved already are left out.
--- a/dispatch/waits.go
+++ b/dispatch/waits.go
@@ -51,6 +51,9 @@
 // waitReason returns why a task group that was tried did not fit.
 func (p *placer) waitReason(f *fleet, g taskGroup) waitReason {
 	hasRack := g.step.IsGang && g.step.IsRackSensitive || g.step.DataRack != ""
+	if !g.step.IsGang {
+		g = g.withTasks(1)
+	}
 	if p.reportsWaits && hasRack && p.isWorthWaiting(f, g) {
 		return waitsForRack
 	}
--- a/replay/waits_test.go
+++ b/replay/waits_test.go
@@ -49,6 +49,21 @@
 			Expect(sim.Record("a").Status).To(Equal(workflow.StatusCompleted))
 		})
 	}
+
+	It("is not held up by an equal gang that waits for its rack", func() {
+		cfg := newConfig(1)
+		sim := replay.NewSimulation(cfg)
+		occupyRacks(sim, "normal", 20*time.Second)
+		sim.Submit("busy", newArrival(3*time.Second, "batch", gang(12, 8, 9*time.Second)))
+		// Once it is late, the short gang comes after the long one, for which it is
+		// worthwhile to wait for a rack.
+		sim.Submit("short", newArrival(4*time.Second, "normal", gang(4, 8, 2*time.Second)))
+		sim.Submit("long", newArrival(4*time.Second, "normal", gang(4, 8, 20*time.Second)))
+		sim.Run(50 * time.Second)
+		Expect(sim.Violations()).To(BeEmpty())
+		Expect(sim.Record("short").Start).To(BeNumerically("<", 13*time.Second))
+		Expect(sim.Record("long").Start).To(BeNumerically("<", 23*time.Second))
+	})
 })
 
 var _ = Describe("The log", func() {
