--- a/replay/simulation.go
+++ b/replay/simulation.go
@@ -249,32 +249,6 @@
 	})
 }
 
-// ReconcilePasses returns the number of reconciliation passes.
-func (sim *Simulation) ReconcilePasses() int {
-	return sim.reconcilePasses
-}
-
-// WastedWork returns the work lost by runs that ended without a result or
-// checkpoint, in weighted core-seconds.
-func (sim *Simulation) WastedWork() float64 {
-	return sim.wastedWork
-}
-
-// StoppedRuns returns the number of runs that ended on a stop order.
-func (sim *Simulation) StoppedRuns() int {
-	return sim.stoppedRuns
-}
-
-// EndedRuns returns the number of runs that ended on workers for a reason.
-func (sim *Simulation) EndedRuns(reason workflow.EndReason) int {
-	return sim.endedRuns[reason]
-}
-
-// ReconcileTime returns the real time spent in all reconciliation passes.
-func (sim *Simulation) ReconcileTime() time.Duration {
-	return sim.reconcileTime
-}
-
 // Workers returns the identifiers of the workers, rack by rack.
 func (sim *Simulation) Workers() (ids []string) {
 	for _, s := range sim.workers {
