--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -26,11 +26,18 @@
 	// blocked holds the requirements of task groups that did not fit in this
 	// pass.
 	blocked map[requirement]bool
+	// waitsForRack holds those of them that fit off their rack, so that waiting is
+	// a choice that depends on the run time of the task group too.
+	waitsForRack map[requirement]bool
+	rackStarts   map[rackStartKey]rackStart
 	// unpreemptable holds the requirements of urgent task groups for which no
 	// preemption can free enough capacity.
 	unpreemptable map[requirement]bool
 	reservations  int
 	placements    []workflow.Placement
+	// waits holds task groups that were not placed, if reportsWaits is true.
+	waits        []wait
+	reportsWaits bool
 }
 
 // place runs a placement pass and returns the new placements. It returns nil if
@@ -48,7 +55,10 @@
 		s:             s,
 		fleets:        s.fleets(state),
 		blocked:       map[requirement]bool{},
+		waitsForRack:  map[requirement]bool{},
+		rackStarts:    map[rackStartKey]rackStart{},
 		unpreemptable: map[requirement]bool{},
+		reportsWaits:  s.now.Sub(s.dispatcher.waitsReportedAt) >= waitReportInterval,
 	}
 	for _, g := range groups {
 		f := p.fleets[g.wf.QueueSettings.Pool]
@@ -56,23 +66,42 @@
 		case f == nil:
 		case mayPreempt(s.dispatcher.cfg.Policy, g):
 			p.placeUrgent(f, g)
-		case !p.blocked[g.requirement()]:
+		case !p.isBlocked(g):
 			p.placeGroup(f, g)
+		default:
+			p.wait(g, waitsBehindEqual)
 		}
 	}
+	p.reportWaits(state)
 	return p.placements
 }
 
+// isBlocked reports whether a task group need not be tried, since one with the same
+// requirement did not fit.
+func (p *placer) isBlocked(g taskGroup) bool {
+	r := g.requirement()
+	return p.blocked[r] && !p.waitsForRack[r]
+}
+
 // placeGroup places a task group that may not preempt. Once a task group does
 // not fit, those with the same requirement are skipped for the rest of the
 // pass, and a gang may get a reservation.
 func (p *placer) placeGroup(f *fleet, g taskGroup) {
 	reserves := reservesCapacity(p.s.dispatcher.cfg.Policy)
-	if reserves && !f.hasHeadroom(g) || p.tryPlace(f, g) {
+	if reserves && !f.hasHeadroom(g) {
+		p.wait(g, waitsForHeadroom)
+		return
+	}
+	if p.tryPlace(f, g) {
 		return
 	}
 	p.blocked[g.requirement()] = true
-	if reserves && g.step.IsGang && !g.isExclusive && p.reservations < maxReservations {
+	if g.isExclusive {
+		p.wait(g, waitsForIsolation)
+		return
+	}
+	p.wait(g, p.waitReason(f, g))
+	if reserves && g.step.IsGang && p.reservations < maxReservations {
 		p.reserve(f, g)
 	}
 }
@@ -84,13 +113,15 @@
 // because a guarantee has to be met in time.
 func (p *placer) placeUrgent(f *fleet, g taskGroup) {
 	isFirst := !p.blocked[g.requirement()]
-	if isFirst && p.tryPlace(f, g) {
+	if !p.isBlocked(g) && p.tryPlace(f, g) {
 		return
 	}
 	p.blocked[g.requirement()] = true
 	if g.isExclusive {
+		p.wait(g, waitsForIsolation)
 		return
 	}
+	p.wait(g, waitsForPreemption)
 	hasWaited := p.s.now.Sub(g.wf.Submitted) >= p.s.dispatcher.cfg.MaxStopDuration
 	if (isFirst || hasWaited) && !p.unpreemptable[g.requirement()] {
 		p.unpreemptable[g.requirement()] = !p.preempt(f, g)
@@ -214,9 +245,8 @@
 }
 
 // gangAssignments finds assignments for a gang. A rack-sensitive gang goes to the
-// rack that it fills best. It is spread over several racks only if no rack is
-// large enough even when empty, or if it has waited longer than it would lose
-// by running across racks.
+// rack that it fills best, and runs across racks only if waiting for a rack is not
+// worthwhile.
 func (p *placer) gangAssignments(f *fleet, g taskGroup, available func(n *node) pool.ResourceVector) []assignment {
 	if !g.step.IsRackSensitive && g.step.DataRack == "" {
 		return assignments(f.nodes, g, g.step.Tasks, available)
@@ -224,10 +254,12 @@
 	if list := bestRack(f, g, available); list != nil {
 		return list
 	}
-	if p.isWorthWaiting(f, g) {
+	list := assignments(f.nodes, g, g.step.Tasks, available)
+	p.waitsForRack[g.requirement()] = list != nil
+	if list != nil && p.isWorthWaiting(f, g) {
 		return nil
 	}
-	return assignments(f.nodes, g, g.step.Tasks, available)
+	return list
 }
 
 // bestRack returns assignments in the rack with the least free capacity among
@@ -258,9 +290,9 @@
 const milliPerCore = 1000
 
 // isWorthWaiting reports whether a task group that runs slower off its rack
-// should wait for capacity there: some rack is large enough when empty, and the
-// task group has not yet waited longer than it would lose by running off its
-// rack.
+// should wait for capacity there: a rack is expected to become free, by the ends of
+// the runs there or by preemption, before as much time has passed as it would lose
+// by running off its rack, and it has not waited for that long already.
 func (p *placer) isWorthWaiting(f *fleet, g taskGroup) bool {
 	// DeclaredRunTime holds the predicted run time.
 	loss := time.Duration(float64(g.step.DeclaredRunTime) * (p.s.dispatcher.cfg.CrossRackFactor - 1))
@@ -271,10 +303,10 @@
 	if p.s.now.Sub(since) > loss {
 		return false
 	}
-	total := func(n *node) pool.ResourceVector {
-		return n.worker.Capacity
+	if start := p.rackStart(f, g); start.isExpected && start.at.Sub(p.s.now) <= loss {
+		return true
 	}
-	return bestRack(f, g, total) != nil
+	return mayPreempt(p.s.dispatcher.cfg.Policy, g) && p.s.dispatcher.cfg.MaxStopDuration <= loss && p.canPreemptRack(f, g)
 }
 
 // placeIndependent places as many tasks of a task group that is no gang as fit,
@@ -292,6 +324,7 @@
 			return true
 		}
 		if len(dataNodes) > 0 && p.isWorthWaiting(f, g.withTasks(1)) {
+			p.waitsForRack[g.requirement()] = true
 			return false
 		}
 	}
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -11,32 +11,65 @@
 // soonest, judged by the expected ends of the runs there. Until then other
 // tasks may use them if they are expected to end before (backfilling).
 func (p *placer) reserve(f *fleet, g taskGroup) {
-	nodeSets := [][]*node{
-		f.nodes,
+	list, at := p.earliestStart(f, g)
+	if list == nil {
+		return
 	}
-	if g.step.IsRackSensitive || g.step.DataRack != "" {
-		nodeSets = nil
-		for _, r := range f.racks {
-			if g.step.DataRack == "" || r.name == g.step.DataRack {
-				nodeSets = append(nodeSets, r.nodes)
-			}
-		}
+	p.reservations++
+	for _, a := range list {
+		a.node.reservedUntil = at
 	}
-	var best []assignment
-	var bestAt time.Time
-	for _, nodes := range nodeSets {
-		list, at := p.earliestFit(nodes, g)
+}
+
+// earliestStart returns the assignments with which a task group can start soonest,
+// on a rack if it runs slower off its rack, and when. The assignments are nil if it
+// never fits.
+func (p *placer) earliestStart(f *fleet, g taskGroup) (best []assignment, bestAt time.Time) {
+	if !g.step.IsRackSensitive && g.step.DataRack == "" {
+		return p.earliestFit(f.nodes, g)
+	}
+	for _, r := range f.racks {
+		if g.step.DataRack != "" && r.name != g.step.DataRack {
+			continue
+		}
+		list, at := p.earliestFit(r.nodes, g)
 		if list != nil && (best == nil || at.Before(bestAt)) {
 			best, bestAt = list, at
 		}
 	}
-	if best == nil {
-		return
+	return best, bestAt
+}
+
+// A rackStartKey identifies an expected start, which depends on the nodes that were
+// reserved before.
+type rackStartKey struct {
+	requirement  requirement
+	reservations int
+}
+
+// A rackStart is when a rack is expected to become free for a task group.
+type rackStart struct {
+	at         time.Time
+	isExpected bool
+}
+
+// rackStart returns when a rack is expected to become free for a task group. The
+// answer is kept for the other task groups of the pass with the same requirement.
+func (p *placer) rackStart(f *fleet, g taskGroup) rackStart {
+	k := rackStartKey{
+		requirement:  g.requirement(),
+		reservations: p.reservations,
 	}
-	p.reservations++
-	for _, a := range best {
-		a.node.reservedUntil = bestAt
+	if known, ok := p.rackStarts[k]; ok {
+		return known
+	}
+	list, at := p.earliestStart(f, g)
+	start := rackStart{
+		at:         at,
+		isExpected: list != nil,
 	}
+	p.rackStarts[k] = start
+	return start
 }
 
 // earliestFit returns when a gang fits on nodes if all runs there end as
