Bound how long a gang waits for its rack while there is capacity elsewhere

A gang that is predicted to run for 11 s may wait up to 22 s for a rack that is expected to become free.

Cause: the wait was weighed against the loss of running across racks alone.

Evidence: "waits for a rack no longer than a task may wait while there is capacity" (replay) failed: "13.1s: a has had nothing running for 3.1s, with capacity for it".

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -24,6 +24,9 @@
 	// runs off the rack of its data, or for a rack-sensitive gang that spans
 	// several racks.
 	CrossRackFactor float64
+	// MaxRackWait bounds how long a task group waits for its rack while workers
+	// elsewhere have capacity; zero for no bound.
+	MaxRackWait time.Duration
 	// HasInventory is true if the platform has an inventory of machines to read.
 	HasInventory bool
 	// Policy decides on placements; nil means GuaranteeAware.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -292,15 +292,13 @@
 // isWorthWaiting reports whether a task group that runs slower off its rack
 // should wait for capacity there: a rack is expected to become free, by the ends of
 // the runs there or by preemption, before as much time has passed as it would lose
-// by running off its rack, and it has not waited for that long already.
+// by running off its rack, and it has not waited for that long, or for MaxRackWait,
+// already.
 func (p *placer) isWorthWaiting(f *fleet, g taskGroup) bool {
 	// DeclaredRunTime holds the predicted run time.
 	loss := time.Duration(float64(g.step.DeclaredRunTime) * (p.s.dispatcher.cfg.CrossRackFactor - 1))
-	since := g.wf.Submitted
-	if due := g.wf.Spec.DueAt(g.occurrence); !due.IsZero() {
-		since = due
-	}
-	if p.s.now.Sub(since) > loss {
+	waited := p.s.now.Sub(g.since())
+	if most := p.s.dispatcher.cfg.MaxRackWait; waited > loss || most > 0 && waited > most {
 		return false
 	}
 	if start := p.rackStart(f, g); start.isExpected && start.at.Sub(p.s.now) <= loss {
--- a/replay/simulation.go
+++ b/replay/simulation.go
@@ -37,6 +37,9 @@
 	// CrossRackFactor is how many times longer a task takes off the rack of its
 	// data; see dispatch.Config.
 	CrossRackFactor float64
+	// MaxRackWait bounds how long a task group waits for its rack; see
+	// dispatch.Config.
+	MaxRackWait time.Duration
 	// CheckWaitsFrom is when the check of workflows that wait although there is
 	// capacity begins, in simulated time; zero disables the check.
 	CheckWaitsFrom time.Duration
@@ -207,6 +210,7 @@
 		AnnounceInterval: announceInterval,
 		MaxStopDuration:  sim.cfg.MaxStopDuration,
 		CrossRackFactor:  sim.cfg.CrossRackFactor,
+		MaxRackWait:      sim.cfg.MaxRackWait,
 		HasInventory:     sim.cfg.HasInventory,
 		Policy:           sim.cfg.Policy,
 	}, sim.term)
--- a/replay/waits_test.go
+++ b/replay/waits_test.go
@@ -50,6 +50,19 @@
 		})
 	}
 
+	It("waits for a rack no longer than a task may wait while there is capacity", func() {
+		cfg := newConfig(1)
+		cfg.MaxRackWait = 6 * time.Second
+		cfg.CheckWaitsFrom = 10 * time.Second
+		sim := replay.NewSimulation(cfg)
+		occupyRacks(sim, "normal", 15*time.Second)
+		sim.Submit("a", newArrival(4*time.Second, "normal", gang(4, 8, 8*time.Second)))
+		sim.Run(50 * time.Second)
+		Expect(sim.Violations()).To(BeEmpty())
+		Expect(sim.Record("a").Start).To(BeNumerically("~", 10*time.Second, 300*time.Millisecond))
+		Expect(sim.Record("a").Status).To(Equal(workflow.StatusCompleted))
+	})
+
 	It("is not held up by an equal gang that waits for its rack", func() {
 		cfg := newConfig(1)
 		sim := replay.NewSimulation(cfg)
