Do not try a request on further minions after three have broken it off

A request that may be repeated and that crashes its minion was sent to one minion after the other, limited only by its deadline and the retry budget of the gateway.

Cause: the retries of one request were not counted.

Evidence: "does not crash one minion after the other" (gateway/caller) failed: all six minions got the request.

Change: after the third minion that breaks off a request, no further copy is sent. The outcome is unknown, as before when the deadline passed.

--- a/gateway/caller/caller_suite_test.go
+++ b/gateway/caller/caller_suite_test.go
@@ -148,9 +148,11 @@
 // minions are stand-ins that answer nothing to the first copies they receive,
 // and answer all others.
 type minions struct {
-	// silent is the number of copies that are not answered.
-	silent int
-	mu     sync.Mutex
+	// silent is the number of copies that are not answered. The connection of each
+	// is closed at once if breaksOff is true.
+	silent    int
+	breaksOff bool
+	mu        sync.Mutex
 	// copies holds the name of the minion of each copy received.
 	copies []string
 }
@@ -162,7 +164,7 @@
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body)
 			if m.receive(name) <= m.silent {
-				<-r.Context().Done()
+				m.leaveUnanswered(w, r)
 				return
 			}
 			w.Header().Set(api.HeaderRequestID, r.Header.Get(api.HeaderRequestID))
@@ -174,6 +176,15 @@
 	return addresses
 }
 
+func (m *minions) leaveUnanswered(w http.ResponseWriter, r *http.Request) {
+	if !m.breaksOff {
+		<-r.Context().Done()
+		return
+	}
+	conn, _, _ := w.(http.Hijacker).Hijack()
+	_ = conn.Close()
+}
+
 // receive records a copy and returns the number of copies so far.
 func (m *minions) receive(name string) int {
 	m.mu.Lock()
@@ -231,6 +242,16 @@
 		Expect(m.received()).To(HaveLen(2))
 	})
 
+	It("does not crash one minion after the other", func() {
+		m := &minions{
+			silent:    100,
+			breaksOff: true,
+		}
+		url, _ := startGateway(m.start("m1", "m2", "m3", "m4", "m5", "m6"))
+		Expect(request(url, deadline)).To(Equal(api.OutcomeUnknown))
+		Expect(m.received()).To(HaveLen(3))
+	})
+
 	It("is sent at most four times if no copy is answered", func() {
 		m := &minions{
 			silent: 100,
--- a/gateway/caller/idempotent.go
+++ b/gateway/caller/idempotent.go
@@ -22,6 +22,9 @@
 	// maxHedges bounds the hedges of one request, so that a slow request cannot
 	// spend the retry budget of the others.
 	maxHedges = 3
+	// maxBrokenOff bounds the minions that break off one request, which may be what
+	// crashes them.
+	maxBrokenOff = 3
 )
 
 // A startedCopy is a copy of a request that is about to be sent to a minion.
@@ -41,8 +44,9 @@
 	started chan startedCopy
 	// pending is the number of copies without a result.
 	pending int
-	// sent is the number of copies that may have run.
-	sent int
+	// sent is the number of copies that may have run, brokenOff that of those whose
+	// minion broke them off.
+	sent, brokenOff int
 	// hedges is the number of hedges that were started.
 	hedges int
 	// hedgeTimer fires when the copies have been silent for too long.
@@ -107,7 +111,7 @@
 		case c := <-ir.started:
 			ir.handleStarted(c)
 		case <-ir.hedgeTimer.C:
-			if ir.hedges < maxHedges {
+			if ir.hedges < maxHedges && ir.brokenOff < maxBrokenOff {
 				ir.launch(false, true)
 			}
 		case res := <-ir.results:
@@ -157,7 +161,8 @@
 		ir.stopAvoiding(res.minion)
 		r := &ir.call.request
 		r.ExcludedMinions = append(slices.Clip(r.ExcludedMinions), res.minion)
-		if ir.pending == 0 {
+		ir.brokenOff++
+		if ir.pending == 0 && ir.brokenOff < maxBrokenOff {
 			ir.launch(true, false)
 		}
 	case revoked:
