--- a/gateway/caller/caller_suite_test.go
+++ b/gateway/caller/caller_suite_test.go
@@ -199,12 +199,15 @@
 	return slices.Clone(m.copies)
 }
 
+// requestDeadline is the time that a request has.
+const requestDeadline = 3 * time.Second
+
 // request sends an idempotent request and returns the outcome.
-func request(url string, deadline time.Duration) string {
+func request(url string) string {
 	req, err := http.NewRequest(http.MethodPost, url+"/v1/requests", strings.NewReader("work"))
 	Expect(err).NotTo(HaveOccurred())
 	req.Header.Set(api.HeaderOrganisation, organisation)
-	req.Header.Set(api.HeaderDeadline, strconv.FormatInt(deadline.Milliseconds(), 10))
+	req.Header.Set(api.HeaderDeadline, strconv.FormatInt(requestDeadline.Milliseconds(), 10))
 	resp, err := http.DefaultClient.Do(req)
 	Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = resp.Body.Close() }()
@@ -212,15 +215,13 @@
 }
 
 var _ = Describe("An idempotent request", func() {
-	const deadline = 3 * time.Second
-
 	DescribeTable("is answered by a new copy while time is left, although earlier copies stay silent:",
 		func(silent int, names ...string) {
 			m := &minions{
 				silent: silent,
 			}
 			url, _ := startGateway(m.start(names...))
-			Expect(request(url, deadline)).To(Equal(api.OutcomeDone))
+			Expect(request(url)).To(Equal(api.OutcomeDone))
 			copies := m.received()
 			Expect(copies).To(HaveLen(silent + 1))
 			n := min(len(copies), len(names))
@@ -238,7 +239,7 @@
 		}
 		url, l := startGateway(m.start("m1", "m2", "m3"))
 		go spendRetryBudget(l, time.Second)
-		Expect(request(url, deadline)).To(Equal(api.OutcomeDone))
+		Expect(request(url)).To(Equal(api.OutcomeDone))
 		Expect(m.received()).To(HaveLen(2))
 	})
 
@@ -248,7 +249,7 @@
 			breaksOff: true,
 		}
 		url, _ := startGateway(m.start("m1", "m2", "m3", "m4", "m5", "m6"))
-		Expect(request(url, deadline)).To(Equal(api.OutcomeUnknown))
+		Expect(request(url)).To(Equal(api.OutcomeUnknown))
 		Expect(m.received()).To(HaveLen(3))
 	})
 
@@ -257,7 +258,7 @@
 			silent: 100,
 		}
 		url, _ := startGateway(m.start("m1", "m2", "m3", "m4", "m5", "m6"))
-		Expect(request(url, deadline)).To(Equal(api.OutcomeUnknown))
+		Expect(request(url)).To(Equal(api.OutcomeUnknown))
 		Expect(m.received()).To(HaveLen(4))
 	})
 })
