--- a/control/dispatch_test.go
+++ b/control/dispatch_test.go
@@ -83,6 +83,17 @@
 // commit submits a command and reports its entry as synced. It returns the next
 // core and the decisions that were logged.
 func commit(now time.Time, c control.Core, command plantainladder.Command) (next control.Core, notes []dispatch.DecisionRecord) {
+	c, out := commitWithEffects(now, c, command)
+	for _, f := range out {
+		if e, ok := f.(control.LogDecision); ok {
+			notes = append(notes, e.Record)
+		}
+	}
+	return c, notes
+}
+
+// commitWithEffects is like commit, but returns the effects of the committed entry.
+func commitWithEffects(now time.Time, c control.Core, command plantainladder.Command) (next control.Core, effects []control.Effect) {
 	c, out := c.Step(now, control.Submit{
 		Command: command,
 	})
@@ -97,51 +108,57 @@
 			Index: last.Index,
 			Term:  last.Term,
 		})
-		for _, f := range more {
-			if e, ok := f.(control.LogDecision); ok {
-				notes = append(notes, e.Record)
-			}
-		}
+		effects = append(effects, more...)
 	}
-	return c, notes
+	return c, effects
 }
 
-var _ = Describe("The decision log of a leader", func() {
-	It("has one line when a workflow is accepted and one when it is finished", func() {
-		now := time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
-		c := newDispatchCore(now)
-		c, _ = commit(now, c, plantainladder.PutConfiguration{
-			Document: configuration.Document{
-				Version: 1,
-				Queues: []configuration.Queue{
-					{
-						Name:    "checks",
-						Pool:    "pool",
-						Timeout: time.Second,
-						Public:  true,
-						Stretch: 2,
-						Slack:   time.Second,
-					},
+// newQueueConfiguration returns a configuration with the queue "checks".
+func newQueueConfiguration() plantainladder.PutConfiguration {
+	return plantainladder.PutConfiguration{
+		Document: configuration.Document{
+			Version: 1,
+			Queues: []configuration.Queue{
+				{
+					Name:    "checks",
+					Pool:    "pool",
+					Timeout: time.Second,
+					Public:  true,
+					Stretch: 2,
+					Slack:   time.Second,
 				},
-				Pools: []configuration.Pool{
-					{
-						Name: "pool",
-					},
+			},
+			Pools: []configuration.Pool{
+				{
+					Name: "pool",
 				},
 			},
-		})
-		submit := plantainladder.SubmitWorkflow{
-			Spec: workflow.Spec{
-				ID:    "w-1",
-				Queue: "checks",
-				Steps: []workflow.Step{
-					{
-						Tasks:           1,
-						DeclaredRunTime: time.Second,
-					},
+		},
+	}
+}
+
+// newSubmission returns the submission of a workflow with one task.
+func newSubmission(id string) plantainladder.SubmitWorkflow {
+	return plantainladder.SubmitWorkflow{
+		Spec: workflow.Spec{
+			ID:    id,
+			Queue: "checks",
+			Steps: []workflow.Step{
+				{
+					Tasks:           1,
+					DeclaredRunTime: time.Second,
 				},
 			},
-		}
+		},
+	}
+}
+
+var _ = Describe("The decision log of a leader", func() {
+	It("has one line when a workflow is accepted and one when it is finished", func() {
+		now := time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+		c := newDispatchCore(now)
+		c, _ = commit(now, c, newQueueConfiguration())
+		submit := newSubmission("w-1")
 		c, notes := commit(now, c, submit)
 		Expect(notes).To(HaveLen(1))
 		Expect(notes[0].Text).To(Equal("Workflow is accepted."))
