--- a/restore_test.go
+++ b/restore_test.go
@@ -243,7 +243,7 @@
 		})
 	}
 
-	DescribeTable("gives up a task at the same crash as one that lived through all of them", func(wasAlone bool, crashes int) {
+	DescribeTable("gives up a task at the same crash as one that lived through all of them", func(wasAlone, isUnconfirmed bool, crashes int) {
 		for restoredAfter := range crashes {
 			r := newReplica()
 			r.putContract(newContract())
@@ -287,9 +287,10 @@
 					ID: uint64(2*i + 2),
 					RunEnds: []workflow.RunEnd{
 						{
-							RunKey:    k,
-							EndReason: workflow.EndedCrashed,
-							WasAlone:  wasAlone,
+							RunKey:        k,
+							EndReason:     workflow.EndedCrashed,
+							WasAlone:      wasAlone,
+							IsUnconfirmed: isUnconfirmed,
 						},
 					},
 				})
@@ -300,10 +301,12 @@
 			Expect(err).NotTo(HaveOccurred())
 			again, _ := restored.Workflow("f")
 			Expect(again.Phase).To(Equal(w.Phase))
+			Expect(again.Occurrences).To(Equal(w.Occurrences), "the crashes of the task and when the last was")
 		}
 	},
-		Entry("the third, if it was alone", true, 3),
-		Entry("the fifth, if it never was", false, 5),
+		Entry("the third, if it was alone", true, false, 3),
+		Entry("the fifth, if it never was", false, false, 5),
+		Entry("the fifth, if none was confirmed", true, true, 5),
 	)
 })
 
