Take the leaving of a worker from its committed announcement

A new leader blamed the runs of a worker that had left as announced. It knew of the leaving only by the committed announcement, and if the next incarnation announced itself before the first dispatch pass of the term, as while the new leader still waits for its lease, the view of the worker had no predecessor that had left. The check of the committed announcement held until that of the next incarnation was committed, which takes one round trip; the end of a run takes two, for a stop and a listing. So the task had a crash that was none.

The first look at the runs of the incarnation before now also notes whether the committed announcement says that it leaves.

Evidence: "is no crash to a new leader, to which the next incarnation announces itself first" failed with "EndReason: crashed" and passes; without the new lines it fails again. If the next announcement is committed before the first pass, the leaving is not known to anyone, and the run is still counted.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"github.com/plantainladder/plantainladder/pool"
 	"github.com/plantainladder/plantainladder/workflow"
 )
 
@@ -75,8 +76,9 @@
 
 // withPredecessorRuns returns v after its first look at the runs that are placed on
 // the incarnation before. Their ends are recorded one by one, so later looks do not
-// show all of them.
-func (v workerView) withPredecessorRuns(tasks []workflow.PlacedTask) workerView {
+// show all of them. The next incarnation soon replaces the committed announcement,
+// which is the only one that a new leader may know of the incarnation before.
+func (v workerView) withPredecessorRuns(tasks []workflow.PlacedTask, committed pool.Worker) workerView {
 	var earlier []workflow.PlacedTask
 	for _, t := range tasks {
 		if t.Incarnation != v.worker.Incarnation {
@@ -87,6 +89,9 @@
 		return v
 	}
 	v.predecessor.isExamined, v.predecessor.scene = true, newCrashScene(earlier, v.predecessor.runs)
+	if committed.Incarnation < v.worker.Incarnation {
+		v.predecessor.hasLeft = v.predecessor.hasLeft || committed.Leaving
+	}
 	v.isChanged = true
 	return v
 }
--- a/dispatch/crash_internal_test.go
+++ b/dispatch/crash_internal_test.go
@@ -259,6 +259,12 @@
 		hasRestarted(c, "w")
 		Expect(c.stepUntilEnds(1)["a"]).To(isNoCrash())
 	})
+
+	It("is no crash to a new leader, to which the next incarnation announces itself first", func() {
+		c.changeLeader()
+		hasRestarted(c, "w")
+		Expect(c.stepUntilEnds(1)["a"]).To(isNoCrash())
+	})
 })
 
 var _ = Describe("A run that ends with the lease of its worker", func() {
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -157,7 +157,7 @@
 		v = newWorkerView(s.now, w)
 		v.isChanged = true
 	}
-	v = v.withPredecessorRuns(tasks)
+	v = v.withPredecessorRuns(tasks, s.index.workers[id])
 	v = v.withOnlyRuns(func(ref workflow.RunKey) bool {
 		return s.index.placedRuns[ref]
 	})
