Answer every request for a change of members that is sent again

What callers saw: of two requests to add the same member, sent while the change was not yet committed, the first was answered only after its timeout, with an unknown outcome.

Cause: only one request could wait for an entry of the log, and a repeated addition waits for the entry of the first. A leader that had not yet committed anything in its term also confirmed an addition that a newer leader may have undone.

Evidence: "is confirmed together with the first one" (control) failed: only the second request was answered.

Change: several requests can wait for one entry. A repeated addition is confirmed only by a leader that has committed an entry of its term.

--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -52,7 +52,7 @@
 		return r, []Effect{
 			refusal,
 		}
-	case r.Members().HasAddition(e.Change):
+	case r.commitIndex >= l.termStartIndex && r.Members().HasAddition(e.Change):
 		return r, []Effect{
 			r.appendedMembers(e.Token),
 		}
--- a/control/core.go
+++ b/control/core.go
@@ -12,12 +12,6 @@
 	"github.com/plantainladder/plantainladder/consensus"
 )
 
-// pendingReply is a request whose log entry, of the given term, is uncommitted.
-type pendingReply struct {
-	token uint64
-	term  uint64
-}
-
 // Core is the immutable state of a controller.
 type Core struct {
 	cfg               Config
@@ -209,10 +203,8 @@
 			},
 		}
 	}
-	c.pendingReplies = c.pendingReplies.Set(f.Index, pendingReply{
-		token: f.Token,
-		term:  f.Term,
-	})
+	pending, _ := c.pendingReplies.Get(f.Index)
+	c.pendingReplies = c.pendingReplies.Set(f.Index, pending.withRequest(f))
 	return c, nil
 }
 
@@ -261,10 +253,7 @@
 		if pending.term != e.Term {
 			a = OutcomeUnknown{}
 		}
-		out = append(out, Reply{
-			Token:  pending.token,
-			Answer: a,
-		})
+		out = append(out, pending.replies(a)...)
 	}
 	if c.leadership != nil {
 		c.leadership = c.leadership.withDirty()
@@ -376,10 +365,7 @@
 	c.leadership = nil
 	for itr := c.pendingReplies.Iterator(); !itr.Done(); {
 		_, pending, _ := itr.Next()
-		out = append(out, Reply{
-			Token:  pending.token,
-			Answer: OutcomeUnknown{},
-		})
+		out = append(out, pending.replies(OutcomeUnknown{})...)
 	}
 	c.pendingReplies = immutable.NewMap[uint64, pendingReply](nil)
 	return c, out
--- a/control/member_change_test.go
+++ b/control/member_change_test.go
@@ -9,9 +9,11 @@
 )
 
 var _ = Describe("An addition of a member that is sent again", func() {
+	var token uint64
 	add := func(address string) control.ChangeMembers {
+		token++
 		return control.ChangeMembers{
-			Token: 7,
+			Token: token,
 			Change: member.Add{
 				Member: member.Member{
 					ID:      "c2",
@@ -37,7 +39,7 @@
 		Expect(l.core.Replica().Members().Members).To(HaveLen(2))
 	})
 
-	It("is confirmed once the first one is committed", func() {
+	It("is confirmed together with the first one", func() {
 		l := newLeader()
 		var written []control.Effect
 		l.core, written = l.core.Step(l.now, add("c2"))
@@ -45,10 +47,12 @@
 		Expect(answers(l.step(add("c2")))).To(BeEmpty())
 		last := l.core.Replica().Log().LastIndex()
 		term, _ := l.core.Replica().Log().Term(last)
-		Expect(answers(l.step(control.EntriesSynced{
+		effects := l.step(control.EntriesSynced{
 			Index: last,
 			Term:  term,
-		}))).To(ConsistOf(BeAssignableToTypeOf(control.Committed{})))
+		})
+		Expect(answers(effects)).To(HaveEach(BeAssignableToTypeOf(control.Committed{})))
+		Expect(effects).To(ContainElements(HaveField("Token", token-1), HaveField("Token", token)))
 	})
 
 	It("is refused if its address differs", func() {
