Forget the sequence of a worker's announcements when it restarts

What callers saw: nothing yet; found by a review. A worker whose capacity had changed and that then restarted got no more tasks than fitted in its old capacity for as many announcements as it had sent before, and its leaving was not noticed (LOST, RECLAIM, DRAIN).

Cause: the next incarnation that answers an order before its first announcement was adopted with the sequence number of the earlier one, although the numbers start anew.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -78,7 +78,7 @@
 		Age:    now.Sub(v.lastContact),
 	})
 	w := v.worker
-	w.Incarnation, w.Leaving = a.Incarnation, false
+	w.Incarnation, w.Leaving, w.Sequence = a.Incarnation, false, 0
 	return d.withView(v.withSuccessor(newWorkerView(now, w)).withContact(now, d.cfg, a))
 }
 
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -65,7 +65,7 @@
 	switch {
 	case w.Incarnation != known.Incarnation:
 		return w.Incarnation > known.Incarnation
-	case known.Leaving || w.Sequence < known.Sequence:
+	case known.Leaving || w.Sequence != 0 && w.Sequence < known.Sequence:
 		return false
 	}
 	return !w.IsSame(known)
--- a/replay/capacity_test.go
+++ b/replay/capacity_test.go
@@ -124,6 +124,32 @@
 		Expect(sim.Record("a").Status).To(Equal(workflow.StatusCompleted))
 	})
 
+	// The next incarnation answers an order before it announces itself, and numbers its
+	// announcements from 1.
+	DescribeTable("gets tasks for its full capacity after a restart", func(restartAt time.Duration) {
+		sim, id := newFleet(3, 1)
+		sim.Submit("a", newArrival(2*time.Second, "normal", independentTasks(1, 60*time.Second)))
+		sim.InjectFault(id, replay.Fault{
+			From:     27 * time.Second,
+			Until:    restartAt,
+			Capacity: withAccelerators(2),
+		})
+		sim.InjectFault(id, replay.Fault{
+			From:     restartAt,
+			Until:    restartAt,
+			Restarts: true,
+		})
+		sim.Submit("b", newArrival(restartAt+5*time.Second, "normal", gang(1, 5, time.Second)))
+		sim.Run(restartAt + 10*time.Second)
+		Expect(sim.Violations()).To(BeEmpty())
+		Expect(sim.Record("b").Status).To(Equal(workflow.StatusCompleted))
+	},
+		Entry("at 30 s", 30*time.Second),
+		Entry("at 30.2 s", 30200*time.Millisecond),
+		Entry("at 30.7 s", 30700*time.Millisecond),
+		Entry("at 31.1 s", 31100*time.Millisecond),
+	)
+
 	It("gets tasks again once the capacity has grown", func() {
 		sim, id := newFleet(3, 1)
 		sim.InjectFault(id, replay.Fault{
