Count what preemption has promised against the headroom again

What callers saw: nothing measured; found by a review. Since "Keep an exceeded worker from hiding the free accelerators of others", the capacity that a preemption takes out of a pass beyond what is free no longer reduced the headroom for urgent work.

Change: only what the runs on a worker exceed its shrunk capacity by is left out.

--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -16,6 +16,8 @@
 	// free is the capacity that no run holds and no placement of this pass has
 	// taken.
 	free pool.ResourceVector
+	// excess is by how many accelerators the runs exceed a capacity that has shrunk.
+	excess int
 	// releasing is the capacity of runs that are being stopped.
 	releasing pool.ResourceVector
 	// allocations holds the runs that use the rest of the capacity.
@@ -84,6 +86,7 @@
 				n.releasing = n.releasing.Plus(alloc.task.StepSpec.PerTask)
 			}
 		}
+		n.excess = max(-n.free.Accelerators, 0)
 		if m[w.Pool] == nil {
 			m[w.Pool] = &fleet{}
 		}
@@ -224,7 +227,7 @@
 	all, free, urgent := 0, 0, 0
 	for _, n := range f.nodes {
 		all += n.worker.Capacity.Accelerators
-		free += max(n.free.Accelerators, 0)
+		free += n.free.Accelerators + n.excess
 		for _, alloc := range n.allocations {
 			if alloc.priority == 0 {
 				urgent += alloc.task.StepSpec.PerTask.Accelerators
