Start nothing on a worker whose announcements are lost

What callers saw: nothing yet; found by a review. A round that was committed late was started on a worker that still answered orders, although its announcements had been lost since its capacity shrank (LIMIT).

Cause: only the placement, not the start, required a recent announcement.

Evidence: "gets no start of a round that was committed late while its announcements were lost" (replay) failed: "10.03s: {{1 0 0 0} 1} starts on w-00-00 in excess of the worker's capacity", for five of six tasks.

Change: a leader that has led for three announcement intervals starts nothing on a worker without an announcement in that time; the run is placed elsewhere. A new leader may still start a run that it inherits before it has heard of the smaller capacity.

--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -5,12 +5,16 @@
 	"github.com/plantainladder/plantainladder/workflow"
 )
 
-// hasCapacityFor reports whether a start of t keeps the worker within its capacity,
-// which may have shrunk since t was placed. A start of a listed run changes nothing.
+// hasCapacityFor reports whether a start of t certainly keeps the worker within its
+// capacity, which may have shrunk since t was placed. A start of a listed run changes
+// nothing.
 func (s *reconciliation) hasCapacityFor(v workerView, t workflow.PlacedTask) bool {
 	if _, isListed := v.listed[t.RunKey]; isListed {
 		return true
 	}
+	if s.missesAnnouncements(v) {
+		return false
+	}
 	used := t.StepSpec.PerTask
 	for _, other := range s.index.placedByWorker[t.Worker] {
 		if other.RunKey != t.RunKey && v.mayHoldCapacity(other) {
@@ -20,6 +24,13 @@
 	return used.FitsIn(v.capacity(s.index.workers[t.Worker]))
 }
 
+// missesAnnouncements reports whether this leader has led for long enough to know the
+// worker's capacity, but does not.
+func (s *reconciliation) missesAnnouncements(v workerView) bool {
+	since := later(v.announcedAt, s.dispatcher.termStartedAt)
+	return s.now.Sub(later(since, v.firstSeenAt)) >= maxMissedAnnouncements*s.dispatcher.cfg.AnnounceInterval
+}
+
 // mayHoldCapacity reports whether a placed run may have been started on the worker
 // and may not have ended there yet.
 func (v workerView) mayHoldCapacity(t workflow.PlacedTask) bool {
--- a/replay/capacity_test.go
+++ b/replay/capacity_test.go
@@ -150,6 +150,29 @@
 		Entry("at 31.1 s", 31100*time.Millisecond),
 	)
 
+	It("gets no start of a round that was committed late while its announcements were lost", func() {
+		sim, id := newFleet(5, 1)
+		sim.StallCommits(3*time.Second, 10*time.Second)
+		sim.InjectFault(id, replay.Fault{
+			From:               shrunkAt,
+			Until:              16 * time.Second,
+			LosesAnnouncements: true,
+		})
+		sim.InjectFault(id, replay.Fault{
+			From:     shrunkAt,
+			Until:    40 * time.Second,
+			Capacity: withAccelerators(1),
+		})
+		for i := range 6 {
+			sim.Submit(strconv.Itoa(i), newArrival(3500*time.Millisecond, "normal", independentTasks(1, time.Second)))
+		}
+		sim.Run(50 * time.Second)
+		Expect(sim.Violations()).To(BeEmpty())
+		for i := range 6 {
+			Expect(sim.Record(strconv.Itoa(i)).Status).To(Equal(workflow.StatusCompleted))
+		}
+	})
+
 	It("gets tasks again once the capacity has grown", func() {
 		sim, id := newFleet(3, 1)
 		sim.InjectFault(id, replay.Fault{
