--- a/dispatch/tenancy.go
+++ b/dispatch/tenancy.go
@@ -6,9 +6,9 @@
 	"github.com/plantainladder/plantainladder/workflow"
 )
 
-// A tenancy is the workflows that have runs on a node. A suspect shares a node
-// with no other workflow, so that a crash shows whether it is the cause and harms
-// nothing else.
+// A tenancy is the workflows that have runs on a node. A suspect gets a node of its
+// own if it can, and nothing is placed beside it, so that a crash shows whether it is
+// the cause and harms nothing else.
 type tenancy struct {
 	// workflow is the ID of the only workflow on the node; empty for none.
 	workflow string
