Place part of a step if all of it would not leave headroom for urgent work

A step that is wider than the free capacity of the fleet never began at all; tasks without accelerators waited for those of others.

Cause: the headroom for urgent work was checked for all waiting tasks of a step at once. What was decided (may the step start?) was asked about something else (may all of it?).

Evidence (replay): "starts although the fleet cannot run all of its tasks at once": 200 tasks on an idle fleet of 128 accelerators, "7.2s: a has had nothing running for 3.1s, with capacity for it", and for ever; "starts although it would not leave headroom for urgent work as a whole", 62 % of the fleet free; "needs no headroom without accelerators".

Change: of a step that is no gang, as many tasks are placed as the headroom allows while more than half of the accelerators are free; tasks without accelerators are not checked. Gangs, and steps while less is free, are placed as a whole as before.

--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -218,12 +218,17 @@
 	return (elapsed + restartCost).Seconds() * t.StepSpec.PerTask.WeightedCores()
 }
 
-// hasHeadroom reports whether enough accelerators stay free for urgent work
-// after g is placed: as many as urgent work uses now, because urgent work comes
-// in bursts and the runs that it preempts lose their work. No headroom is
-// required while more than half of the accelerators are free and g takes at
-// most half of the free ones.
-func (f *fleet) hasHeadroom(g taskGroup) bool {
+// withinHeadroom returns g with as many waiting tasks as may be placed so that
+// enough accelerators stay free for urgent work: as many as urgent work uses now,
+// because urgent work comes in bursts and the runs that it preempts lose their work.
+// While more than half of the accelerators are free, g may take half of the free ones
+// in any case. A gang, and while less is free any task group, is placed as a whole or
+// not at all.
+func (f *fleet) withinHeadroom(g taskGroup) taskGroup {
+	each := g.step.PerTask.Accelerators
+	if each == 0 {
+		return g
+	}
 	all, free, urgent := 0, 0, 0
 	for _, n := range f.nodes {
 		all += n.worker.Capacity.Accelerators
@@ -234,7 +239,16 @@
 			}
 		}
 	}
-	needed := g.step.PerTask.Accelerators * len(g.waiting)
-	isQuiet := 2*free > all && 2*needed <= free
-	return isQuiet || free-needed >= urgent
+	most := 0
+	if 2*free > all {
+		most = free / 2 / each
+	}
+	switch {
+	case len(g.waiting) <= max(most, (free-urgent)/each):
+		return g
+	case g.step.IsGang:
+		most = 0
+	}
+	g.waiting = g.waiting[:most]
+	return g
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -88,8 +88,12 @@
 // pass, and a gang may get a reservation.
 func (p *placer) placeGroup(f *fleet, g taskGroup) {
 	reserves := reservesCapacity(p.s.dispatcher.cfg.Policy)
-	if reserves && !f.hasHeadroom(g) {
-		p.wait(g, waitsForHeadroom)
+	whole := g
+	if reserves {
+		g = f.withinHeadroom(g)
+	}
+	if len(g.waiting) == 0 {
+		p.wait(whole, waitsForHeadroom)
 		return
 	}
 	if p.tryPlace(f, g) {
--- a/replay/waits_test.go
+++ b/replay/waits_test.go
@@ -21,6 +21,39 @@
 	}
 }
 
+var _ = Describe("A step of independent tasks", func() {
+	newFleet := func() *replay.Simulation {
+		cfg := newConfig(1)
+		cfg.CheckWaitsFrom = 3 * time.Second
+		return replay.NewSimulation(cfg)
+	}
+
+	It("starts although the fleet cannot run all of its tasks at once", func() {
+		sim := newFleet()
+		sim.Submit("a", newArrival(4*time.Second, "normal", independentTasks(200, 2*time.Second)))
+		sim.Run(20 * time.Second)
+		Expect(sim.Violations()).To(BeEmpty())
+		Expect(sim.Record("a").Status).To(Equal(workflow.StatusCompleted))
+	})
+
+	It("starts although it would not leave headroom for urgent work as a whole", func() {
+		sim := newFleet()
+		sim.Submit("urgent", newArrival(3*time.Second, "urgent", independentTasks(48, 30*time.Second)))
+		sim.Submit("a", newArrival(5*time.Second, "normal", independentTasks(48, 2*time.Second)))
+		sim.Run(40 * time.Second)
+		Expect(sim.Violations()).To(BeEmpty())
+		Expect(sim.Record("a").Start).To(BeNumerically("<", 6*time.Second))
+	})
+
+	It("needs no headroom without accelerators", func() {
+		sim := newFleet()
+		sim.Submit("urgent", newArrival(3*time.Second, "urgent", independentTasks(66, 30*time.Second)))
+		sim.Submit("a", newArrival(5*time.Second, "normal", withoutAccelerators(independentTasks(1, 2*time.Second))))
+		sim.Run(8 * time.Second)
+		Expect(sim.Record("a").Status).To(Equal(workflow.StatusCompleted))
+	})
+})
+
 var _ = Describe("A gang for which no rack is free", func() {
 	newFleet := func() *replay.Simulation {
 		cfg := newConfig(1)
