Let tasks that have waited use reserved workers while most of the capacity is free

Evidence: "starts beside reservations for gangs that do not fit, while most of the capacity is free" (replay) failed: "8.2s: long has had nothing running for 3.1s, with capacity for it".

Change: while more than half of the accelerators are free, a task group that has waited for 2 s ignores reservations.

--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -53,6 +53,9 @@
 type fleet struct {
 	nodes []*node
 	racks []*rack
+	// isMostlyFree is true if more than half of the accelerators were free when the
+	// pass began.
+	isMostlyFree bool
 }
 
 // A rack is the schedulable nodes of one rack.
@@ -94,6 +97,12 @@
 	}
 	for _, f := range m {
 		f.racks = racksOf(f.nodes)
+		all, free := 0, 0
+		for _, n := range f.nodes {
+			all += n.worker.Capacity.Accelerators
+			free += n.free.Accelerators + n.excess
+		}
+		f.isMostlyFree = 2*free > all
 	}
 	return m
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -154,12 +154,25 @@
 		return pool.ResourceVector{}
 	}
 	// DeclaredRunTime holds the predicted run time.
-	if !n.reservedUntil.IsZero() && p.s.now.Add(g.step.DeclaredRunTime).After(n.reservedUntil) {
+	endsLate := p.s.now.Add(g.step.DeclaredRunTime).After(n.reservedUntil)
+	if !n.reservedUntil.IsZero() && endsLate && !p.ignoresReservations(g) {
 		return pool.ResourceVector{}
 	}
 	return n.free
 }
 
+// maxReservationWait is how long a task group waits behind reservations while most of
+// the capacity is free. Source: the platform's rules, by which a task that could run
+// may wait for 3 s.
+const maxReservationWait = 2 * time.Second
+
+// ignoresReservations reports whether a task group has waited for so long that it need
+// not leave nodes to gangs, which cannot start yet although most of the capacity is
+// free.
+func (p *placer) ignoresReservations(g taskGroup) bool {
+	return p.fleets[g.wf.QueueSettings.Pool].isMostlyFree && p.s.now.Sub(g.since()) >= maxReservationWait
+}
+
 // assignments assigns a number of a task group's tasks to nodes and returns nil
 // if they do not all fit. It fills the fullest nodes first, so that whole nodes
 // stay free, unless the task group uses first fit. A suspect gets the emptiest
--- a/replay/waits_test.go
+++ b/replay/waits_test.go
@@ -52,6 +52,23 @@
 		sim.Run(8 * time.Second)
 		Expect(sim.Record("a").Status).To(Equal(workflow.StatusCompleted))
 	})
+
+	It("starts beside reservations for gangs that do not fit, while most of the capacity is free", func() {
+		sim := newFleet()
+		load := independentTasks(16, 60*time.Second)
+		load.MaxPerWorker = 1
+		sim.Submit("load", newArrival(3*time.Second, "normal", load))
+		for i := range 2 {
+			g := gang(8, 8, 8*time.Second)
+			g.IsRackSensitive = false
+			g.PerTask.MemoryMB += i
+			sim.Submit(fmt.Sprintf("gang-%d", i), newArrival(4*time.Second, "normal", g))
+		}
+		sim.Submit("long", newArrival(5*time.Second, "batch", independentTasks(1, 70*time.Second)))
+		sim.Run(50 * time.Second)
+		Expect(sim.Violations()).To(BeEmpty())
+		Expect(sim.Record("long").Start).To(BeNumerically("<", 8*time.Second))
+	})
 })
 
 var _ = Describe("A gang for which no rack is free", func() {
