Isolate a task only if at least one crash under it is confirmed

What callers saw: nothing yet; found by a review. After two network partitions of 20 s a job of 32 independent tasks was still running at 400 s, where it completes at 70 s without the isolation of suspects.

Cause: a run that is lost with a silent worker counts as an unconfirmed crash, and two of them made each task a suspect; the suspects of a step run one after the other.

Evidence: "isn't a suspect after network partitions alone, so that its step still runs in parallel" (replay) failed.

Change: unconfirmed crashes alone make no suspect.

--- a/replay/sound_test.go
+++ b/replay/sound_test.go
@@ -100,6 +100,23 @@
 		Expect(sim.LastRun("a", 0)).To(Equal(1))
 	})
 
+	It("isn't a suspect after network partitions alone, so that its step still runs in parallel", func() {
+		sim := replay.NewSimulation(newConfig(1))
+		sim.Submit("a", newArrival(3*time.Second, "normal", independentTasks(32, 15*time.Second)))
+		for _, id := range sim.Workers() {
+			for _, from := range []time.Duration{5 * time.Second, 35 * time.Second} {
+				sim.InjectFault(id, replay.Fault{
+					From:        from,
+					Until:       from + 20*time.Second,
+					Partitioned: true,
+				})
+			}
+		}
+		sim.Run(90 * time.Second)
+		Expect(sim.Violations()).To(BeEmpty())
+		Expect(sim.Record("a").Status).To(Equal(workflow.StatusCompleted))
+	})
+
 	for seed := range uint64(5) {
 		It(fmt.Sprintf("isn't given up before two workers have crashed under it, seed %d", seed), func() {
 			rng := rand.New(rand.NewPCG(seed, 11))
--- a/workflow/task.go
+++ b/workflow/task.go
@@ -99,7 +99,8 @@
 
 // Limits of the crashes under a task.
 const (
-	// suspectCrashes is the number of crashes from which on a task is a suspect.
+	// suspectCrashes is the number of crashes, one of them confirmed, from which on a
+	// task is a suspect.
 	suspectCrashes = 2
 	// maxCrashes is the number of crashes at which a task is given up if it was
 	// alone on the last of the workers and at least minConfirmedCrashes of them are
@@ -115,7 +116,7 @@
 // IsSuspect reports whether the task may be what crashes its workers, so that it
 // should share them with no other workflow.
 func (t Task) IsSuspect() bool {
-	return t.Crashes >= suspectCrashes
+	return t.Crashes >= suspectCrashes && t.Crashes > t.UnconfirmedCrashes
 }
 
 // mustGiveUp reports whether the task may not be started again after the worker
