Send no copy of a request after three minions have broken it off, whatever asks for it

A copy that was declined or whose slot was revoked was replaced without a look at the minions that had broken off the request before. The check is now where copies start. Found by a review; the suite of gateway/caller passes, and no test of its own was written for this order of events.

--- a/gateway/caller/idempotent.go
+++ b/gateway/caller/idempotent.go
@@ -79,8 +79,11 @@
 	h.fail(w, ir.failure())
 }
 
-// launch starts one copy of the request.
+// launch starts one copy of the request, unless too many minions have broken it off.
 func (ir *idempotentRequest) launch(retry, hedge bool) {
+	if ir.brokenOff >= maxBrokenOff {
+		return
+	}
 	ir.pending++
 	r := ir.call.request
 	r.IsRetry, r.IsHedge = retry, hedge
@@ -111,7 +114,7 @@
 		case c := <-ir.started:
 			ir.handleStarted(c)
 		case <-ir.hedgeTimer.C:
-			if ir.hedges < maxHedges && ir.brokenOff < maxBrokenOff {
+			if ir.hedges < maxHedges {
 				ir.launch(false, true)
 			}
 		case res := <-ir.results:
@@ -162,7 +165,7 @@
 		r := &ir.call.request
 		r.ExcludedMinions = append(slices.Clip(r.ExcludedMinions), res.minion)
 		ir.brokenOff++
-		if ir.pending == 0 && ir.brokenOff < maxBrokenOff {
+		if ir.pending == 0 {
 			ir.launch(true, false)
 		}
 	case revoked:
