Bound the retries and hedges that one pass of a gateway tries in vain

What callers saw: nothing yet; found by a review.

Change: after four single requests that could not be started, their queue is skipped.

--- a/admission/match.go
+++ b/admission/match.go
@@ -72,10 +72,15 @@
 	tokens map[uint64]bool
 }
 
+// maxSkippedTokens bounds the single requests that one pass tries in vain, since each
+// looks at all minions.
+const maxSkippedTokens = 4
+
 // add skips a request that could not be started. The next ones of its queue
 // could not either, unless they may be given to more minions.
 func (k skippedRequests) add(r Request) {
-	if len(r.ExcludedMinions) > 0 || len(r.AvoidedMinions) > 0 {
+	isRestricted := len(r.ExcludedMinions) > 0 || len(r.AvoidedMinions) > 0
+	if isRestricted && len(k.tokens) < maxSkippedTokens {
 		k.tokens[r.Token] = true
 		return
 	}
