Try a step although another step of its workflow with the same needs did not fit

What callers saw: nothing yet; found by a review. Of two steps of one job with a limit per worker, only the first was placed until it had ended, although the second had room.

Cause: what did not fit is remembered by the needs and the workflow, though the limit counts by step.

Change: for tasks with such a limit, and for suspects, it is remembered by step and occurrence.

--- a/dispatch/taskgroup.go
+++ b/dispatch/taskgroup.go
@@ -189,13 +189,13 @@
 	dataRack        string
 	priority        int
 	isExclusive     bool
-	// workflowID is set if the fit also depends on the tasks that the workflow
+	// group is set if the fit also depends on the tasks that the step or the workflow
 	// already has placed; empty otherwise.
-	workflowID string
+	group workflow.TaskKey
 }
 
 // requirement returns the requirement of g. With MaxPerWorker set, or for a suspect,
-// it is specific to the workflow, since the fit depends on the tasks already placed.
+// it is specific to the task group, since the fit depends on the tasks already placed.
 func (g taskGroup) requirement() requirement {
 	r := requirement{
 		pool:            g.wf.QueueSettings.Pool,
@@ -212,7 +212,7 @@
 		r.tasks = g.step.Tasks
 	}
 	if g.step.MaxPerWorker > 0 || g.isSuspect {
-		r.workflowID = g.wf.Spec.ID
+		r.group = g.key(0)
 	}
 	return r
 }
--- a/replay/waits_test.go
+++ b/replay/waits_test.go
@@ -45,6 +45,18 @@
 		Expect(sim.Record("a").Start).To(BeNumerically("<", 6*time.Second))
 	})
 
+	It("is not held up by another step of its workflow with the same needs", func() {
+		sim := newFleet()
+		step := independentTasks(16, 10*time.Second)
+		step.MaxPerWorker = 1
+		a := newArrival(4*time.Second, "normal", step)
+		a.Spec.Steps, a.Work = append(a.Spec.Steps, step), append(a.Work, a.Work[0])
+		a.Spec.Steps[0].Tasks = 20
+		sim.Submit("a", a)
+		sim.Run(6 * time.Second)
+		Expect(sim.PlacedTaskCount("a")).To(Equal(32))
+	})
+
 	It("needs no headroom without accelerators", func() {
 		sim := newFleet()
 		sim.Submit("urgent", newArrival(3*time.Second, "urgent", independentTasks(66, 30*time.Second)))
