Count silent losses apart from crashes under runs that may not have begun

A sound task was shown as failed without a crash under it.

Cause: "Isolate a task only if at least one crash under it is confirmed" went too far. A sound task and one that crashes its workers may be started on a worker together time and again; none of these crashes is confirmed, so neither was isolated, and the fifth gave up both.

Change: only losses with silent workers, which network partitions cause, make no suspect by themselves; they are counted apart. Two crashes, or a crash and a loss, make one.

--- a/wire/workflow.go
+++ b/wire/workflow.go
@@ -40,6 +40,7 @@
 	Failures    int       `json:"failures,omitempty"`
 	Crashes     int       `json:"crashes,omitempty"`
 	Unconfirmed int       `json:"unconfirmed-crashes,omitempty"`
+	Silent      int       `json:"silent-losses,omitempty"`
 	CrashedAt   time.Time `json:"crashed-at,omitzero"`
 	Checkpoint  string    `json:"checkpoint,omitempty"`
 	Finished    bool      `json:"finished,omitempty"`
@@ -87,6 +88,7 @@
 		Crashes:     t.Crashes,
 		CrashedAt:   t.CrashedAt,
 		Unconfirmed: t.UnconfirmedCrashes,
+		Silent:      t.SilentLosses,
 		Checkpoint:  t.Checkpoint,
 	}
 	switch p := t.TaskState.(type) {
@@ -138,6 +140,7 @@
 		Crashes:            r.Crashes,
 		CrashedAt:          r.CrashedAt,
 		UnconfirmedCrashes: r.Unconfirmed,
+		SilentLosses:       r.Silent,
 		Checkpoint:         r.Checkpoint,
 	}
 	switch {
--- a/workflow/rules.go
+++ b/workflow/rules.go
@@ -111,6 +111,9 @@
 	if e.isCrash() && e.IsUnconfirmed {
 		t.UnconfirmedCrashes++
 	}
+	if e.isCrash() && e.EndReason == EndedLost {
+		t.SilentLosses++
+	}
 	switch e.EndReason {
 	case EndedDone:
 		return t.WithState(Succeeded{})
--- a/workflow/task.go
+++ b/workflow/task.go
@@ -54,9 +54,11 @@
 	Failures int
 	// Crashes counts the runs under which the worker crashed or may have crashed.
 	// UnconfirmedCrashes counts those under which it may not have; see
-	// RunEnd.IsUnconfirmed.
+	// RunEnd.IsUnconfirmed. SilentLosses counts those of them of which only the lease
+	// of the worker told.
 	Crashes            int
 	UnconfirmedCrashes int
+	SilentLosses       int
 	// CrashedAt is when the last of the crashes was recorded.
 	CrashedAt time.Time
 	// Checkpoint names the last saved checkpoint. It is empty if there is none.
@@ -99,8 +101,8 @@
 
 // Limits of the crashes under a task.
 const (
-	// suspectCrashes is the number of crashes, one of them confirmed, from which on a
-	// task is a suspect.
+	// suspectCrashes is the number of crashes, one of them no silent loss, from which
+	// on a task is a suspect.
 	suspectCrashes = 2
 	// maxCrashes is the number of crashes at which a task is given up if it was
 	// alone on the last of the workers and at least minConfirmedCrashes of them are
@@ -116,7 +118,7 @@
 // IsSuspect reports whether the task may be what crashes its workers, so that it
 // should share them with no other workflow.
 func (t Task) IsSuspect() bool {
-	return t.Crashes >= suspectCrashes && t.Crashes > t.UnconfirmedCrashes
+	return t.Crashes >= suspectCrashes && t.Crashes > t.SilentLosses
 }
 
 // mustGiveUp reports whether the task may not be started again after the worker
