--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -17,6 +17,8 @@
 	mu           sync.Mutex
 	open         chan struct{}
 	conns        map[net.Conn]bool
+	// lastAt is when the last connection was opened.
+	lastAt time.Time
 }
 
 func newProxy(address, target string) (*proxy, error) {
@@ -42,6 +44,9 @@
 		if err != nil {
 			return
 		}
+		p.mu.Lock()
+		p.lastAt = time.Now()
+		p.mu.Unlock()
 		go p.handle(conn)
 	}
 }
@@ -85,6 +90,13 @@
 	close(p.open)
 }
 
+// sinceLast returns how long ago the last connection was opened.
+func (p *proxy) sinceLast() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.lastAt)
+}
+
 func (p *proxy) track(c net.Conn, on bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
