Show jobs that run although their only attempt was rejected with 401

The leader is killed while jobs are handed in, and the tenant's key is taken away before there is a new leader. Some jobs are answered with 401 and run.

Cause: a front that has lost the answer to a job sends it to the next leader, which refuses it by the newer desired state, and passes that refusal on as final.

--- a/review/standin/judge.go
+++ b/review/standin/judge.go
@@ -140,3 +140,17 @@
 	}
 	return n
 }
+
+// startsOn returns how many runs have started on a minion after a time.
+func (j *judge) startsOn(minion string, after time.Time) (n int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, list := range j.runs {
+		for _, r := range list {
+			if r.minion == minion && r.began.After(after) {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,8 +18,12 @@
 type scenario func(rec *record, trouble bool) error
 
 var scenarios = map[string]scenario{
-	"many-ends":   playManyEnds,
-	"first-start": playFirstStart,
+	"many-ends":       playManyEnds,
+	"first-start":     playFirstStart,
+	"sick-minion":     playSickMinion,
+	"revoked-key":     playRevokedKey,
+	"long-job":        playLongJob,
+	"late-withdrawal": playLateWithdrawal,
 }
 
 var errNotReady = errors.New("the deployment did not get ready")
