Show a job that is given up although no minion crashed under its task

Three minions of a kind lose power, 0.9 s apart. A job that needs the kind is handed in after the first loss, and is shown as failed 3 s later though none of its runs ever started.

Cause: a start that was written to an idle channel of a dead minion and never answered counts as a confirmed crash under the run, and the task is placed on the next dead minion.

--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -2,11 +2,15 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 )
 
 // A fleet is the minions of the service, each behind a proxy of its own.
 type fleet struct {
+	mu sync.Mutex
+	// down holds the minions without power.
+	down    map[int]bool
 	minions []*minion
 	proxies []*proxy
 }
@@ -14,7 +18,9 @@
 // newFleet starts n minions. The function change, if not nil, changes their
 // configuration.
 func (c *cluster) newFleet(n int, j *judge, change func(i int, cfg *minionConfig)) (f *fleet, err error) {
-	f = &fleet{}
+	f = &fleet{
+		down: map[int]bool{},
+	}
 	for i := range n {
 		cfg := minionConfig{
 			id:       fmt.Sprintf("i-%08x", 0x7f3a91c0+i),
@@ -43,10 +49,28 @@
 		}
 		f.minions = append(f.minions, m)
 	}
-	c.cloud.minions = func() []*minion { return f.minions }
+	c.cloud.minions = f.up
 	return f, nil
 }
 
+// up returns the minions that have power.
+func (f *fleet) up() (list []*minion) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, m := range f.minions {
+		if !f.down[i] {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+func (f *fleet) setDown(i int, down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down[i] = down
+}
+
 // cut cuts a minion off from all machines, and heal ends that.
 func (f *fleet) cut(rec *record, i int) {
 	rec.line("CUT %s from all machines", f.minions[i].cfg.id)
--- a/review/standin/judge.go
+++ b/review/standin/judge.go
@@ -19,12 +19,16 @@
 	mu   sync.Mutex
 	rec  *record
 	runs map[string][]*seenRun
+	// crashes counts, by task, the minions that crashed under it.
+	crashes map[string]int
 }
 
 func newJudge(rec *record) *judge {
 	return &judge{
 		rec:  rec,
 		runs: map[string][]*seenRun{},
+
+		crashes: map[string]int{},
 	}
 }
 
@@ -154,3 +158,34 @@
 	}
 	return n
 }
+
+func (j *judge) crashed(task string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.crashes[task]++
+}
+
+// lost ends all runs on a minion that has crashed.
+func (j *judge) lost(minion string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, list := range j.runs {
+		for _, r := range list {
+			if r.minion == minion && r.ended.IsZero() {
+				r.ended, r.how = time.Now(), "lost"
+			}
+		}
+	}
+}
+
+// mostCrashes returns the most crashes under any task of a job.
+func (j *judge) mostCrashes(job string) (n int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for task, k := range j.crashes {
+		if jobOf(task) == job {
+			n = max(n, k)
+		}
+	}
+	return n
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,8 @@
 	"sick-minion":     playSickMinion,
 	"revoked-key":     playRevokedKey,
 	"long-job":        playLongJob,
+	"dark-minions":    playDarkMinions,
+	"stress":          playStress,
 	"late-withdrawal": playLateWithdrawal,
 }
 
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -73,6 +73,13 @@
 	notice   chan struct{}
 	// isSick makes it refuse every start with 503. isCut keeps its pings back.
 	isSick, isCut bool
+	// pings counts the acknowledged pings.
+	pings int
+}
+
+func (m *minion) pingCount() (n int) {
+	m.set(func() { n = m.pings })
+	return n
 }
 
 func newMinion(cfg minionConfig, rec *record, j *judge) (*minion, error) {
@@ -397,7 +404,11 @@
 	}
 	_, _ = io.Copy(io.Discard, resp.Body)
 	_ = resp.Body.Close()
-	return resp.StatusCode/100 == 2
+	if resp.StatusCode/100 != 2 {
+		return false
+	}
+	m.set(func() { m.pings++ })
+	return true
 }
 
 // jobOf returns the job in the name of a task.
--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -148,8 +148,13 @@
 				chunks <- b[:n]
 			}
 			if err != nil {
-				if p.isCut(client) {
+				switch {
+				case !p.isCut(client):
+				case from == client:
 					_ = to.Close()
+				default:
+					// The end of the other side is not seen during a cut.
+					<-p.gate(client)
 				}
 				return
 			}
