--- a/review/standin/judge.go
+++ b/review/standin/judge.go
@@ -189,3 +189,10 @@
 	}
 	return n
 }
+
+// begun returns how many tasks have begun.
+func (j *judge) begun() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.runs)
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,8 @@
 	"revoked-key":     playRevokedKey,
 	"long-job":        playLongJob,
 	"dark-minions":    playDarkMinions,
+	"malformed":       playMalformed,
+	"wide-job":        playWideJob,
 	"stress":          playStress,
 	"late-withdrawal": playLateWithdrawal,
 }
