--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -92,7 +92,12 @@
 	}
 	// The peers' port is the first of a range of sixteen, so it stays below the others'.
 	return ports{
-		peer: 20000 + list[0]%5000, control: list[1], front: list[2], ready: list[3], minion: list[4], cloud: list[5],
+		peer:    20000 + list[0]%5000,
+		control: list[1],
+		front:   list[2],
+		ready:   list[3],
+		minion:  list[4],
+		cloud:   list[5],
 	}, nil
 }
 
--- a/review/standin/dark_minions.go
+++ b/review/standin/dark_minions.go
@@ -29,7 +29,10 @@
 		fd: fd,
 	}
 	_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
-	if err = syscall.Bind(fd, &syscall.SockaddrInet4{Port: a.Port, Addr: [4]byte(a.IP.To4())}); err != nil {
+	if err = syscall.Bind(fd, &syscall.SockaddrInet4{
+		Port: a.Port,
+		Addr: [4]byte(a.IP.To4()),
+	}); err != nil {
 		return b, err
 	}
 	if err = syscall.Listen(fd, 0); err != nil {
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -23,13 +23,18 @@
 	}
 	for i := range n {
 		cfg := minionConfig{
-			id:       fmt.Sprintf("i-%08x", 0x7f3a91c0+i),
-			service:  "pickpass",
-			zone:     zones[i%len(zones)],
-			labels:   []string{"a", fmt.Sprintf("r1-%d", i%2+1)},
-			capacity: capacity{CPU: 32000, MemMb: 131072, GPU: 8},
-			listen:   fmt.Sprintf("%s.%d:%d", c.subnet, 101+i, c.ports.minion),
-			stopMs:   900, holdMaxMs: 10000,
+			id:      fmt.Sprintf("i-%08x", 0x7f3a91c0+i),
+			service: "pickpass",
+			zone:    zones[i%len(zones)],
+			labels:  []string{"a", fmt.Sprintf("r1-%d", i%2+1)},
+			capacity: capacity{
+				CPU:   32000,
+				MemMb: 131072,
+				GPU:   8,
+			},
+			listen:    fmt.Sprintf("%s.%d:%d", c.subnet, 101+i, c.ports.minion),
+			stopMs:    900,
+			holdMaxMs: 10000,
 		}
 		cfg.announced = fmt.Sprintf("%s.%d:%d", c.subnet, 151+i, c.ports.minion)
 		for k := range c.cores {
--- a/review/standin/malformed.go
+++ b/review/standin/malformed.go
@@ -97,14 +97,17 @@
 	}
 	var mu sync.Mutex
 	random := rand.New(rand.NewPCG(uint64(seed), 3))
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	rogueHandler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		mu.Lock()
 		body := mutate(random, `{"clockMs":5000,"born":1700000000000,"running":[["7734a870cec93d57.0.0.0",1,"",5,0]],"finished":[[1,"7734a870cec93d57.0.0.0",1,"done",""]]}`)
 		status := []int{200, 200, 200, 409, 500, 404}[random.IntN(6)]
 		mu.Unlock()
 		w.WriteHeader(status)
 		_, _ = w.Write([]byte(body))
-	})}
+	})
+	server := &http.Server{
+		Handler: rogueHandler,
+	}
 	go func() { _ = server.Serve(l) }()
 	defer func() { _ = server.Close() }()
 	var wg sync.WaitGroup
@@ -122,7 +125,7 @@
 				case 0, 1:
 					b, _ := json.Marshal(map[string]any{
 						"service": "pickpass", "address": rogue, "zone": "naches", "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
-						"capacity": capacity{CPU: 32000, MemMb: 131072, GPU: 8}, "labels": []string{"a", "r1-1"}, "clockMs": 5000 + k, "seq": k + 1, "born": 1700000000000,
+						"capacity": f.minions[0].cfg.capacity, "labels": []string{"a", "r1-1"}, "clockMs": 5000 + k, "seq": k + 1, "born": 1700000000000,
 					})
 					call(ctx, client, http.MethodPut, "http://"+core+"/plantainladder/instances/"+fmt.Sprintf("i-rogue%d", r.IntN(3)), "", "", mutate(r, string(b)))
 				case 2:
