Give no task up for losses of workers that were only cut off

No worker had crashed, and all of them are back.

A run that ends with the lease of a silent worker was counted as a crash that may not have happened, and the limit of five took such crashes for real ones.

Fix: what became of the worker is found out later and committed as a verdict. If the same incarnation answers, the loss counts no more; if the next one announces itself or the inventory lacks the worker, it is a crash. Losses without a verdict never give a task up. A task with five crashes is not started while it awaits a verdict, so that a task that crashes its workers for longer than their lease still has at most five starts.

Two cases are new for the opposite: deadly tasks whose workers return only after their lease, without an inventory.

--- a/apply_workflow.go
+++ b/apply_workflow.go
@@ -56,6 +56,9 @@
 	RemovedWorkers []string `json:"forgotten,omitempty"`
 	// RunEnds lists the runs that ended.
 	RunEnds []workflow.RunEnd `json:"ends,omitempty"`
+	// LossVerdicts lists what became of the workers of runs that ended as lost. They are
+	// applied after the run ends.
+	LossVerdicts []workflow.LossVerdict `json:"verdicts,omitempty"`
 	// Placements lists the tasks that are placed. Those of one step follow each
 	// other, since they are accepted or ignored together.
 	Placements []workflow.Placement `json:"placements,omitempty"`
@@ -68,9 +71,10 @@
 func (Announce) command()         {}
 func (Round) command()            {}
 
-// IsEmpty reports whether r contains neither an end, a placement nor a removal.
+// IsEmpty reports whether r contains neither an end, a verdict, a placement nor a
+// removal.
 func (r Round) IsEmpty() bool {
-	return len(r.RemovedWorkers)+len(r.RunEnds)+len(r.Placements) == 0
+	return len(r.RemovedWorkers)+len(r.RunEnds)+len(r.LossVerdicts)+len(r.Placements) == 0
 }
 
 // Limits of the table of workflows.
@@ -218,6 +222,11 @@
 			s = s.withWorkflow(w.WithRunEnd(now, e))
 		}
 	}
+	for _, v := range r.LossVerdicts {
+		if w, ok := s.workflows.get(v.Workflow); ok {
+			s = s.withWorkflow(w.WithLossVerdict(now, v))
+		}
+	}
 	for _, list := range groupByStep(r.Placements) {
 		if w, ok := s.workflows.get(list[0].Workflow); ok {
 			w, _ = w.WithPlacements(now, list)
--- a/control/decision_log.go
+++ b/control/decision_log.go
@@ -20,7 +20,8 @@
 	return nil
 }
 
-// countCrashes counts the runs of a round under which workers crashed.
+// countCrashes counts the runs of a round under which workers crashed, and the
+// verdicts on runs that had ended as lost.
 func countCrashes(before plantainladder.State, r plantainladder.Round) (out []Effect) {
 	for _, e := range r.RunEnds {
 		w, known := before.Workflow(e.Workflow)
@@ -36,6 +37,14 @@
 			Label: label,
 		})
 	}
+	for _, v := range r.LossVerdicts {
+		if w, known := before.Workflow(v.Workflow); known && w.AcceptsVerdict(v) {
+			out = append(out, IncrementCounter{
+				Name:  CounterLossVerdicts,
+				Label: string(v.Fate),
+			})
+		}
+	}
 	return out
 }
 
@@ -64,13 +73,13 @@
 
 func logFinished(before, after plantainladder.State, now time.Time, r plantainladder.Round) (out []Effect) {
 	seen := map[string]bool{}
-	for _, e := range r.RunEnds {
-		previous, known := before.Workflow(e.Workflow)
-		if seen[e.Workflow] || !known || !previous.IsOpen() {
+	for _, id := range changedWorkflows(r) {
+		previous, known := before.Workflow(id)
+		if seen[id] || !known || !previous.IsOpen() {
 			continue
 		}
-		seen[e.Workflow] = true
-		w, _ := after.Workflow(e.Workflow)
+		seen[id] = true
+		w, _ := after.Workflow(id)
 		if w.IsOpen() {
 			continue
 		}
@@ -92,6 +101,17 @@
 	return out
 }
 
+// changedWorkflows returns the workflows that a round may have finished.
+func changedWorkflows(r plantainladder.Round) (ids []string) {
+	for _, e := range r.RunEnds {
+		ids = append(ids, e.Workflow)
+	}
+	for _, v := range r.LossVerdicts {
+		ids = append(ids, v.Workflow)
+	}
+	return ids
+}
+
 // runKeyOf returns a key that identifies a workflow but none of its tasks.
 func runKeyOf(w workflow.Workflow) workflow.RunKey {
 	return workflow.RunKey{
--- a/control/effect.go
+++ b/control/effect.go
@@ -112,6 +112,7 @@
 	CounterOrdersPushed CounterName = "orders_pushed_total"
 	CounterOrderRetries CounterName = "order_retries_total"
 	CounterRunCrashes   CounterName = "run_crashes_total"
+	CounterLossVerdicts CounterName = "loss_verdicts_total"
 )
 
 // Labels of CounterRunCrashes: whether other workflows had runs on the worker.
--- a/controller/node/meters.go
+++ b/controller/node/meters.go
@@ -10,6 +10,7 @@
 	"github.com/plantainladder/plantainladder/control"
 	"github.com/plantainladder/plantainladder/job"
 	"github.com/plantainladder/plantainladder/worker"
+	"github.com/plantainladder/plantainladder/workflow"
 )
 
 // meters holds the controller's metrics. docs/METRICS.md lists them.
@@ -49,6 +50,9 @@
 	}
 	counter(control.CounterRunCrashes, control.LabelAlone)
 	counter(control.CounterRunCrashes, control.LabelShared)
+	for _, f := range workflow.WorkerFates() {
+		counter(control.CounterLossVerdicts, string(f))
+	}
 	for _, action := range []string{worker.ActionPrepare, worker.ActionStart, worker.ActionStop} {
 		counter(control.CounterOrdersPushed, action)
 		counter(control.CounterOrderRetries, action)
--- a/dispatch/cluster_internal_test.go
+++ b/dispatch/cluster_internal_test.go
@@ -216,6 +216,11 @@
 				w = w.WithRunEnd(c.now, e)
 			}
 		}
+		for _, v := range r.LossVerdicts {
+			if v.Workflow == w.Spec.ID {
+				w = w.WithLossVerdict(c.now, v)
+			}
+		}
 		placements := slices.DeleteFunc(slices.Clone(r.Placements), func(p workflow.Placement) bool {
 			return p.Workflow != w.Spec.ID
 		})
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -39,32 +39,66 @@
 	return c
 }
 
-// crashEnd returns the end of a run on a worker that has crashed. A start without an
-// answer may have been sent to a worker that had already crashed, so it only counts
-// if the worker was known to be alive just before. Of several such starts, the first
-// to be carried out may have crashed the worker before the others began. An earlier
-// leader awaited an answer before it started a task with a history of crashes, but it
-// may not have got to the start.
-func (c crashScene) crashEnd(ref workflow.RunKey, r runState, hasHistory bool) workflow.RunEnd {
-	e := workflow.RunEnd{
-		RunKey:    ref,
-		EndReason: workflow.EndedCrashed,
-		WasAlone:  !c.isShared,
-	}
+// evidence is how likely it is that a run had begun when its worker was lost.
+type evidence int
+
+const (
+	// mayHaveBegun means that nothing speaks for it but a start that was sent.
+	mayHaveBegun evidence = iota
+	// hasProbablyBegun means that its worker was alive just before the start.
+	hasProbablyBegun
+	// hasBegun means that the worker answered the start or listed the run, or that
+	// the start was the only one that the worker, which was alive, did not answer.
+	hasBegun
+)
+
+// evidenceOf returns the evidence for a run. A start without an answer may have been
+// sent to a worker that had already crashed. Of several such starts, the first to be
+// carried out may have crashed the worker before the others began. An earlier leader
+// awaited an answer before it started a task with a history of crashes, but it may
+// not have got to the start.
+func (c crashScene) evidenceOf(r runState, hasHistory bool) evidence {
 	switch {
 	case !r.startedAt.IsZero():
+		return hasBegun
+	case r.wasWorkerAlive && c.isShared && c.unanswered > 1:
+		return hasProbablyBegun
 	case r.wasWorkerAlive:
-		e.IsUnconfirmed = c.isShared && c.unanswered > 1
+		return hasBegun
 	case !r.isOwnPlacement && hasHistory:
-		e.IsUnconfirmed = true
-	default:
+		return hasProbablyBegun
+	}
+	return mayHaveBegun
+}
+
+// crashEnd returns the end of a run on a worker that has crashed.
+func (c crashScene) crashEnd(ref workflow.RunKey, e evidence) workflow.RunEnd {
+	if e == mayHaveBegun {
 		return workflow.RunEnd{
 			RunKey:        ref,
 			EndReason:     workflow.EndedLost,
 			IsUnconfirmed: true,
 		}
 	}
-	return e
+	return workflow.RunEnd{
+		RunKey:        ref,
+		EndReason:     workflow.EndedCrashed,
+		WasAlone:      !c.isShared,
+		IsUnconfirmed: e != hasBegun,
+	}
+}
+
+// silentEnd returns the end of a run whose worker was out of reach until its lease was
+// over.
+func (c crashScene) silentEnd(ref workflow.RunKey, e evidence) workflow.RunEnd {
+	return workflow.RunEnd{
+		RunKey:        ref,
+		EndReason:     workflow.EndedLost,
+		IsUnconfirmed: true,
+		AwaitsVerdict: e != mayHaveBegun,
+		HasBegun:      e == hasBegun,
+		WasAlone:      !c.isShared,
+	}
 }
 
 // aliveTimeout is how long a worker that has answered an order counts as alive,
@@ -161,11 +195,14 @@
 	case !r.mayHaveStarted():
 	case committed.Incarnation == t.Incarnation && committed.Leaving:
 	case isPredecessor && !v.predecessor.hasLeft:
-		e = v.predecessor.scene.crashEnd(t.RunKey, r, s.hasCrashHistory(t))
+		scene := v.predecessor.scene
+		e = scene.crashEnd(t.RunKey, scene.evidenceOf(r, s.hasCrashHistory(t)))
 	case !isPredecessor && v.hasEnded && !v.worker.Leaving:
-		e = newCrashScene(s.index.placedByWorker[v.worker.ID], v.runs).crashEnd(t.RunKey, r, s.hasCrashHistory(t))
-	case !isPredecessor && reason == string(reasonLeaseExpired):
-		e.IsUnconfirmed = !s.hasRecentContact(v)
+		scene := newCrashScene(s.index.placedByWorker[v.worker.ID], v.runs)
+		e = scene.crashEnd(t.RunKey, scene.evidenceOf(r, s.hasCrashHistory(t)))
+	case !isPredecessor && reason == string(reasonLeaseExpired) && !s.hasRecentContact(v):
+		scene := newCrashScene(s.index.placedByWorker[v.worker.ID], v.runs)
+		e = scene.silentEnd(t.RunKey, scene.evidenceOf(r, s.hasCrashHistory(t)))
 	}
 	s.end(t, e, reason, age)
 }
--- a/dispatch/index.go
+++ b/dispatch/index.go
@@ -13,6 +13,10 @@
 	workflows map[string]workflow.Workflow
 	// withSuspects holds the workflows that have suspects.
 	withSuspects map[string]workflow.Workflow
+	// unresolvedLosses holds the silent losses of open workflows without a verdict;
+	// lossesByWorker holds them by worker ID.
+	unresolvedLosses []workflow.UnresolvedLoss
+	lossesByWorker   map[string][]workflow.UnresolvedLoss
 	// placedByWorker holds the placed tasks by worker ID.
 	placedByWorker map[string][]workflow.PlacedTask
 	placedRuns     map[workflow.RunKey]bool
@@ -48,6 +52,7 @@
 		workflows:      make(map[string]workflow.Workflow, len(state.Workflows)),
 		withSuspects:   map[string]workflow.Workflow{},
 		placedByWorker: make(map[string][]workflow.PlacedTask, len(state.Workers)),
+		lossesByWorker: map[string][]workflow.UnresolvedLoss{},
 		placedRuns:     map[workflow.RunKey]bool{},
 		isGangBroken:   map[workflow.RunKey]bool{},
 		gangMembers:    map[gangRun][]workflow.PlacedTask{},
@@ -60,6 +65,9 @@
 		if w.HasSuspect() {
 			x.withSuspects[w.Spec.ID] = w
 		}
+		if w.IsOpen() {
+			x.unresolvedLosses = append(x.unresolvedLosses, w.UnresolvedLosses()...)
+		}
 		for _, t := range w.PlacedTasks() {
 			x.placedByWorker[t.Worker] = append(x.placedByWorker[t.Worker], t)
 			x.placedRuns[t.RunKey] = true
@@ -71,6 +79,9 @@
 			}
 		}
 	}
+	for _, l := range x.unresolvedLosses {
+		x.lossesByWorker[l.Worker] = append(x.lossesByWorker[l.Worker], l)
+	}
 	return x
 }
 
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -245,9 +245,10 @@
 			}
 		}
 	}
+	r.LossVerdicts = s.lossVerdicts()
 	r.RemovedWorkers = s.forgottenWorkers()
 	next := s.state
-	if len(r.RunEnds) > 0 {
+	if len(r.RunEnds)+len(r.LossVerdicts) > 0 {
 		next = after(r)
 		next.Version = 0
 	}
--- a/dispatch/renew.go
+++ b/dispatch/renew.go
@@ -35,8 +35,9 @@
 
 // needsProbe reports whether a worker left its last order unanswered although it
 // is still in contact. Such a worker gets no new tasks until it answers an order.
+// One that is back after a silent loss is asked for an answer as well.
 func (s *reconciliation) needsProbe(v workerView) bool {
-	return v.unanswered > 0 && s.hasRecentContact(v)
+	return s.hasRecentContact(v) && (v.unanswered > 0 || s.awaitsVerdict(v))
 }
 
 // needsListing reports whether a decision about some run waits for a newer
--- a/dispatch/taskgroup.go
+++ b/dispatch/taskgroup.go
@@ -102,15 +102,16 @@
 // split returns g with the waiting tasks of its step: one task group for a suspect
 // and one for the tasks that are none. A gang with a suspect is a suspect as a whole.
 // Other suspects are placed one after the other, since the next crash under any of
-// them ends the workflow.
+// them ends the workflow. Tasks that await a verdict, and gangs with one, are left out.
 func (g taskGroup) split(now time.Time, r workflow.StepState) (list []taskGroup) {
 	isWhole := g.step.IsGang && r.HasSuspect()
 	isBusy := !g.step.IsGang && r.HasPlacedSuspect()
+	isHeld := g.step.IsGang && slices.ContainsFunc(r.Tasks, workflow.Task.AwaitsVerdict)
 	suspects := g
 	suspects.isSuspect, suspects.isExclusive = true, now.Sub(r.LastCrash()) < isolationWait
 	for n, t := range r.Tasks {
 		switch {
-		case !t.IsWaiting():
+		case !t.IsWaiting() || isHeld || t.AwaitsVerdict():
 		case isWhole:
 			suspects.waiting = append(suspects.waiting, n)
 		case !t.IsSuspect():
--- a/replay/crash_test.go
+++ b/replay/crash_test.go
@@ -78,6 +78,12 @@
 		}),
 		Entry("as the next incarnation, with an inventory", true, time.Duration(0), restartsSoon),
 		Entry("as the next incarnation, with an inventory, crash after 1 s", true, time.Second, restartsSoon),
+		Entry("as the next incarnation after its lease, crash at once", false, time.Duration(0), replay.NextIncarnation{
+			After: 15 * time.Second,
+		}),
+		Entry("as the next incarnation after its lease, crash after 1 s", false, time.Second, replay.NextIncarnation{
+			After: 15 * time.Second,
+		}),
 		Entry("as another worker at the address", false, time.Duration(0), replay.Successor{
 			After:         2 * time.Second,
 			AnnounceDelay: time.Second,
--- a/wire/workflow.go
+++ b/wire/workflow.go
@@ -36,17 +36,18 @@
 }
 
 type taskRecord struct {
-	Run         int       `json:"run,omitempty"`
-	Failures    int       `json:"failures,omitempty"`
-	Crashes     int       `json:"crashes,omitempty"`
-	Unconfirmed int       `json:"unconfirmed-crashes,omitempty"`
-	Silent      int       `json:"silent-losses,omitempty"`
-	CrashedAt   time.Time `json:"crashed-at,omitzero"`
-	Checkpoint  string    `json:"checkpoint,omitempty"`
-	Finished    bool      `json:"finished,omitempty"`
-	Worker      string    `json:"worker,omitempty"`
-	Incarnation int64     `json:"born,omitempty"`
-	At          time.Time `json:"at,omitzero"`
+	Run         int                   `json:"run,omitempty"`
+	Failures    int                   `json:"failures,omitempty"`
+	Crashes     int                   `json:"crashes,omitempty"`
+	Unconfirmed int                   `json:"unconfirmed-crashes,omitempty"`
+	Silent      int                   `json:"silent-losses,omitempty"`
+	Losses      []workflow.SilentLoss `json:"unresolved-losses,omitempty"`
+	CrashedAt   time.Time             `json:"crashed-at,omitzero"`
+	Checkpoint  string                `json:"checkpoint,omitempty"`
+	Finished    bool                  `json:"finished,omitempty"`
+	Worker      string                `json:"worker,omitempty"`
+	Incarnation int64                 `json:"born,omitempty"`
+	At          time.Time             `json:"at,omitzero"`
 }
 
 func fromWorkflow(w workflow.Workflow) (r workflowRecord, err error) {
@@ -89,6 +90,7 @@
 		CrashedAt:   t.CrashedAt,
 		Unconfirmed: t.UnconfirmedCrashes,
 		Silent:      t.SilentLosses,
+		Losses:      t.UnresolvedLosses,
 		Checkpoint:  t.Checkpoint,
 	}
 	switch p := t.TaskState.(type) {
@@ -141,6 +143,7 @@
 		CrashedAt:          r.CrashedAt,
 		UnconfirmedCrashes: r.Unconfirmed,
 		SilentLosses:       r.Silent,
+		UnresolvedLosses:   r.Losses,
 		Checkpoint:         r.Checkpoint,
 	}
 	switch {
--- a/workflow/rules.go
+++ b/workflow/rules.go
@@ -114,6 +114,15 @@
 	if e.isCrash() && e.EndReason == EndedLost {
 		t.SilentLosses++
 	}
+	if p, isPlaced := t.CurrentPlacement(); isPlaced && e.isCrash() && e.AwaitsVerdict {
+		t.UnresolvedLosses = append(slices.Clone(t.UnresolvedLosses), SilentLoss{
+			Worker:      p.Worker,
+			Incarnation: p.Incarnation,
+			At:          now,
+			WasAlone:    e.WasAlone,
+			HasBegun:    e.HasBegun,
+		})
+	}
 	switch e.EndReason {
 	case EndedDone:
 		return t.WithState(Succeeded{})
@@ -174,7 +183,7 @@
 		}
 		return failures >= w.QueueSettings.MaxAttempts
 	case EndedCrashed, EndedLost:
-		return e.isCrash() && t.mustGiveUp(e.WasAlone)
+		return e.isCrash() && t.mustGiveUp(e.WasAlone && !e.AwaitsVerdict)
 	case EndedDone, EndedStopped, EndedLeaseExpired, EndedGangAborted, EndedGangIncomplete, EndedNotStarted:
 	}
 	return false
--- a/workflow/task.go
+++ b/workflow/task.go
@@ -55,10 +55,12 @@
 	// Crashes counts the runs under which the worker crashed or may have crashed.
 	// UnconfirmedCrashes counts those under which it may not have; see
 	// RunEnd.IsUnconfirmed. SilentLosses counts those of them of which only the lease
-	// of the worker told.
+	// of the worker told. UnresolvedLosses holds the silent losses for which there is
+	// no verdict yet.
 	Crashes            int
 	UnconfirmedCrashes int
 	SilentLosses       int
+	UnresolvedLosses   []SilentLoss
 	// CrashedAt is when the last of the crashes was recorded.
 	CrashedAt time.Time
 	// Checkpoint names the last saved checkpoint. It is empty if there is none.
@@ -110,8 +112,8 @@
 	maxCrashes          = 3
 	minConfirmedCrashes = 2
 	// maxSharedCrashes is the number of crashes at which a task is given up even if
-	// it never was alone. Source: the platform's rules, which allow two more starts
-	// after the third crash.
+	// it never was alone, unless all but one of them are silent losses. Source: the
+	// platform's rules, which allow two more starts after the third crash.
 	maxSharedCrashes = 5
 )
 
@@ -126,7 +128,8 @@
 // a run that was alone there weighs more.
 func (t Task) mustGiveUp(wasAlone bool) bool {
 	isConfirmed := t.Crashes-t.UnconfirmedCrashes >= minConfirmedCrashes
-	return t.Crashes >= maxCrashes && wasAlone && isConfirmed || t.Crashes >= maxSharedCrashes
+	isLikely := t.Crashes-t.SilentLosses >= minConfirmedCrashes
+	return t.Crashes >= maxCrashes && wasAlone && isConfirmed || t.Crashes >= maxSharedCrashes && isLikely
 }
 
 // An EndReason is the reason why a run ended.
@@ -178,6 +181,11 @@
 	// IsUnconfirmed is true if the worker may have crashed under the run, but the run
 	// may not have begun by then, or the worker may only be out of reach.
 	IsUnconfirmed bool `json:"unconfirmed,omitempty"`
+	// AwaitsVerdict is true if the run probably had begun and its worker is only known
+	// to be out of reach, so that a LossVerdict follows. HasBegun is true if the run
+	// certainly had.
+	AwaitsVerdict bool `json:"awaits-verdict,omitempty"`
+	HasBegun      bool `json:"has-begun,omitempty"`
 	// Checkpoint names the checkpoint that the run saved. It is empty if there is
 	// none.
 	Checkpoint string `json:"checkpoint,omitempty"`
