--- a/gateway/reply/guard.go
+++ b/gateway/reply/guard.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/plantainladder/plantainladder/api"
+	"github.com/plantainladder/plantainladder/util"
 )
 
 // RequireToken wraps next and refuses requests without the bearer token. An empty
@@ -29,14 +30,14 @@
 }
 
 // FullAddress returns address, completed with the host that the request came from
-// if it has no host. It returns false if the address has no port.
+// if it has no host. It returns false if the address cannot be dialled.
 func FullAddress(address string, r *http.Request) (string, bool) {
 	host, port, err := net.SplitHostPort(address)
-	if err != nil || port == "" {
+	if err != nil || !util.IsPort(port) {
 		return "", false
 	}
 	if host != "" {
-		return address, true
+		return address, util.IsHostPort(address)
 	}
 	host, _, err = net.SplitHostPort(r.RemoteAddr)
 	return net.JoinHostPort(host, port), err == nil
