Log the members of the group, and how many losses it bears and why

The logs told neither that the members had changed nor that the group was one voter short, so that its cause could not be told from others: a change that is never made, one that is undone, or a member that does not catch up.

A leader now logs how many voters may fail, how many are missing and which do not answer, when that changes, and each controller logs each committed set of members. The metric controller_tolerated_losses has the number.

--- a/consensus/replica.go
+++ b/consensus/replica.go
@@ -138,6 +138,21 @@
 	return r.leaderID
 }
 
+// IsSilent reports whether a member other than this leader has not answered for longer
+// than the timeout in the leader's term. It returns false if the replica does not lead.
+func (r Replica) IsSilent(now time.Time, id string, timeout time.Duration) bool {
+	l, ok := r.role.(Leader)
+	if !ok || id == r.cfg.ID {
+		return false
+	}
+	p, known := l.progress[id]
+	lastContact := p.LastContact
+	if lastContact.Before(l.electedAt) {
+		lastContact = l.electedAt
+	}
+	return known && now.Sub(lastContact) > timeout
+}
+
 // Hard returns the replica's term and vote.
 func (r Replica) Hard() HardState {
 	return r.hardState
--- a/control/core.go
+++ b/control/core.go
@@ -79,6 +79,8 @@
 			Jitter: e.Jitter,
 		})
 		c, more := c.reconcile(now)
+		out = append(out, more...)
+		c, more = c.logGroupHealth(now)
 		return c, append(out, more...)
 	case PeerMessageReceived:
 		c.lastSender, c.lastSenderAddress = e.Message.From, e.SenderAddress
@@ -265,9 +267,13 @@
 func (c Core) applyEntry(e consensus.Entry) (Core, plantainladder.Outcome, []Effect) {
 	data, ok := e.Payload.(consensus.Data)
 	if !ok {
+		var out []Effect
+		if m, isMembers := e.Payload.(consensus.Members); isMembers {
+			out = logMembers(e, m)
+		}
 		return c, plantainladder.Outcome{
 			Index: e.Index,
-		}, nil
+		}, out
 	}
 	envelope, err := c.cfg.Codec.Decode(data.Bytes)
 	if err != nil {
--- a/control/join.go
+++ b/control/join.go
@@ -29,7 +29,7 @@
 		return c, nil
 	}
 	change, ok := c.replica.Members().JoinChange(e.Member, c.cfg.Voters, func(id string) bool {
-		return c.isMemberDead(now, id)
+		return c.replica.IsSilent(now, id, deadMemberTimeout)
 	})
 	if !ok {
 		return c, nil
@@ -39,15 +39,6 @@
 	})
 }
 
-func (c Core) isMemberDead(now time.Time, id string) bool {
-	p, ok := c.replica.Progress(id)
-	lastContact := p.LastContact
-	if lastContact.Before(c.leadership.since) {
-		lastContact = c.leadership.since
-	}
-	return ok && id != c.replica.Leader() && now.Sub(lastContact) > deadMemberTimeout
-}
-
 // acceptsCommands reports whether the group has enough voters to accept
 // commands: an accepted command must survive as many failures as the configured
 // number of voters tolerates.
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -37,6 +37,8 @@
 	// while a TimerFired event is pending.
 	lastDispatch   time.Time
 	isTimerRunning bool
+	// loggedHealth is the last health of the group that was logged; nil for none.
+	loggedHealth *GroupHealth
 }
 
 // gateway is the log index of the view that a gateway last reported and the end
--- a/controller/node/meters.go
+++ b/controller/node/meters.go
@@ -83,26 +83,31 @@
 }
 
 // updateGauges sets the gauges from the controller's published core.
-func (m *meters) updateGauges(c control.Core) {
+func (m *meters) updateGauges(now time.Time, c control.Core) {
 	counts := c.State().Counts()
 	leader := 0.0
 	if c.Replica().IsLeader() {
 		leader = 1
 	}
+	tolerated := -1.0
+	if h, isLeader := c.GroupHealth(now); isLeader {
+		tolerated = float64(h.Tolerated)
+	}
 	for name, v := range map[string]float64{
-		"controller_is_leader":    leader,
-		"controller_term":         float64(c.Replica().Hard().Term),
-		"controller_commit_index": float64(c.Replica().CommitIndex()),
-		"controller_log_entries":  float64(c.Replica().Log().LastIndex() - c.Replica().Log().BaseIndex()),
-		"controller_contracts":    float64(counts.Contracts),
-		"controller_workers":      float64(counts.Workers),
-		"controller_jobs":         float64(counts.Jobs),
-		"controller_active_jobs":  float64(counts.Active),
-		"controller_claims":       float64(counts.Claims),
-		"controller_outcomes":     float64(counts.Outcomes),
-		"controller_workflows":    float64(counts.Workflows),
-		"controller_unsettled":    float64(counts.ActiveWorkflows),
-		"controller_pool_workers": float64(counts.PoolWorkers),
+		"controller_is_leader":        leader,
+		"controller_tolerated_losses": tolerated,
+		"controller_term":             float64(c.Replica().Hard().Term),
+		"controller_commit_index":     float64(c.Replica().CommitIndex()),
+		"controller_log_entries":      float64(c.Replica().Log().LastIndex() - c.Replica().Log().BaseIndex()),
+		"controller_contracts":        float64(counts.Contracts),
+		"controller_workers":          float64(counts.Workers),
+		"controller_jobs":             float64(counts.Jobs),
+		"controller_active_jobs":      float64(counts.Active),
+		"controller_claims":           float64(counts.Claims),
+		"controller_outcomes":         float64(counts.Outcomes),
+		"controller_workflows":        float64(counts.Workflows),
+		"controller_unsettled":        float64(counts.ActiveWorkflows),
+		"controller_pool_workers":     float64(counts.PoolWorkers),
 	} {
 		metrics.GetOrCreateGauge(name, nil).Set(v)
 	}
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -233,7 +233,7 @@
 	})
 	mux.HandleFunc("GET /readyz", n.serveReady)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		n.meters.updateGauges(n.loop.State())
+		n.meters.updateGauges(time.Now(), n.loop.State())
 		metrics.WritePrometheus(w, true)
 	})
 	return mux
--- a/controller/node/perform.go
+++ b/controller/node/perform.go
@@ -47,6 +47,11 @@
 		})
 	case control.LogDecision:
 		n.logDecision(f.Record)
+	case control.LogMembers:
+		n.logMembers(f)
+	case control.LogGroupHealth:
+		n.logger.Info().Int("tolerated", f.Tolerated).Int("missing", f.Missing).Strs("silent", f.Silent).
+			Msg("The number of controllers that the group can lose was assessed anew.")
 	case control.LogMessage:
 		n.logger.Info().Msg(f.Text)
 	case control.IncrementCounter:
@@ -90,6 +95,24 @@
 	line.Dur("age", d.Age).Msg(d.Text)
 }
 
+// logMembers logs the members of the group by address, with what they replace.
+func (n *Node) logMembers(f control.LogMembers) {
+	var voters, learners []string
+	for _, m := range f.Members.Members {
+		text := m.Address + " " + m.ID
+		if m.Replaces != "" {
+			text += " for " + m.Replaces
+		}
+		if m.Voter {
+			voters = append(voters, text)
+			continue
+		}
+		learners = append(learners, text)
+	}
+	n.logger.Info().Uint64("index", f.Index).Strs("voters", voters).Strs("learners", learners).
+		Msg("The members of the group have changed.")
+}
+
 // Post queues an event for the event loop. It waits while the queue is full,
 // and returns the error of ctx if that ends first.
 func (n *Node) Post(ctx context.Context, e control.Event) error {
