Let a controller ask to join again while it hears from no leader

Cause: a controller asks to join while it is no member that knows a leader, by its own log. A learner that is removed while it is cut off, or before its removal reaches it, is a member by its log, and since it starts no elections it knows the former leader for good.

Fix: a controller asks while it has heard from no leader for 2 s, several times the election timeout. A request of a member changes nothing.

--- a/consensus/membership_test.go
+++ b/consensus/membership_test.go
@@ -19,8 +19,9 @@
 	groupVoters = 5
 	maxLost     = 2
 	// joinInterval is the time between two requests of a controller to join, and
-	// deadTimeout is as in the controllers.
+	// joinSilence and deadTimeout are as in the controllers.
 	joinInterval = 300 * time.Millisecond
+	joinSilence  = 2 * time.Second
 	deadTimeout  = 6 * time.Second
 	// wholeWithin is how long after the last fault the group may take to be whole:
 	// twice the time after which a member may be replaced, and three seconds.
@@ -110,7 +111,7 @@
 func (g *group) requestJoin(id string) {
 	h, l := g.hosts[id], g.leader()
 	isCut := l == nil || g.blockedPaths[[2]string{id, l.id}] || g.blockedPaths[[2]string{l.id, id}]
-	if !h.alive || isCut || g.isMember(h) {
+	if !h.alive || isCut || h.replica.IsMember(g.now, joinSilence) {
 		return
 	}
 	joiner := member.Member{
@@ -127,12 +128,6 @@
 	}
 }
 
-// isMember reports whether a host asks no longer to join.
-func (g *group) isMember(h *host) bool {
-	_, ok := h.replica.Members().Get(h.id)
-	return ok && h.replica.Leader() != ""
-}
-
 // isWhole reports whether all voters are alive and hear from the leader, and nothing is
 // left to be changed.
 func (g *group) isWhole() bool {
@@ -142,7 +137,7 @@
 	}
 	for _, m := range l.replica.Members().Members {
 		h := g.hosts[m.ID]
-		if !m.Voter || m.Replaces != "" || h == nil || !h.alive || !g.isMember(h) {
+		if !m.Voter || m.Replaces != "" || h == nil || !h.alive || !h.replica.IsMember(g.now, time.Second) {
 			return false
 		}
 	}
@@ -222,6 +217,59 @@
 		Expect(g.violations).To(BeEmpty())
 	})
 
+	// Guards against a learner that never asks again: it starts no elections, so that
+	// it keeps the leader that it knew.
+	It("lets a learner that was removed join again, although its log does not tell of it", func() {
+		g := newGroup(3)
+		others := slices.DeleteFunc(g.ids(), func(id string) bool {
+			return id == g.leader().id
+		})
+		g.removeForGood(others[0])
+		learner := g.addNew("")
+		g.step(g.leader(), consensus.ChangeMembers{
+			Change: member.Add{
+				Member: member.Member{
+					ID:       learner,
+					Address:  learner,
+					Replaces: others[0],
+				},
+			},
+		})
+		g.deliverAll()
+		g.cutOff(learner, true, true)
+		r := g.hosts[learner].replica
+		Expect(r.Leader()).NotTo(BeEmpty())
+		self, isListed := r.Members().Get(learner)
+		Expect(isListed).To(BeTrue())
+		Expect(self.Voter).To(BeFalse())
+		g.addNew("")
+		g.run(2 * deadTimeout)
+		Expect(g.leader().replica.Members().Members).NotTo(ContainElement(HaveField("ID", learner)))
+		g.heal(learner)
+		g.removeForGood(others[1])
+		g.runUntilWhole()
+		Expect(g.leader().replica.Members().IsVoter(learner)).To(BeTrue())
+	})
+
+	It("lets a member that was removed join again, although its log does not tell of it", func() {
+		g := newGroup(2)
+		l := g.leader()
+		removed := "c2"
+		if l.id == removed {
+			removed = "c3"
+		}
+		g.cutOff(removed, true, true)
+		g.step(l, consensus.ChangeMembers{
+			Change: member.Remove{
+				ID: removed,
+			},
+		})
+		g.runWithoutFaults(time.Second)
+		g.heal(removed)
+		Expect(g.hosts[removed].replica.Members().IsVoter(removed)).To(BeTrue(), "by its own log")
+		g.runUntilWhole()
+	})
+
 	for seed := range uint64(25) {
 		It(fmt.Sprintf("gets whole after any losses that it bears, and keeps what it acknowledged, seed %d", seed), func() {
 			g := newGroup(seed)
--- a/consensus/replica.go
+++ b/consensus/replica.go
@@ -138,6 +138,16 @@
 	return r.leaderID
 }
 
+// IsMember reports whether the replica is a member that leads, or that has heard from
+// a leader within the timeout. A learner that was removed may not know it from its
+// log: it keeps the leader that it knew, since it starts no elections, but hears
+// nothing from it.
+func (r Replica) IsMember(now time.Time, timeout time.Duration) bool {
+	_, ok := r.Members().Get(r.cfg.ID)
+	hearsLeader := r.IsLeader() || r.leaderID != "" && now.Sub(r.leaderContactAt) <= timeout
+	return ok && hearsLeader
+}
+
 // IsSilent reports whether a member other than this leader has not answered for longer
 // than the timeout in the leader's term. It returns false if the replica does not lead.
 func (r Replica) IsSilent(now time.Time, id string, timeout time.Duration) bool {
--- a/controller/replica/join.go
+++ b/controller/replica/join.go
@@ -16,6 +16,10 @@
 const (
 	joinInterval = 250 * time.Millisecond
 	joinTimeout  = 600 * time.Millisecond
+	// leaderSilenceTimeout is the time without a message from a leader after which a
+	// member asks to join, since it may have been removed. It is several times the
+	// election timeout.
+	leaderSilenceTimeout = 2 * time.Second
 )
 
 // A JoinerConfig holds the settings of a Joiner.
@@ -36,7 +40,7 @@
 }
 
 // A Joiner adds this controller to the group without an operator. It asks other
-// controllers periodically until this controller is a member that knows a leader.
+// controllers periodically while this controller is no member that hears from a leader.
 type Joiner struct {
 	cfg JoinerConfig
 }
@@ -49,7 +53,7 @@
 }
 
 // Run forms the group if configured to. After that, while this controller is not a
-// member that knows a leader, it asks the known controllers in turn, until ctx
+// member that hears from a leader, it asks the known controllers in turn, until ctx
 // ends.
 func (j *Joiner) Run(ctx context.Context) {
 	if j.cfg.FormGroup && j.cfg.Core().Replica().Group() == "" {
@@ -64,7 +68,7 @@
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		util.SleepContext(ctx, joinInterval+rand.N(joinInterval))
 		addresses := j.addresses()
-		if j.isMember() || len(addresses) == 0 {
+		if j.isMember(time.Now()) || len(addresses) == 0 {
 			continue
 		}
 		address := addresses[attempt%len(addresses)]
@@ -76,11 +80,10 @@
 	}
 }
 
-// isMember reports whether this controller is a member and knows a leader.
-func (j *Joiner) isMember() bool {
-	r := j.cfg.Core().Replica()
-	_, ok := r.Members().Get(j.cfg.Self.ID)
-	return ok && r.Leader() != ""
+// isMember reports whether this controller is a member and hears from a leader. Its
+// own log may not tell that it was removed.
+func (j *Joiner) isMember(now time.Time) bool {
+	return j.cfg.Core().Replica().IsMember(now, leaderSilenceTimeout)
 }
 
 func (j *Joiner) addresses() []string {
