Take no run for lost because a listing with part of the ends lacks it

Cause: a run that is neither in progress nor among the ended ones of a listing was stopped, and counted as lost once another listing lacked it too. A minion lists 500 ends at a time.

Evidence: in a replay with 640 tasks on one worker and commits that take two seconds, the worker's first listings have 500 ended runs, and the completions of the others are acknowledged after their tasks were started again.

Fix: a listing with as many ends as a worker lists at a time may lack others. Nothing is concluded from what it lacks; the leader asks on until a listing has all.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -179,6 +179,7 @@
 		v = v.withRunEnding(now, f.EndReason)
 	}
 	v.listingSentAt, v.listingReceivedAt = a.SentAt, now
+	v.isListingPartial = a.Listing.HasMore
 	v.listed = make(map[workflow.RunKey]Running, len(a.Listing.Running))
 	for _, r := range a.Listing.Running {
 		v.listed[r.RunKey] = r
--- a/dispatch/cluster_internal_test.go
+++ b/dispatch/cluster_internal_test.go
@@ -29,6 +29,8 @@
 	isSilent map[string]bool
 	// answer returns the result of an order.
 	answer func(o Order) Result
+	// hasMore is true while the workers list only some of their ended runs.
+	hasMore bool
 	// startsSent counts the starts that were sent, by workflow.
 	startsSent map[string]int
 	// startedAt holds the runs in progress; ended holds the others by worker ID.
@@ -153,6 +155,7 @@
 }
 
 func (c *cluster) listing(o Renew) (list Listing) {
+	list.HasMore = c.hasMore
 	for _, t := range c.placedOn(o.Worker) {
 		startedAt, isRunning := c.startedAt[t.RunKey]
 		percent := int(100 * c.now.Sub(startedAt) / t.StepSpec.DeclaredRunTime)
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -145,8 +145,11 @@
 type Listing struct {
 	// Running holds the runs that are going on.
 	Running []Running
-	// Ended holds the ended runs after the AckSequence.
+	// Ended holds the ended runs after the AckSequence, or the first of them.
 	Ended []EndedRun
+	// HasMore is true if there may be further ones, which the worker lists once these
+	// are acknowledged.
+	HasMore bool
 }
 
 // An Observation is something that the leader learns about a worker:
--- a/dispatch/renew.go
+++ b/dispatch/renew.go
@@ -41,14 +41,14 @@
 }
 
 // needsListing reports whether a decision about some run waits for a newer
-// listing.
+// complete listing.
 func (s *reconciliation) needsListing(v workerView, tasks []workflow.PlacedTask) bool {
 	for _, t := range tasks {
 		r := v.runs[t.RunKey]
-		isInherited := !r.isOwnPlacement && v.listingSentAt.IsZero()
-		isStopped := !r.stopAckedAt.IsZero() && !v.listingSentAt.After(r.stopAckedAt)
+		isInherited := !r.isOwnPlacement && !v.hasListingAfter(time.Time{})
+		isStopped := !r.stopAckedAt.IsZero() && !v.hasListingAfter(r.stopAckedAt)
 		isOverdue := r.startsSent > 0 && r.startedAt.IsZero() && s.now.Sub(r.lastStartAt) >= startRetryInterval
-		isUnsure := isOverdue && !v.listingSentAt.After(r.lastStartAt)
+		isUnsure := isOverdue && !v.hasListingAfter(r.lastStartAt)
 		if isInherited || isStopped || isUnsure || !v.clock.isKnown() || s.awaitsAnswer(v, t, r) {
 			return true
 		}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -81,7 +81,7 @@
 		r.pendingStop = reasonStartUnanswered
 	case r.startsSent == 0 && s.awaitsAnswer(v, t, r) && s.now.Sub(r.placedAt) >= startTimeout:
 		r.pendingStop = reasonWorkerUnanswering
-	case isStarted && v.listingSentAt.After(r.startedAt) && !isListed:
+	case isStarted && v.hasListingAfter(r.startedAt) && !isListed:
 		r.pendingStop = reasonNotListed
 	case isListed && isStalled(v, s.expectedRunTime(t), r):
 		r.pendingStop = reasonStalled
@@ -149,9 +149,9 @@
 // listing if an earlier leader placed the run and may have started it, if an
 // unanswered start may have reached another incarnation, or if awaitsAnswer.
 func (s *reconciliation) startRun(v workerView, t workflow.PlacedTask, r runState) workerView {
-	isListingFresh := r.isOwnPlacement || !v.listingSentAt.IsZero()
+	isListingFresh := r.isOwnPlacement || v.hasListingAfter(time.Time{})
 	if r.startsSent > 0 {
-		isListingFresh = v.listingSentAt.After(r.lastStartAt)
+		isListingFresh = v.hasListingAfter(r.lastStartAt)
 	}
 	if !r.startedAt.IsZero() || !isListingFresh || !v.clock.isKnown() || s.awaitsAnswer(v, t, r) {
 		return v.withRun(t.RunKey, r)
@@ -200,7 +200,7 @@
 	}
 	_, isListed := v.listed[t.RunKey]
 	switch {
-	case v.listingSentAt.After(r.stopAckedAt) && !isListed:
+	case v.hasListingAfter(r.stopAckedAt) && !isListed:
 		s.endLost(v, t, r, string(r.pendingStop), s.now.Sub(v.listingSentAt))
 	case isListed && s.now.Sub(r.stopAckedAt) > s.dispatcher.cfg.MaxStopDuration+time.Second:
 		return s.sendStop(v, t.RunKey, r)
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -34,6 +34,9 @@
 	// sent at listingSentAt.
 	listed        map[workflow.RunKey]Running
 	listingSentAt time.Time
+	// isListingPartial is true if that listing may lack ended runs, so that a run that
+	// is not in it may have ended.
+	isListingPartial bool
 	// listingReceivedAt is when that answer came. The progress in it is as of
 	// then.
 	listingReceivedAt time.Time
@@ -203,6 +206,12 @@
 	return v.clock.lowerBound(now) > v.maxLeaseUntilMS+leaseMargin.Milliseconds()
 }
 
+// hasListingAfter reports whether the last listing was requested after a time and has
+// all ended runs, so that a run that is not in it is certainly not on the worker.
+func (v workerView) hasListingAfter(t time.Time) bool {
+	return !v.isListingPartial && v.listingSentAt.After(t)
+}
+
 // hasUncommittedEnd reports whether the end of a run is listed and not
 // committed yet.
 func (v workerView) hasUncommittedEnd(ref workflow.RunKey) bool {
--- a/replay/worker.go
+++ b/replay/worker.go
@@ -199,6 +199,10 @@
 	return dispatch.Acknowledged{}
 }
 
+// maxListedEnds is the number of ended runs that a worker lists at a time. Source: the
+// platform's protocol.
+const maxListedEnds = 500
+
 func (w *simWorker) listing() (l dispatch.Listing) {
 	for _, ref := range w.sortedRuns() {
 		e := w.runs[ref]
@@ -207,7 +211,8 @@
 			Percent: int(100 * (e.total - e.remaining) / e.total),
 		})
 	}
-	l.Ended = slices.Clone(w.ended)
+	l.Ended = slices.Clone(w.ended[:min(len(w.ended), maxListedEnds)])
+	l.HasMore = len(l.Ended) == maxListedEnds
 	return l
 }
 
