Call a run stalled by its own estimates, and later each time

Cause: a run counts as stalled if its percentage has not changed for a tenth of its expected run time. That was a mean of the declared time and of the queue's mean, 42 s in place of half an hour, and one percent of the run takes 18 s. Each stop also kept its worker from new tasks.

Evidence: in a replay of a queue of 1 s and one run of 30 min, the task is started 29 times in four minutes if its run time is declared, and 56 times if a second is.

Fix: the longest of the declared run time, the predicted one and the run's own pace counts. From the third stall of a task on, the limit doubles each time, and the stall does not count against the worker. The stalls are counted in the replicated state.

Cost: a run that is stuck from its start is found after a tenth of its declared run time.

Failed before: "is not stopped if its run time was declared" (29 runs) and "goes on after a few runs if a second was declared" (56 runs), both in replay.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -219,7 +219,7 @@
 		r.startedAt = now
 	}
 	if listed.Percent != r.percent || r.progressedAt.IsZero() {
-		r.percent, r.progressedAt = listed.Percent, now
+		r = r.withProgressAt(now, listed.Percent)
 	}
 	return v.withRun(listed.RunKey, r)
 }
--- a/dispatch/cluster_internal_test.go
+++ b/dispatch/cluster_internal_test.go
@@ -29,6 +29,8 @@
 	isSilent map[string]bool
 	// answer returns the result of an order.
 	answer func(o Order) Result
+	// isHanging is true while no run makes progress.
+	isHanging bool
 	// hasMore is true while the workers list only some of their ended runs.
 	hasMore bool
 	// startsSent counts the starts that were sent, by workflow.
@@ -159,6 +161,9 @@
 	for _, t := range c.placedOn(o.Worker) {
 		startedAt, isRunning := c.startedAt[t.RunKey]
 		percent := int(100 * c.now.Sub(startedAt) / t.StepSpec.DeclaredRunTime)
+		if c.isHanging {
+			percent = 0
+		}
 		switch {
 		case !isRunning:
 		case percent < 100:
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -192,6 +192,7 @@
 
 func (s *reconciliation) end(t workflow.PlacedTask, e workflow.RunEnd, reason string, age time.Duration) {
 	s.doom(t)
+	e.IsStalled = reason == string(reasonStalled)
 	s.ends = append(s.ends, e)
 	if s.dispatcher.HasPendingRound() {
 		return
@@ -239,7 +240,9 @@
 		for _, f := range v.uncommittedEnds {
 			committedSequences[key] = max(committedSequences[key], f.Sequence)
 			if s.index.placedRuns[f.RunKey] {
-				r.RunEnds = append(r.RunEnds, f.RunEnd)
+				e := f.RunEnd
+				e.IsStalled = e.EndReason == workflow.EndedStopped && v.runs[f.RunKey].pendingStop == reasonStalled
+				r.RunEnds = append(r.RunEnds, e)
 				s.recordRunEnd(id, f)
 				s.learnRunTime(*v, f)
 			}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -25,7 +25,7 @@
 	}
 	if r.pendingStop == "" {
 		r = s.withStopReason(v, t, r)
-		v = v.withStallPenalty(s.now, t, r)
+		v = s.withStallPenalty(v, t, r)
 	}
 	if r.pendingStop != "" {
 		return s.stopRun(v, t, r)
@@ -83,7 +83,7 @@
 		r.pendingStop = reasonWorkerUnanswering
 	case isStarted && v.hasListingAfter(r.startedAt) && !isListed:
 		r.pendingStop = reasonNotListed
-	case isListed && isStalled(v, s.expectedRunTime(t), r):
+	case isListed && s.isStalled(v, t, r):
 		r.pendingStop = reasonStalled
 	}
 	if r.pendingStop != "" {
@@ -103,48 +103,6 @@
 	})
 }
 
-// withStallPenalty returns v after one of its runs was found stalled. A stalled
-// member of a gang may be waiting for another member, so it only counts as a
-// failure. A stalled single task suggests that the worker hangs, which puts the
-// worker into backoff.
-func (v workerView) withStallPenalty(now time.Time, t workflow.PlacedTask, r runState) workerView {
-	if r.pendingStop != reasonStalled {
-		return v
-	}
-	v.isChanged = true
-	v = v.withRunEnding(now, workflow.EndedFailed)
-	if !t.StepSpec.IsGang {
-		backoff := stallBackoff << min(v.consecutiveFailures, maxBackoffShift)
-		v.backoffUntil = later(v.backoffUntil, now.Add(backoff))
-	}
-	return v
-}
-
-const (
-	// stallTimeout is the shortest time without progress after which a listed
-	// run counts as stalled. The run must also have had the time for
-	// stallPercent.
-	stallTimeout = 1800 * time.Millisecond
-	// stallPercent is the share of its expected run time, in percent, that a
-	// run must spend without progress to count as stalled.
-	stallPercent = 10
-	// stallBackoff is half of the first backoff of a worker with a stalled run;
-	// the backoff doubles with each further failure. It is long because a stall
-	// takes as long to detect.
-	stallBackoff = 4 * time.Second
-	// gangWaitPercent is the progress from which on a run does not count as
-	// stalled: a gang member that has finished its work waits there for the
-	// others.
-	gangWaitPercent = 99
-)
-
-// isStalled reports whether a run has shown no progress for much longer than it
-// should need.
-func isStalled(v workerView, expected time.Duration, r runState) bool {
-	unchanged := v.listingSentAt.Sub(r.progressedAt)
-	return !r.progressedAt.IsZero() && r.percent < gangWaitPercent && unchanged >= max(stallTimeout, expected*stallPercent/100)
-}
-
 // startRun sends a start until it is answered. It first asks the worker for a
 // listing if an earlier leader placed the run and may have started it, if an
 // unanswered start may have reached another incarnation, or if awaitsAnswer.
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -106,9 +106,11 @@
 	stopAckedAt time.Time
 	// isStartRejected is true if the worker rejected a start.
 	isStartRejected bool
-	// percent is the last known progress, reached at progressedAt.
+	// percent is the last known progress, reached at progressedAt. pace is the run
+	// time that follows from the time between the last two; zero if it is not known.
 	percent      int
 	progressedAt time.Time
+	pace         time.Duration
 }
 
 // A stopReason is why a run is to be stopped.
--- a/wire/workflow.go
+++ b/wire/workflow.go
@@ -42,6 +42,7 @@
 	Unconfirmed int                   `json:"unconfirmed-crashes,omitempty"`
 	Silent      int                   `json:"silent-losses,omitempty"`
 	Losses      []workflow.SilentLoss `json:"unresolved-losses,omitempty"`
+	Stalls      int                   `json:"stalls,omitempty"`
 	CrashedAt   time.Time             `json:"crashed-at,omitzero"`
 	Checkpoint  string                `json:"checkpoint,omitempty"`
 	Finished    bool                  `json:"finished,omitempty"`
@@ -91,6 +92,7 @@
 		Unconfirmed: t.UnconfirmedCrashes,
 		Silent:      t.SilentLosses,
 		Losses:      t.UnresolvedLosses,
+		Stalls:      t.Stalls,
 		Checkpoint:  t.Checkpoint,
 	}
 	switch p := t.TaskState.(type) {
@@ -144,6 +146,7 @@
 		UnconfirmedCrashes: r.Unconfirmed,
 		SilentLosses:       r.Silent,
 		UnresolvedLosses:   r.Losses,
+		Stalls:             r.Stalls,
 		Checkpoint:         r.Checkpoint,
 	}
 	switch {
--- a/workflow/rules.go
+++ b/workflow/rules.go
@@ -104,6 +104,9 @@
 	if e.Checkpoint != "" {
 		t.Checkpoint = e.Checkpoint
 	}
+	if e.IsStalled {
+		t.Stalls++
+	}
 	if e.isCrash() {
 		t.Crashes++
 		t.CrashedAt = now
--- a/workflow/task.go
+++ b/workflow/task.go
@@ -61,6 +61,8 @@
 	UnconfirmedCrashes int
 	SilentLosses       int
 	UnresolvedLosses   []SilentLoss
+	// Stalls counts the runs that were stopped since they made no progress.
+	Stalls int
 	// CrashedAt is when the last of the crashes was recorded.
 	CrashedAt time.Time
 	// Checkpoint names the last saved checkpoint. It is empty if there is none.
@@ -178,6 +180,8 @@
 	EndReason EndReason `json:"ending"`
 	// WasAlone is true if no other workflow had a run on a worker that crashed.
 	WasAlone bool `json:"was-alone,omitempty"`
+	// IsStalled is true if the run was stopped since it made no progress.
+	IsStalled bool `json:"stalled,omitempty"`
 	// IsUnconfirmed is true if the worker may have crashed under the run, but the run
 	// may not have begun by then, or the worker may only be out of reach.
 	IsUnconfirmed bool `json:"unconfirmed,omitempty"`
