--- a/workflow/task.go
+++ b/workflow/task.go
@@ -54,9 +54,9 @@
 	Failures int
 	// Crashes counts the runs under which the worker crashed or may have crashed.
 	// UnconfirmedCrashes counts those under which it may not have; see
-	// RunEnd.IsUnconfirmed. SilentLosses counts those of them of which only the lease
-	// of the worker told. UnresolvedLosses holds the silent losses for which there is
-	// no verdict yet.
+	// RunEnd.IsUnconfirmed. SilentLosses counts those of them that only the silence of
+	// the worker suggests: its lease was over, or it may have crashed before the start
+	// was sent. UnresolvedLosses holds those for which there is no verdict yet.
 	Crashes            int
 	UnconfirmedCrashes int
 	SilentLosses       int
