Look up no estimates for runs that have just made progress

A run counts as stalled after 1.8 s without progress at the earliest, so the estimates and the stalls of its task, which need a look at its workflow, are only read after that. Before they were read for each listed run in each pass. The result is the same.

--- a/dispatch/stall.go
+++ b/dispatch/stall.go
@@ -33,10 +33,11 @@
 // isStalled reports whether a run has shown no progress for much longer than it
 // should need.
 func (s *reconciliation) isStalled(v workerView, t workflow.PlacedTask, r runState) bool {
-	if r.progressedAt.IsZero() || r.percent >= gangWaitPercent {
+	unchanged := v.listingSentAt.Sub(r.progressedAt)
+	if r.progressedAt.IsZero() || r.percent >= gangWaitPercent || unchanged < stallTimeout {
 		return false
 	}
-	return v.listingSentAt.Sub(r.progressedAt) >= s.stallLimit(t, r)
+	return unchanged >= s.stallLimit(t, r)
 }
 
 // stallLimit returns how long a run may show no progress. The longest of the
