Let a test forget what a data folder has not synced

controller/disk changes its files through the interface FileSystem; the default is the operating system, and what it does is unchanged. The tests have a lossyDisk in its place: a real folder holds what the kernel has, and a record beside it says what is durable. After a loss of power, what a file's last sync covered is there; each later write is present, missing or torn; each name that was created, renamed or removed since the last sync of its folder is kept or lost on its own; at half of the losses all of that is gone. A kill after a given number of operations cuts a write short.

--- a/controller/disk/disk_suite_test.go
+++ b/controller/disk/disk_suite_test.go
@@ -39,7 +39,9 @@
 }
 
 func open(path string) (*disk.Folder, *disk.Log, disk.Recovered, error) {
-	f, err := disk.OpenFolder(path)
+	f, err := disk.OpenFolder(disk.FolderConfig{
+		Path: path,
+	})
 	if err != nil {
 		return nil, nil, disk.Recovered{}, err
 	}
@@ -97,14 +99,18 @@
 		path := GinkgoT().TempDir()
 		_, _, _, err := open(path)
 		Expect(err).NotTo(HaveOccurred())
-		_, err = disk.OpenFolder(path)
+		_, err = disk.OpenFolder(disk.FolderConfig{
+			Path: path,
+		})
 		Expect(err).To(MatchError(ContainSubstring("another process")))
 	})
 
 	It("is refused if it has a log but no identity", func() {
 		path := newFilledFolder(1)
 		Expect(os.Remove(filepath.Join(path, "identity"))).To(Succeed())
-		_, err := disk.OpenFolder(path)
+		_, err := disk.OpenFolder(disk.FolderConfig{
+			Path: path,
+		})
 		Expect(err).To(MatchError(ContainSubstring("no identity")))
 	})
 
@@ -264,7 +270,9 @@
 		Eventually(synced).Should(Receive(Equal(uint64(filled + 20))))
 		Expect(full).To(Receive(BeNil()))
 		Expect(failed).NotTo(Receive())
-		_, content, err := disk.OpenLog(path)
+		_, content, err := disk.OpenLog(disk.FolderConfig{
+			Path: path,
+		})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(content.Entries).To(Equal(entries(1, filled+20)))
 		Expect(content.Hard.Term).To(Equal(uint64(term)))
@@ -280,7 +288,9 @@
 		var full *disk.FullError
 		Eventually(failed).Should(Receive(Satisfy(func(err error) bool { return errors.As(err, &full) })))
 		Expect(synced).NotTo(Receive())
-		_, content, err := disk.OpenLog(path)
+		_, content, err := disk.OpenLog(disk.FolderConfig{
+			Path: path,
+		})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(content.Entries).To(Equal(entries(1, filled)))
 		Expect(content.TornBytes).To(BeZero())
@@ -334,7 +344,9 @@
 }
 
 func benchmarkCommit(b *testing.B, disableGroupCommit bool, writers int) {
-	f, err := disk.OpenFolder(b.TempDir())
+	f, err := disk.OpenFolder(disk.FolderConfig{
+		Path: b.TempDir(),
+	})
 	if err != nil {
 		b.Fatal(err)
 	}
--- /dev/null
+++ b/controller/disk/durable_test.go
@@ -0,0 +1,98 @@
+package disk_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainladder/plantainladder/consensus"
+	"github.com/plantainladder/plantainladder/controller/disk"
+)
+
+// lossyFolder is a data folder on a lossyDisk.
+type lossyFolder struct {
+	disk *lossyDisk
+	path string
+}
+
+func newLossyFolder(seed uint64) lossyFolder {
+	root := GinkgoT().TempDir()
+	return lossyFolder{
+		disk: newLossyDisk(root, seed),
+		path: root,
+	}
+}
+
+// open starts a process in the folder.
+func (l lossyFolder) open() (f *disk.Folder, log *disk.Log, r disk.Recovered, err error) {
+	l.disk.operationsLeft = -1
+	if f, err = disk.OpenFolder(disk.FolderConfig{
+		Path:  l.path,
+		Files: l.disk,
+	}); err != nil {
+		return nil, nil, r, err
+	}
+	if log, r, err = disk.Recover(f); err != nil {
+		_ = f.Close()
+	}
+	return f, log, r, err
+}
+
+// run starts a process in the folder, calls use and kills the process.
+func (l lossyFolder) run(use func(f *disk.Folder, log *disk.Log)) disk.Recovered {
+	f, log, r, err := l.open()
+	ExpectWithOffset(1, err).NotTo(HaveOccurred())
+	use(f, log)
+	ExpectWithOffset(1, log.Close()).To(Succeed())
+	ExpectWithOffset(1, f.Close()).To(Succeed())
+	return r
+}
+
+func nothing(*disk.Folder, *disk.Log) {}
+
+// seedsPerTest is the number of seeds of each test.
+const seedsPerTest = 20
+
+var _ = Describe("After a loss of power", func() {
+	hard := consensus.HardState{
+		Term: 1,
+		Vote: "c1",
+	}
+
+	It("a log holds what was synced", func() {
+		for seed := range uint64(seedsPerTest) {
+			l := newLossyFolder(seed)
+			l.run(func(_ *disk.Folder, log *disk.Log) {
+				Expect(log.Append(hard, entries(1, 3))).To(Succeed())
+				Expect(log.Sync()).To(Succeed())
+				Expect(log.Append(hard, entries(4, 3))).To(Succeed())
+			})
+			l.disk.losePower(seed%2 == 0)
+			r := l.run(nothing)
+			Expect(len(r.StoredState.Entries)).To(BeNumerically(">=", 3), "seed %d", seed)
+		}
+	})
+
+	It("a snapshot is there that a process read at its start", func() {
+		for seed := range uint64(seedsPerTest) {
+			for operations := 1; operations < 20; operations++ {
+				l := newLossyFolder(seed)
+				l.run(func(f *disk.Folder, log *disk.Log) {
+					Expect(log.Append(hard, entries(1, 10))).To(Succeed())
+					Expect(log.Sync()).To(Succeed())
+					l.disk.operationsLeft = operations
+					if f.SaveSnapshot(disk.Snapshot{
+						Meta: consensus.SnapshotMeta{
+							Index: 5,
+							Term:  1,
+						},
+					}) == nil {
+						_ = log.CompactLog(3)
+					}
+				})
+				before := l.run(nothing)
+				l.disk.losePower(seed%2 == 0)
+				Expect(l.run(nothing).StoredState).To(Equal(before.StoredState), "seed %d", seed)
+			}
+		}
+	})
+})
--- a/controller/disk/folder.go
+++ b/controller/disk/folder.go
@@ -8,8 +8,6 @@
 	"strings"
 	"syscall"
 
-	"github.com/google/renameio/v2"
-
 	"github.com/plantainladder/plantainladder/codec"
 	"github.com/plantainladder/plantainladder/consensus"
 	"github.com/plantainladder/plantainladder/util"
@@ -24,20 +22,38 @@
 	receivedSnapshotFile = "snapshot.arriving"
 )
 
+// A FolderConfig describes a data folder.
+type FolderConfig struct {
+	// Path is the folder's path.
+	Path string
+	// Files changes the files of the folder; nil for OperatingSystem.
+	Files FileSystem
+}
+
+func (cfg FolderConfig) withDefaults() FolderConfig {
+	if cfg.Files == nil {
+		cfg.Files = OperatingSystem{}
+	}
+	return cfg
+}
+
 // A Folder is a controller's data folder, held under an exclusive lock.
 type Folder struct {
-	path string
-	id   string
-	lock *os.File
+	path  string
+	files FileSystem
+	id    string
+	lock  *os.File
 }
 
 // OpenFolder opens and locks a data folder, and creates it if it does not exist.
 // A folder without a log and an identity gets a new identity. It returns a
 // *LockedError if another process has locked the folder, and a *NoIdentityError
 // if the folder has a log but no identity.
-func OpenFolder(path string) (f *Folder, err error) {
+func OpenFolder(cfg FolderConfig) (f *Folder, err error) {
+	cfg = cfg.withDefaults()
+	path := cfg.Path
 	defer util.Annotate(&err, "disk: open folder "+path)
-	if err = os.MkdirAll(path, folderPerm); err != nil {
+	if err = makeFolders(cfg.Files, path); err != nil {
 		return nil, err
 	}
 	lock, err := os.OpenFile(filepath.Join(path, lockFile), os.O_CREATE|os.O_RDWR, filePerm)
@@ -50,10 +66,11 @@
 		}, lock.Close())
 	}
 	f = &Folder{
-		path: path,
-		lock: lock,
+		path:  path,
+		files: cfg.Files,
+		lock:  lock,
 	}
-	if err = removeLeftovers(path); err != nil {
+	if err = f.removeLeftovers(); err != nil {
 		return nil, errors.Join(err, lock.Close())
 	}
 	if f.id, err = f.readOrCreateIdentity(); err != nil {
@@ -62,6 +79,17 @@
 	return f, nil
 }
 
+// makeFolders creates a folder and the folders above it that are missing.
+func makeFolders(files FileSystem, path string) error {
+	if _, err := os.Stat(path); !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	if err := makeFolders(files, filepath.Dir(path)); err != nil {
+		return err
+	}
+	return files.MakeFolder(path)
+}
+
 // A LockedError reports a data folder that another process has locked.
 type LockedError struct {
 	// Path is the folder.
@@ -104,10 +132,10 @@
 		}
 	}
 	id = util.NewID()
-	if err = renameio.WriteFile(path, []byte(id+"\n"), filePerm, renameio.WithTempDir(f.path)); err != nil {
+	if err = f.files.ReplaceFile(f.path, path, []byte(id+"\n")); err != nil {
 		return "", err
 	}
-	return id, syncFolder(f.path)
+	return id, f.files.SyncFolder(f.path)
 }
 
 // ID returns the identity stored in the folder, which is the replica's ID.
@@ -141,11 +169,10 @@
 	if err != nil {
 		return err
 	}
-	err = renameio.WriteFile(f.snapshotPath(), appendFrame(nil, body), filePerm, renameio.WithTempDir(f.path))
-	if err != nil {
+	if err = f.files.ReplaceFile(f.path, f.snapshotPath(), appendFrame(nil, body)); err != nil {
 		return asFullError(err, nil)
 	}
-	return syncFolder(f.path)
+	return f.files.SyncFolder(f.path)
 }
 
 // LoadSnapshot returns the last snapshot, or the zero value if there is none. It
@@ -206,13 +233,13 @@
 	if offset == 0 {
 		flags |= os.O_CREATE | os.O_TRUNC
 	}
-	file, err := os.OpenFile(f.receivedSnapshotPath(), flags, filePerm)
+	file, err := f.files.OpenFile(f.receivedSnapshotPath(), flags)
 	if err != nil {
 		return err
 	}
 	_, err = file.WriteAt(chunk, offset)
 	if err = errors.Join(err, file.Close()); err != nil {
-		return errors.Join(err, os.Remove(f.receivedSnapshotPath()))
+		return errors.Join(err, f.files.Remove(f.receivedSnapshotPath()))
 	}
 	return nil
 }
@@ -225,7 +252,7 @@
 	if err != nil {
 		return s, err
 	}
-	if err = os.Remove(f.receivedSnapshotPath()); err != nil {
+	if err = f.files.Remove(f.receivedSnapshotPath()); err != nil {
 		return s, err
 	}
 	return f.decodeSnapshot(b)
--- a/controller/disk/leftover.go
+++ b/controller/disk/leftover.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"os"
 	"path/filepath"
 )
 
@@ -17,12 +16,12 @@
 
 // removeLeftovers removes incomplete files from a data folder, since they take up
 // space.
-func removeLeftovers(folder string) (err error) {
+func (f *Folder) removeLeftovers() (err error) {
 	for _, pattern := range leftoverPatterns {
-		paths, globErr := filepath.Glob(filepath.Join(folder, pattern))
+		paths, globErr := filepath.Glob(filepath.Join(f.path, pattern))
 		err = errors.Join(err, globErr)
 		for _, p := range paths {
-			err = errors.Join(err, os.Remove(p))
+			err = errors.Join(err, f.files.Remove(p))
 		}
 	}
 	return err
--- a/controller/disk/log.go
+++ b/controller/disk/log.go
@@ -32,8 +32,9 @@
 // the newest segment.
 type Log struct {
 	folder string
+	files  FileSystem
 	number int
-	file   *os.File
+	file   File
 	// size is the length of the file up to the end of its last complete frame.
 	size    int64
 	content LogContent
@@ -51,15 +52,17 @@
 
 // OpenLog opens the log in a folder and returns its content. It truncates a
 // torn write at the end, and returns a *DamageError for any other damage.
-func OpenLog(folder string) (l *Log, content LogContent, err error) {
+func OpenLog(cfg FolderConfig) (l *Log, content LogContent, err error) {
 	defer util.Annotate(&err, "disk: open log")
+	cfg = cfg.withDefaults()
+	folder := cfg.Path
 	numbers, err := segmentNumbers(folder)
 	if err != nil {
 		return nil, content, err
 	}
 	for i, n := range numbers {
 		isLast := i == len(numbers)-1
-		if content, err = readSegment(segmentPath(folder, n), isLast, content); err != nil {
+		if content, err = readSegment(cfg.Files, segmentPath(folder, n), isLast, content); err != nil {
 			return nil, content, err
 		}
 	}
@@ -69,10 +72,11 @@
 	}
 	l = &Log{
 		folder:  folder,
+		files:   cfg.Files,
 		number:  number,
 		content: content,
 	}
-	l.file, err = os.OpenFile(segmentPath(folder, number), os.O_CREATE|os.O_WRONLY|os.O_APPEND, filePerm)
+	l.file, err = cfg.Files.OpenFile(segmentPath(folder, number), os.O_CREATE|os.O_WRONLY|os.O_APPEND)
 	if err != nil {
 		return nil, content, err
 	}
@@ -81,7 +85,7 @@
 		return nil, content, err
 	}
 	l.size = info.Size()
-	return l, content, syncFolder(folder)
+	return l, content, cfg.Files.SyncFolder(folder)
 }
 
 func segmentPath(folder string, n int) string {
@@ -105,7 +109,7 @@
 	return numbers, nil
 }
 
-func readSegment(path string, isLast bool, content LogContent) (out LogContent, err error) {
+func readSegment(files FileSystem, path string, isLast bool, content LogContent) (out LogContent, err error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return content, err
@@ -114,7 +118,7 @@
 	for len(rest) > 0 {
 		body, next, ok := readFrame(rest)
 		if !ok {
-			return content, truncateTornTail(path, data, rest, isLast, &content)
+			return content, truncateTornTail(files, path, data, rest, isLast, &content)
 		}
 		b, err := codec.Unmarshal[batch](body)
 		if err != nil {
@@ -130,7 +134,7 @@
 
 // truncateTornTail removes the torn write rest from the end of the last
 // segment. It returns a *DamageError if rest is not a torn write.
-func truncateTornTail(path string, data, rest []byte, isLast bool, content *LogContent) error {
+func truncateTornTail(files FileSystem, path string, data, rest []byte, isLast bool, content *LogContent) error {
 	offset := int64(len(data) - len(rest))
 	if !isLast || !isTornTail(rest) {
 		return &DamageError{
@@ -139,7 +143,11 @@
 		}
 	}
 	content.TornBytes = int64(len(rest))
-	return os.Truncate(path, offset)
+	file, err := files.OpenFile(path, os.O_WRONLY)
+	if err != nil {
+		return err
+	}
+	return errors.Join(file.Truncate(offset), file.Close())
 }
 
 // withBatch returns c with a batch applied. It returns a *GapError if an entry does
@@ -246,13 +254,13 @@
 		return err
 	}
 	path := segmentPath(l.folder, l.number+1)
-	file, err := writeDurably(path, frame)
+	file, err := l.writeDurably(path, frame)
 	if err != nil {
 		return err
 	}
-	err = errors.Join(l.file.Close(), os.Remove(segmentPath(l.folder, l.number)))
+	err = errors.Join(l.file.Close(), l.files.Remove(segmentPath(l.folder, l.number)))
 	l.file, l.number, l.size = file, l.number+1, int64(len(frame))
-	return errors.Join(err, syncFolder(l.folder))
+	return errors.Join(err, l.files.SyncFolder(l.folder))
 }
 
 // tempSuffix ends the names of segments that are not complete.
@@ -260,31 +268,22 @@
 
 // writeDurably writes a temporary file, syncs it and renames it to path, and
 // returns it open for appending.
-func writeDurably(path string, content []byte) (file *os.File, err error) {
+func (l *Log) writeDurably(path string, content []byte) (file File, err error) {
 	tempPath := path + tempSuffix
-	file, err = os.OpenFile(tempPath, os.O_CREATE|os.O_WRONLY|os.O_TRUNC|os.O_APPEND, filePerm)
+	file, err = l.files.OpenFile(tempPath, os.O_CREATE|os.O_WRONLY|os.O_TRUNC|os.O_APPEND)
 	if err != nil {
 		return nil, err
 	}
 	if _, err = file.Write(content); err != nil {
-		return nil, asFullError(err, errors.Join(file.Close(), os.Remove(tempPath)))
+		return nil, asFullError(err, errors.Join(file.Close(), l.files.Remove(tempPath)))
 	}
 	if err = file.Sync(); err != nil {
 		return nil, errors.Join(err, file.Close())
 	}
-	if err = os.Rename(tempPath, path); err != nil {
+	if err = l.files.Rename(tempPath, path); err != nil {
 		return nil, errors.Join(err, file.Close())
 	}
-	return file, syncFolder(filepath.Dir(path))
-}
-
-// syncFolder makes the creation, renaming and removal of files in a folder durable.
-func syncFolder(folder string) (err error) {
-	d, err := os.Open(folder)
-	if err != nil {
-		return err
-	}
-	return errors.Join(d.Sync(), d.Close())
+	return file, l.files.SyncFolder(l.folder)
 }
 
 // Close closes the current segment. It does not sync.
--- a/controller/disk/recover.go
+++ b/controller/disk/recover.go
@@ -24,7 +24,10 @@
 	if err != nil {
 		return nil, r, err
 	}
-	l, content, err := OpenLog(f.Path())
+	l, content, err := OpenLog(FolderConfig{
+		Path:  f.path,
+		Files: f.files,
+	})
 	if err != nil {
 		return nil, r, err
 	}
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -68,7 +68,9 @@
 // Run starts it. The effects of the controller's core are performed with ctx.
 func New(ctx context.Context, cfg Config) (n *Node, err error) {
 	defer util.Annotate(&err, "controller: start")
-	folder, err := disk.OpenFolder(cfg.DataDir)
+	folder, err := disk.OpenFolder(disk.FolderConfig{
+		Path: cfg.DataDir,
+	})
 	if err != nil {
 		return nil, err
 	}
