Make the log durable before a process answers for what it read

Cause: a process that is killed between the write and the sync of an entry leaves the entry in the kernel's page cache. The next process reads it, NewReplica counts it as synced, and the follower confirms it to the leader without a sync (stepAppend waits for a sync only above syncedIndex). The leader counts that disk, commits and answers. A loss of power then takes the entry from that disk.

Why it works: OpenLog syncs the newest segment, and its folder as before, before Recover returns, so that nothing which the replica is told can be lost. Older segments hold nothing that the newest one does not replace. There is one sync at a start and none more while running. A sync needs no space, so a start on a full disk works as before.

--- a/controller/disk/log.go
+++ b/controller/disk/log.go
@@ -50,8 +50,10 @@
 	TornBytes int64
 }
 
-// OpenLog opens the log in a folder and returns its content. It truncates a
-// torn write at the end, and returns a *DamageError for any other damage.
+// OpenLog opens the log in a folder, makes its content durable and returns it. A
+// process that was killed may have left entries that only the kernel holds; the
+// replica answers for them once it has read them. OpenLog truncates a torn write at
+// the end, and returns a *DamageError for any other damage.
 func OpenLog(cfg FolderConfig) (l *Log, content LogContent, err error) {
 	defer util.Annotate(&err, "disk: open log")
 	cfg = cfg.withDefaults()
@@ -85,6 +87,9 @@
 		return nil, content, err
 	}
 	l.size = info.Size()
+	if err = l.file.Sync(); err != nil {
+		return nil, content, err
+	}
 	return l, content, cfg.Files.SyncFolder(folder)
 }
 
