Make a new data folder durable before it gets an identity

What callers would see: a controller whose data folder was created below another folder comes back with an empty folder and a new identity after a loss of power, like one whose disk was lost; with power lost everywhere, all of them do, and everything that was accepted is gone.

Cause: OpenFolder created the folder and those above it and synced only the folder itself, never those that hold their names.

Evidence: 'a new data folder is there with its identity' found another identity and no entries in 12 of 12 cases (a process that is killed after 0 to 11 operations, a second one that syncs entries, then a loss of power).

Why it works: each folder is synced into the one above it before the next is created, so that a process that is killed leaves at most one that is not durable, the deepest. A start that finds no identity syncs that one too; the folder above it may be closed to this process, which is no reason not to start. A folder with an identity has passed this.

--- a/controller/disk/durable_test.go
+++ b/controller/disk/durable_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"path/filepath"
 	"reflect"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -28,10 +29,7 @@
 // open starts a process in the folder.
 func (l lossyFolder) open() (f *disk.Folder, log *disk.Log, r disk.Recovered, err error) {
 	l.disk.operationsLeft = -1
-	if f, err = disk.OpenFolder(disk.FolderConfig{
-		Path:  l.path,
-		Files: l.disk,
-	}); err != nil {
+	if f, err = disk.OpenFolder(l.config()); err != nil {
 		return nil, nil, r, err
 	}
 	if log, r, err = disk.Recover(f); err != nil {
@@ -50,6 +48,28 @@
 	return r
 }
 
+// killAfter starts a process in the folder and kills it once it has done the given number
+// of operations. With zero, it starts none.
+func (l lossyFolder) killAfter(operations int) {
+	l.disk.operationsLeft = operations
+	f, err := disk.OpenFolder(l.config())
+	if err != nil {
+		Expect(err).To(MatchError(errKilled))
+		return
+	}
+	if _, _, err = disk.Recover(f); err != nil {
+		Expect(err).To(MatchError(errKilled))
+	}
+	Expect(f.Close()).To(Succeed())
+}
+
+func (l lossyFolder) config() disk.FolderConfig {
+	return disk.FolderConfig{
+		Path:  l.path,
+		Files: l.disk,
+	}
+}
+
 func nothing(*disk.Folder, *disk.Log) {}
 
 // seedsPerTest is the number of seeds of each test.
@@ -118,6 +138,31 @@
 		Expect(failed).To(BeEmpty())
 	})
 
+	It("a new data folder is there with its identity", func() {
+		var failed []int
+		for operations := range 12 {
+			l := newLossyFolder(uint64(operations))
+			l.path = filepath.Join(l.path, "cores", "data")
+			l.killAfter(operations)
+			id := ""
+			l.run(func(f *disk.Folder, log *disk.Log) {
+				Expect(log.Append(hard, entries(1, 3))).To(Succeed())
+				Expect(log.Sync()).To(Succeed())
+				id = f.ID()
+			})
+			l.disk.losePower(true)
+			r := l.run(func(f *disk.Folder, _ *disk.Log) {
+				if f.ID() != id {
+					failed = append(failed, operations)
+				}
+			})
+			if len(r.StoredState.Entries) != 3 {
+				failed = append(failed, operations)
+			}
+		}
+		Expect(failed).To(BeEmpty())
+	})
+
 	It("a snapshot is there that a process read at its start", func() {
 		for seed := range uint64(seedsPerTest / 4) {
 			for operations := 1; operations < 15; operations++ {
--- a/controller/disk/folder.go
+++ b/controller/disk/folder.go
@@ -53,8 +53,11 @@
 	cfg = cfg.withDefaults()
 	path := cfg.Path
 	defer util.Annotate(&err, "disk: open folder "+path)
-	if err = makeFolders(cfg.Files, path); err != nil {
-		return nil, err
+	// A folder with an identity was made durable before it got that.
+	if _, err = os.Stat(filepath.Join(path, identityFile)); err != nil {
+		if err = makeFolders(cfg.Files, path); err != nil {
+			return nil, err
+		}
 	}
 	lock, err := os.OpenFile(filepath.Join(path, lockFile), os.O_CREATE|os.O_RDWR, filePerm)
 	if err != nil {
@@ -79,15 +82,26 @@
 	return f, nil
 }
 
-// makeFolders creates a folder and the folders above it that are missing.
+// makeFolders creates a folder and the folders above it that are missing, and makes each
+// durable before the next.
 func makeFolders(files FileSystem, path string) error {
-	if _, err := os.Stat(path); !errors.Is(err, os.ErrNotExist) {
+	_, err := os.Stat(path)
+	if err == nil {
+		// A process that was killed may have created this one and not made it durable.
+		// The folder above it may belong to others and be closed to this process.
+		_ = files.SyncFolder(filepath.Dir(path))
+		return nil
+	}
+	if !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	if err = makeFolders(files, filepath.Dir(path)); err != nil {
 		return err
 	}
-	if err := makeFolders(files, filepath.Dir(path)); err != nil {
+	if err = files.MakeFolder(path); err != nil {
 		return err
 	}
-	return files.MakeFolder(path)
+	return files.SyncFolder(filepath.Dir(path))
 }
 
 // A LockedError reports a data folder that another process has locked.
