Confirm the leadership before a refusal or a state is answered

Callers saw 404, 401 or 410 for a route, a key or a job that had been acknowledged seconds before, an older number of pending jobs, and a job as pending after its cancellation. The answers came from a leader that had been suspended while another was elected, over a connection that was still open.

Cause: the lease is judged by the steady clock, which does not count the time for which a machine is suspended. The leader's own clock says that its lease holds until it reads the next message of a later term. Only reading the configuration committed an entry first.

Why this works: a majority has to answer a message that was sent after the request. A later leader was elected by a majority, which refuses messages of an earlier term; one voter is in both. No clock is involved: what counts is which message was answered, and each round has a number above all earlier messages even if the clock stands still.

An entry for each, or one shared, was considered: it syncs every disk and lets the log grow with each wrong key.

--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -34,6 +34,12 @@
 	// awaitingSync holds messages that may be sent once the disk is synced.
 	awaitingSync []consensus.Message
 	applied      []string
+	// isSuspended is true while the host's clock stands still and what is sent to it
+	// waits in inbox; lag is how much its clock is behind because of that.
+	isSuspended bool
+	suspendedAt time.Time
+	lag         time.Duration
+	inbox       []consensus.Message
 }
 
 // A cluster is a set of hosts and the network between them, with a record of
@@ -58,6 +64,12 @@
 	// blockedPaths holds the pairs of a sender and a receiver to which nothing of it
 	// gets through.
 	blockedPaths map[[2]string]bool
+	// committedBefore holds for each request to confirm a leadership how many entries
+	// any host had applied before it; confirmed counts those that were confirmed.
+	committedBefore map[uint64]int
+	confirmed       int
+	// hasStoodStill is true once a host was suspended: leases do not hold then.
+	hasStoodStill bool
 	// arriving is what the sender of the snapshot that a host receives had applied.
 	arriving []string
 }
@@ -72,6 +84,7 @@
 		appendedByToken: map[uint64]consensus.Appended{},
 		blockedLinks:    map[[2]string]bool{},
 		blockedPaths:    map[[2]string]bool{},
+		committedBefore: map[uint64]int{},
 	}
 	for i := range n {
 		c.addHost(fmt.Sprintf("c%d", i+1))
@@ -105,7 +118,8 @@
 	h.writtenSnapshot = h.snapshot
 	h.awaitingSync = nil
 	h.applied = slices.Clone(h.snapshot)
-	h.replica = consensus.NewReplica(c.now, config(h.id), h.written)
+	h.isSuspended, h.inbox = false, nil
+	h.replica = consensus.NewReplica(c.now.Add(-h.lag), config(h.id), h.written)
 }
 
 func (c *cluster) crash(h *host) {
@@ -126,7 +140,13 @@
 	if !h.alive {
 		return
 	}
-	next, effects := h.replica.Step(c.now, e)
+	if h.isSuspended {
+		if m, ok := e.(consensus.MessageReceived); ok {
+			h.inbox = append(h.inbox, m.Message)
+		}
+		return
+	}
+	next, effects := h.replica.Step(c.now.Add(-h.lag), e)
 	h.replica = next
 	for _, f := range effects {
 		c.perform(h, f)
@@ -152,6 +172,11 @@
 		c.appendedByToken[f.Token] = f
 	case consensus.Refused:
 		delete(c.pendingCommands, f.Token)
+	case consensus.LeadershipConfirmed:
+		c.confirmed++
+		if len(h.applied) < c.committedBefore[f.Token] {
+			c.reportViolation("%s confirmed a state of %d entries, %d were applied before", h.id, len(h.applied), c.committedBefore[f.Token])
+		}
 	case consensus.InstallSnapshot:
 		h.installSnapshot(f.Meta, c.arriving)
 	case consensus.RoleChanged:
@@ -205,6 +230,9 @@
 		}
 		c.leaderOfTerm[term] = h.id
 	}
+	if c.hasStoodStill {
+		return
+	}
 	holders := 0
 	for _, other := range c.hosts {
 		if other.alive && other.replica.HasLease(c.now) {
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -221,6 +221,7 @@
 	l := Leader{
 		electedAt:      now,
 		termStartIndex: r.log.LastIndex() + 1,
+		sentNS:         -1,
 		progress:       map[string]Progress{},
 	}
 	for _, m := range r.Members().Members {
--- a/consensus/replica.go
+++ b/consensus/replica.go
@@ -251,8 +251,13 @@
 		r = r.stepSnapshotSent(now, e)
 	case TransferLeadership:
 		r, out = r.stepTransferLeadership(now)
+	case ConfirmLeadership:
+		r, out = r.stepConfirmLeadership(now, e)
 	}
 	r, out = r.applyCommitted(out)
+	r, more := r.answerConfirmations(now)
+	out = append(out, more...)
+	out = append(out, r.refuseConfirmations(before)...)
 	if r.leaderID != before.leaderID || r.hardState.Term != before.hardState.Term || RoleName(r.role) != RoleName(before.role) {
 		out = append(out, RoleChanged{
 			Role:   RoleName(r.role),
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -97,6 +97,8 @@
 		return r, nil
 	}
 	r.heartbeatDue = now.Add(r.cfg.Heartbeat)
+	l.sentNS = max(l.sentNS+1, int64(now.Sub(l.electedAt)))
+	l.confirmationsSent = len(l.confirmations)
 	var out []Effect
 	for _, m := range r.Members().Members {
 		if m.ID == r.cfg.ID {
@@ -125,7 +127,7 @@
 		PrevIndex:   prevIndex,
 		PrevTerm:    prevTerm,
 		CommitIndex: r.commitIndex,
-		SentNS:      int64(now.Sub(l.electedAt)),
+		SentNS:      l.sentNS,
 	}
 	if !p.Probing {
 		// Assume that the entries arrive. If they are lost, the member rejects
@@ -144,7 +146,7 @@
 		r.send(id, Append{
 			PrevIndex: r.log.LastIndex(),
 			PrevTerm:  r.log.LastTerm(),
-			SentNS:    int64(now.Sub(l.electedAt)),
+			SentNS:    l.sentNS,
 		}),
 	}
 	if now.Before(p.SnapshotRetryAt) {
@@ -238,6 +240,7 @@
 	if sentAt := l.electedAt.Add(time.Duration(reply.SentNS)); sentAt.After(p.LastContact) && !sentAt.After(now) {
 		p.LastContact = sentAt
 	}
+	p.AnsweredNS = max(p.AnsweredNS, min(reply.SentNS, l.sentNS))
 	if !reply.Accepted && now.Before(p.SnapshotRetryAt) {
 		r.role = l.withProgress(from, p)
 		return r, nil
@@ -277,6 +280,7 @@
 	if !ok {
 		return r, nil
 	}
+	l.sentNS = max(l.sentNS, int64(now.Sub(l.electedAt)))
 	p, out := r.replicateTo(now, l, id, l.progress[id])
 	r.role = l.withProgress(id, p)
 	return r, out
--- a/consensus/role.go
+++ b/consensus/role.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -38,6 +39,13 @@
 	// transfer is under way.
 	transferee       string
 	transferDeadline time.Time
+	// sentNS is the SentNS of the last message to a member. Each round to all members
+	// has a higher one than all messages before it, even if the clock stands still.
+	sentNS int64
+	// confirmations holds the requests that wait for a majority, the oldest first. The
+	// first confirmationsSent of them wait for a round that has begun.
+	confirmations     []confirmation
+	confirmationsSent int
 }
 
 func (Follower) role()     {}
@@ -69,6 +77,8 @@
 	// LastContact is when the leader sent the latest message that the member
 	// has answered.
 	LastContact time.Time
+	// AnsweredNS is the highest SentNS that the member has answered.
+	AnsweredNS int64
 	// SnapshotRetryAt is when the leader may send the snapshot again. Until
 	// then it ignores the member's rejections, since the snapshot is on its
 	// way.
@@ -122,6 +132,27 @@
 	return contacts[set.Quorum()-1]
 }
 
+// quorumAnsweredNS returns the highest SentNS that a majority of the voters has answered.
+// The leader itself counts as having answered all.
+func (l Leader) quorumAnsweredNS(self string, set member.Set) int64 {
+	var answered []int64
+	for _, m := range set.Members {
+		switch {
+		case !m.Voter:
+		case m.ID == self:
+			answered = append(answered, math.MaxInt64)
+		default:
+			answered = append(answered, l.progress[m.ID].AnsweredNS)
+		}
+	}
+	slices.Sort(answered)
+	slices.Reverse(answered)
+	if len(answered) < set.Quorum() {
+		return 0
+	}
+	return answered[set.Quorum()-1]
+}
+
 func withVote(votes map[string]bool, from string) map[string]bool {
 	votes = maps.Clone(votes)
 	votes[from] = true
--- a/control/core.go
+++ b/control/core.go
@@ -121,6 +121,8 @@
 			Token:  e.Token,
 			Change: e.Change,
 		})
+	case ConfirmLeadership:
+		return c.stepReplica(now, consensus.ConfirmLeadership(e))
 	case StepDown:
 		return c.stepReplica(now, consensus.TransferLeadership{})
 	case PushAnswered:
@@ -177,6 +179,13 @@
 		return c.applyCommitted(f.Entries)
 	case consensus.Appended:
 		return c.replyOnceCommitted(f)
+	case consensus.LeadershipConfirmed:
+		return c, []Effect{
+			Reply{
+				Token:  f.Token,
+				Answer: LeadershipConfirmed{},
+			},
+		}
 	case consensus.Refused:
 		return c.replyRefused(f)
 	case consensus.RoleChanged:
--- a/control/effect.go
+++ b/control/effect.go
@@ -122,7 +122,7 @@
 )
 
 // Answer is the result of a request: NotLeader, Busy, OutcomeUnknown, Committed,
-// Refused or PollResult.
+// Refused, LeadershipConfirmed or PollResult.
 type Answer interface {
 	answer()
 }
@@ -154,15 +154,20 @@
 	Reason, Detail string
 }
 
+// LeadershipConfirmed reports that the published state holds everything that the group
+// had committed when the request came.
+type LeadershipConfirmed struct{}
+
 // PollResult answers a gateway's poll.
 type PollResult struct {
 	// Reply is the body of the answer.
 	Reply PollReply
 }
 
-func (NotLeader) answer()      {}
-func (Busy) answer()           {}
-func (OutcomeUnknown) answer() {}
-func (Committed) answer()      {}
-func (Refused) answer()        {}
-func (PollResult) answer()     {}
+func (NotLeader) answer()           {}
+func (Busy) answer()                {}
+func (OutcomeUnknown) answer()      {}
+func (Committed) answer()           {}
+func (Refused) answer()             {}
+func (LeadershipConfirmed) answer() {}
+func (PollResult) answer()          {}
--- a/control/event.go
+++ b/control/event.go
@@ -96,6 +96,13 @@
 	Change member.Change
 }
 
+// ConfirmLeadership asks whether the state holds everything that the group committed
+// until now. It is answered with LeadershipConfirmed or NotLeader.
+type ConfirmLeadership struct {
+	// Token is repeated in the Reply.
+	Token uint64
+}
+
 // StepDown requests a transfer of the leadership before a planned stop.
 type StepDown struct{}
 
@@ -122,5 +129,6 @@
 func (SnapshotSent) event()        {}
 func (FormGroup) event()           {}
 func (ChangeMembers) event()       {}
+func (ConfirmLeadership) event()   {}
 func (StepDown) event()            {}
 func (PushAnswered) event()        {}
--- a/controller/gateway/query.go
+++ b/controller/gateway/query.go
@@ -22,19 +22,19 @@
 	handleQuery(s, g, wire.MethodClaims, claims)
 }
 
-// handleQuery registers a query that the leader answers from its published state
-// while it holds a lease. Other controllers redirect to the leader.
+// handleQuery registers a query that the leader answers from its published state once a
+// majority has confirmed that it leads. Other controllers redirect to the leader.
 func handleQuery[Q, A any](s *rpc.Server, g *Server, method string, query func(c control.Core, now time.Time, q Q) A) {
-	rpc.Handle(s, method, func(_ context.Context, q Q) (wire.LeaderReply[A], error) {
-		core, now := g.cfg.Core(), g.cfg.Clock()
-		if !core.HasLease(now) {
+	rpc.Handle(s, method, func(ctx context.Context, q Q) (wire.LeaderReply[A], error) {
+		core, redirect, ok := g.confirmedCore(ctx)
+		if !ok {
 			return wire.LeaderReply[A]{
-				Redirect: core.LeaderAddress(),
+				Redirect: redirect,
 			}, nil
 		}
 		return wire.LeaderReply[A]{
 			Leader: true,
-			Body:   query(core, now, q),
+			Body:   query(core, g.cfg.Clock(), q),
 		}, nil
 	})
 }
--- a/controller/gateway/server.go
+++ b/controller/gateway/server.go
@@ -7,13 +7,20 @@
 	"fmt"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	plantainladder "github.com/plantainladder/plantainladder"
 	"github.com/plantainladder/plantainladder/control"
 	"github.com/plantainladder/plantainladder/rpc"
 	"github.com/plantainladder/plantainladder/wire"
 )
 
-const answerTimeout = 5 * time.Second
+const (
+	answerTimeout = 5 * time.Second
+	// A Server writes at most maxLinesPerPeriod lines in each linePeriod.
+	maxLinesPerPeriod = 5
+	linePeriod        = 10 * time.Second
+)
 
 // A Config describes a Server.
 type Config struct {
@@ -25,18 +32,27 @@
 	Clock func() time.Time
 	// PendingRequests delivers the answers of the controller's core.
 	PendingRequests *PendingRequests
+	// Logger is the logger of the package.
+	Logger zerolog.Logger
 }
 
 // A Server handles the requests of gateways.
 type Server struct {
 	cfg Config
+	// logger writes the lines that a burst of requests could repeat.
+	logger zerolog.Logger
 }
 
 // Register creates a Server and registers its methods with s.
 func Register(s *rpc.Server, cfg Config) *Server {
 	g := &Server{
 		cfg: cfg,
+		logger: cfg.Logger.Sample(&zerolog.BurstSampler{
+			Burst:  maxLinesPerPeriod,
+			Period: linePeriod,
+		}),
 	}
+	createConfirmationCounters()
 	rpc.Handle(s, wire.MethodPoll, g.poll)
 	rpc.Handle(s, wire.MethodCommand, g.command)
 	g.registerQueries(s)
@@ -76,7 +92,7 @@
 		return control.PollReply{
 			Redirect: a.Redirect,
 		}, nil
-	case control.Busy, control.OutcomeUnknown, control.Committed, control.Refused:
+	case control.Busy, control.OutcomeUnknown, control.Committed, control.Refused, control.LeadershipConfirmed:
 		return reply, &UnexpectedAnswerError{
 			Answer: a,
 		}
@@ -111,7 +127,7 @@
 			Reason: plantainladder.Reason(a.Reason),
 			Detail: a.Detail,
 		}
-	case control.PollResult:
+	case control.PollResult, control.LeadershipConfirmed:
 		return reply, &UnexpectedAnswerError{
 			Answer: a,
 		}
--- a/controller/gateway/workflow.go
+++ b/controller/gateway/workflow.go
@@ -23,18 +23,18 @@
 
 // resolve returns the queue that a request addresses, and a result with the
 // workflow's identifier from the path. It checks the token unless the queue is
-// public. ok is false if the request is refused; the result is then complete.
-func resolve(d configuration.Document, req wire.WorkflowRequest) (configuration.Queue, wire.Result, bool) {
+// public. The kind of the result is ResultDone unless the request is refused.
+func resolve(d configuration.Document, req wire.WorkflowRequest) (configuration.Queue, wire.Result) {
 	if d.IsZero() {
 		return configuration.Queue{}, wire.Result{
 			Kind: wire.ResultUnconfigured,
-		}, false
+		}
 	}
 	q, ok := d.MatchQueue(req.Host, req.Path)
 	if !ok {
 		return q, wire.Result{
 			Kind: wire.ResultNoQueue,
-		}, false
+		}
 	}
 	res := wire.Result{
 		Kind:  wire.ResultDone,
@@ -43,9 +43,45 @@
 	}
 	if _, known := d.OrganisationByToken(req.Token); !known && !q.Public {
 		res.Kind = wire.ResultBadToken
-		return q, res, false
 	}
-	return q, res, true
+	return q, res
+}
+
+// resolveSubmission is resolve for a submission.
+func resolveSubmission(s plantainladder.State, req wire.WorkflowRequest) wire.Result {
+	q, res := resolve(s.Configuration(), req)
+	if res.Kind == wire.ResultDone && q.RequiresPlacementAdvisor {
+		res.Kind = wire.ResultUnsupported
+		res.Detail = "queues that require a placement advisor are not supported"
+	}
+	return res
+}
+
+// resolveCancellation is resolve for a cancellation.
+func resolveCancellation(s plantainladder.State, req wire.WorkflowRequest) wire.Result {
+	_, res := resolve(s.Configuration(), req)
+	return res
+}
+
+// resolveLookup is resolve for a lookup. The result has the workflow's status, or the
+// number of pending workflows of the queue if the path names no workflow.
+func resolveLookup(s plantainladder.State, req wire.WorkflowRequest) wire.Result {
+	_, res := resolve(s.Configuration(), req)
+	switch {
+	case res.Kind != wire.ResultDone:
+		return res
+	case res.ID == "":
+		res.Pending = s.CountPendingWorkflows(res.Queue)
+		return res
+	}
+	org, _ := s.Configuration().OrganisationByToken(req.Token)
+	w, ok := s.Workflow(res.ID)
+	if !ok || w.Spec.Organisation != org.Name {
+		res.Kind = wire.ResultNoWorkflow
+		return res
+	}
+	res.Status = w.Status()
+	return res
 }
 
 // resultKinds maps the reasons of refused commands to kinds of results.
@@ -91,7 +127,7 @@
 		retry.Redirect = a.Redirect
 	case control.OutcomeUnknown:
 		retry.OutcomeUnknown = true
-	case control.Busy, control.Refused, control.PollResult:
+	case control.Busy, control.Refused, control.LeadershipConfirmed, control.PollResult:
 	}
 	return o, retry, false
 }
@@ -110,30 +146,31 @@
 	return core, core.LeaderAddress(), core.HasLease(g.cfg.Clock())
 }
 
-// resolveOnLeader resolves a request with the configuration of a leader that holds
-// a lease. If ok is false, reply is the final reply to the request.
-func (g *Server) resolveOnLeader(req wire.WorkflowRequest) (state plantainladder.State, q configuration.Queue, res wire.Result, reply wire.LeaderReply[wire.Result], ok bool) {
+// resolveOnLeader resolves the request of a command with the state of a leader that
+// holds a lease. The command is decided on once more when it is committed, but a refusal
+// is final, so it is given only if a majority has confirmed the state. If ok is false,
+// reply is the final reply to the request.
+func (g *Server) resolveOnLeader(ctx context.Context, req wire.WorkflowRequest, resolve func(plantainladder.State, wire.WorkflowRequest) wire.Result) (res wire.Result, reply wire.LeaderReply[wire.Result], ok bool) {
 	core, redirect, ok := g.leaderCore()
 	if !ok {
 		reply.Redirect = redirect
-		return state, q, res, reply, false
+		return res, reply, false
 	}
-	state = core.State()
-	if q, res, ok = resolve(state.Configuration(), req); !ok {
-		return state, q, res, leaderReply(res), false
+	if res = resolve(core.State(), req); res.Kind == wire.ResultDone {
+		return res, reply, true
+	}
+	if core, redirect, ok = g.confirmedCore(ctx); !ok {
+		reply.Redirect = redirect
+		return res, reply, false
 	}
-	return state, q, res, reply, true
+	res = resolve(core.State(), req)
+	return res, leaderReply(res), res.Kind == wire.ResultDone
 }
 
 func (g *Server) submit(ctx context.Context, s wire.Submission) (wire.LeaderReply[wire.Result], error) {
-	_, q, res, reply, ok := g.resolveOnLeader(s.WorkflowRequest)
-	switch {
-	case !ok:
+	res, reply, ok := g.resolveOnLeader(ctx, s.WorkflowRequest, resolveSubmission)
+	if !ok {
 		return reply, nil
-	case q.RequiresPlacementAdvisor:
-		res.Kind = wire.ResultUnsupported
-		res.Detail = "queues that require a placement advisor are not supported"
-		return leaderReply(res), nil
 	}
 	s.Spec.ID, s.Spec.Queue = res.ID, res.Queue
 	return g.commitAndReply(ctx, res, plantainladder.SubmitWorkflow{
@@ -143,7 +180,7 @@
 }
 
 func (g *Server) cancel(ctx context.Context, req wire.WorkflowRequest) (wire.LeaderReply[wire.Result], error) {
-	_, _, res, reply, ok := g.resolveOnLeader(req)
+	res, reply, ok := g.resolveOnLeader(ctx, req, resolveCancellation)
 	if !ok {
 		return reply, nil
 	}
@@ -163,25 +200,15 @@
 	return leaderReply(withOutcome(res, o))
 }
 
-// lookup returns the status of a workflow, or the number of pending workflows of
-// the queue if the path names no workflow.
-func (g *Server) lookup(_ context.Context, req wire.WorkflowRequest) (wire.LeaderReply[wire.Result], error) {
-	state, _, res, reply, ok := g.resolveOnLeader(req)
-	switch {
-	case !ok:
-		return reply, nil
-	case res.ID == "":
-		res.Pending = state.CountPendingWorkflows(res.Queue)
-		return leaderReply(res), nil
-	}
-	org, _ := state.Configuration().OrganisationByToken(req.Token)
-	w, ok := state.Workflow(res.ID)
-	if !ok || w.Spec.Organisation != org.Name {
-		res.Kind = wire.ResultNoWorkflow
-		return leaderReply(res), nil
+// lookup answers from a state that a majority has confirmed.
+func (g *Server) lookup(ctx context.Context, req wire.WorkflowRequest) (wire.LeaderReply[wire.Result], error) {
+	core, redirect, ok := g.confirmedCore(ctx)
+	if !ok {
+		return wire.LeaderReply[wire.Result]{
+			Redirect: redirect,
+		}, nil
 	}
-	res.Status = w.Status()
-	return leaderReply(res), nil
+	return leaderReply(resolveLookup(core.State(), req)), nil
 }
 
 // configuration returns the latest configuration document. It commits an entry
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -217,6 +217,7 @@
 		Core:            n.loop.State,
 		Clock:           time.Now,
 		PendingRequests: n.pending,
+		Logger:          util.ForComponent(n.cfg.Logger, "controller/gateway"),
 	})
 	operator.Register(s, operator.Config{
 		Post:            n.loop.Post,
--- a/controller/operator/members.go
+++ b/controller/operator/members.go
@@ -138,7 +138,7 @@
 		return wire.LeaderReply[wire.ChangeMembersReply]{
 			Redirect: a.Redirect,
 		}
-	case control.Busy, control.OutcomeUnknown, control.PollResult:
+	case control.Busy, control.OutcomeUnknown, control.PollResult, control.LeadershipConfirmed:
 		return leaderReply(wire.ChangeMembersReply{
 			Refused: "unknown",
 			Detail:  "the outcome of the change is unknown; list the members to see whether it was made",
