Write the log anew at a start, in case an earlier sync of it failed

What callers would see: an accepted configuration or job is gone after a sync failed, the process ended and started again, and power was lost later.

Cause: when a sync fails, Linux marks the pages as clean although the disk does not hold them. The process ends, as it should; the next one reads the entries from the page cache, and a sync of the same file succeeds without writing them. The sync at the start does not help here.

Why it works: OpenLog writes what it has read to a new file, syncs that and renames it to the segment's name, so that what counts as durable was written by a sync that succeeded. On a full disk the old file stays and is synced, as before this change: 'entries are there that a process read at its start on a full disk' starts, waits for space and goes on. For that a new file that cannot be created or synced for want of space now counts as a full disk too, where the process ended before.

Cost: one more write of the newest segment at a start, none while running.

--- a/controller/disk/durable_test.go
+++ b/controller/disk/durable_test.go
@@ -163,6 +163,47 @@
 		Expect(failed).To(BeEmpty())
 	})
 
+	It("entries are there although an earlier sync of them failed", func() {
+		var failed []uint64
+		for seed := range uint64(seedsPerTest) {
+			l := newLossyFolder(seed)
+			l.run(func(_ *disk.Folder, log *disk.Log) {
+				Expect(log.Append(hard, entries(1, 3))).To(Succeed())
+				l.disk.syncFails = true
+				Expect(log.Sync()).NotTo(Succeed())
+			})
+			_, _, _, err := l.open()
+			Expect(err).To(HaveOccurred())
+			l.disk.syncFails = false
+			before := l.run(nothing).StoredState
+			l.disk.losePower(seed%2 == 0)
+			if after := l.run(nothing).StoredState; !reflect.DeepEqual(after, before) {
+				failed = append(failed, seed)
+			}
+		}
+		Expect(failed).To(BeEmpty())
+	})
+
+	It("entries are there that a process read at its start on a full disk", func() {
+		for seed := range uint64(seedsPerTest) {
+			l := newLossyFolder(seed)
+			l.run(func(_ *disk.Folder, log *disk.Log) {
+				Expect(log.Append(hard, entries(1, 3))).To(Succeed())
+			})
+			l.disk.isFull = true
+			l.run(func(_ *disk.Folder, log *disk.Log) {
+				full := (*disk.FullError)(nil)
+				Expect(errors.As(log.Append(hard, entries(4, 1)), &full)).To(BeTrue())
+				Expect(errors.As(log.CompactLog(0), &full)).To(BeTrue())
+				l.disk.isFull = false
+				Expect(log.Append(hard, entries(4, 1))).To(Succeed())
+				Expect(log.Sync()).To(Succeed())
+			})
+			l.disk.losePower(seed%2 == 0)
+			Expect(l.run(nothing).StoredState.Entries).To(HaveLen(4), "seed %d", seed)
+		}
+	})
+
 	It("a snapshot is there that a process read at its start", func() {
 		for seed := range uint64(seedsPerTest / 4) {
 			for operations := 1; operations < 15; operations++ {
--- a/controller/disk/log.go
+++ b/controller/disk/log.go
@@ -87,10 +87,31 @@
 		return nil, content, err
 	}
 	l.size = info.Size()
-	if err = l.file.Sync(); err != nil {
-		return nil, content, err
+	if err = errors.Join(l.file.Sync(), cfg.Files.SyncFolder(folder), l.rewrite()); err != nil {
+		return nil, content, errors.Join(err, l.file.Close())
+	}
+	return l, content, nil
+}
+
+// rewrite replaces the segment with a new file of the same content. If an earlier sync
+// has failed, the kernel takes for written what the disk does not hold, and no further
+// sync of the same file writes it. If the disk is full, the old file stays.
+func (l *Log) rewrite() (err error) {
+	path := segmentPath(l.folder, l.number)
+	data, err := os.ReadFile(path)
+	if err != nil || len(data) == 0 {
+		return err
+	}
+	file, err := l.writeDurably(path, data)
+	if full := (*FullError)(nil); errors.As(err, &full) {
+		return nil
 	}
-	return l, content, cfg.Files.SyncFolder(folder)
+	if err != nil {
+		return err
+	}
+	err = l.file.Close()
+	l.file = file
+	return err
 }
 
 func segmentPath(folder string, n int) string {
@@ -272,21 +293,23 @@
 const tempSuffix = ".tmp"
 
 // writeDurably writes a temporary file, syncs it and renames it to path, and
-// returns it open for appending.
+// returns it open for appending. If the disk is full, it leaves nothing behind and
+// returns a *FullError.
 func (l *Log) writeDurably(path string, content []byte) (file File, err error) {
 	tempPath := path + tempSuffix
 	file, err = l.files.OpenFile(tempPath, os.O_CREATE|os.O_WRONLY|os.O_TRUNC|os.O_APPEND)
 	if err != nil {
-		return nil, err
+		return nil, asFullError(err, nil)
 	}
-	if _, err = file.Write(content); err != nil {
-		return nil, asFullError(err, errors.Join(file.Close(), l.files.Remove(tempPath)))
+	_, err = file.Write(content)
+	if err == nil {
+		err = file.Sync()
 	}
-	if err = file.Sync(); err != nil {
-		return nil, errors.Join(err, file.Close())
+	if err == nil {
+		err = l.files.Rename(tempPath, path)
 	}
-	if err = l.files.Rename(tempPath, path); err != nil {
-		return nil, errors.Join(err, file.Close())
+	if err != nil {
+		return nil, asFullError(err, errors.Join(file.Close(), l.files.Remove(tempPath)))
 	}
 	return file, l.files.SyncFolder(l.folder)
 }
--- a/controller/disk/lossy_disk_test.go
+++ b/controller/disk/lossy_disk_test.go
@@ -34,6 +34,8 @@
 	operationsLeft int
 	// syncFails is true while syncs of files fail.
 	syncFails bool
+	// isFull is true while files can be neither created nor extended.
+	isFull    bool
 	tempFiles int
 }
 
@@ -198,6 +200,9 @@
 	if err := d.survivesOperation(); err != nil {
 		return nil, err
 	}
+	if d.isFull && d.content[path] == nil {
+		return nil, syscall.ENOSPC
+	}
 	f, err := os.OpenFile(path, flags, 0o600)
 	if err != nil {
 		return nil, err
@@ -298,6 +303,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if h.disk.isFull {
+		return 0, syscall.ENOSPC
+	}
 	offset := info.Size()
 	killed := h.disk.survivesOperation()
 	if killed != nil {
