Let a machine that lost its disk twice replace the voter that it was last

What callers would see: the group of five has six voters for good, one of them gone, and bears one loss more instead of two; the next fault that is allowed stops all changes.

Cause: a machine whose disk is lost a second time before its first exchange has ended has two voters at its address. JoinChange let it replace the first of them, which already has a successor: the second one, which is gone, stayed a voter.

'replaces the voter at the same address that no other one replaces, if the disk was lost twice' returned the wrong voter before.

--- a/member/member_suite_test.go
+++ b/member/member_suite_test.go
@@ -76,6 +76,10 @@
 		}),
 		Entry("returns none if the dead voter has a successor already", append([]member.Member{learner("y", "5", "c")}, three...),
 			learner("x", "4", ""), "c", nil),
+		Entry("replaces the voter at the same address that no other one replaces, if the disk was lost twice",
+			append(three[:3:3], learner("x", "2", "b").WithVoter()), learner("y", "2", ""), "", member.Add{
+				Member: learner("y", "2", "x"),
+			}),
 		Entry("first removes a learner at the same address, whose disk was lost too",
 			append([]member.Member{learner("y", "2", "b")}, three...), learner("x", "2", ""), "", member.Remove{
 				ID: "y",
