Let disks hang in the random test of losses of power

Now disks hang for up to 0.6 s, the last fault follows at once after a command was acknowledged, and in half of the cases the disks are lost that have the least to write.

--- a/controller/disk/group_test.go
+++ b/controller/disk/group_test.go
@@ -39,6 +39,8 @@
 	queue   []disk.Operation
 	events  []consensus.Event
 	applied []string
+	// hangsUntil is when the disk goes on.
+	hangsUntil time.Time
 }
 
 // A group is a set of machines and the network between them, with a record of what
--- a/controller/disk/power_loss_test.go
+++ b/controller/disk/power_loss_test.go
@@ -19,6 +19,8 @@
 	powerLossSeeds = 12
 	roundsOfFaults = 3
 	ticksOfFaults  = 150
+	// maxHang is the longest time for which a disk does nothing.
+	maxHang = 600 * time.Millisecond
 	// settleLimit bounds the time without faults until the group is whole.
 	settleLimit = 30 * time.Second
 )
@@ -50,7 +52,7 @@
 			}
 		}
 		for _, m := range g.machines {
-			if !isLossy || !g.happens(3) {
+			if !isLossy || !g.happens(3) && g.now.After(m.hangsUntil) {
 				g.runWriter(m)
 			}
 		}
@@ -122,8 +124,8 @@
 	})
 }
 
-// disturb kills processes, also in the middle of what they write, lets syncs fail, takes
-// the power from machines and starts processes again.
+// disturb kills processes, also in the middle of what they write, lets syncs fail and disks
+// hang, takes the power from machines and starts processes again.
 func (g *group) disturb() {
 	for _, m := range g.machines {
 		switch {
@@ -139,6 +141,8 @@
 			m.losePower(g.happens(3))
 		case g.happens(200):
 			m.disk.syncFails = true
+		case g.happens(20):
+			m.hangsUntil = g.now.Add(time.Duration(g.random.Int64N(int64(maxHang))))
 		case g.happens(40):
 			g.saveSnapshot(m)
 		}
@@ -217,14 +221,32 @@
 }
 
 // loseEverything takes the power from all machines at the same moment, and the disks from
-// the given number of them.
+// the given number of them, in half of the cases those that have the least to write.
 func (g *group) loseEverything(disks int) {
-	for i, n := range g.random.Perm(groupSize) {
+	machines := slices.Clone(g.machines)
+	g.random.Shuffle(groupSize, func(i, j int) {
+		machines[i], machines[j] = machines[j], machines[i]
+	})
+	if g.happens(2) {
+		slices.SortStableFunc(machines, func(a, b *machine) int { return len(a.queue) - len(b.queue) })
+	}
+	for i, m := range machines {
 		if i < disks {
-			g.machines[n].loseDisk()
+			m.loseDisk()
 			continue
 		}
-		g.machines[n].losePower(g.happens(3))
+		m.losePower(g.happens(3))
+	}
+}
+
+// runUntilAcknowledged runs with faults until a command was just acknowledged, as the last
+// fault of a day may follow at once.
+func (g *group) runUntilAcknowledged() {
+	before := len(g.acknowledged)
+	for end := g.now.Add(settleLimit); len(g.acknowledged) == before && g.now.Before(end); {
+		g.disturb()
+		g.propose()
+		g.tick(true)
 	}
 }
 
@@ -243,6 +265,7 @@
 			g.tick(true)
 			g.disturb()
 		}
+		g.runUntilAcknowledged()
 		g.loseEverything(g.random.IntN(toleratedLosses - lost + 1))
 		g.settle()
 	}
