Answer a job as accepted if its lost answer said so

A consumer got 401 for the only call with which it handed a job in, and the job ran. Its leader was killed after the job was committed and before the answer; its key was withdrawn before there was a new leader; the front sent the job again, and the new leader refused it by the newer configuration.

The state machine accepts a marked submission, without effect, if the same work was accepted under its identifier and, where the route is still there, on its queue. It compares the payload, the steps and the times.

Why this works: the new leader answers from a state that a majority has confirmed. An entry of the old leader is in that state or can never be committed, so a marked submission that is refused has not been accepted.

Ruled out: accepting any submission whose identifier is in use. Such a call follows on one that had no answer or 504, so not all attempts of its job were refused.

Related: a cancellation that is sent again after the key was withdrawn is still refused, though it took effect. No rule is broken by that.

--- /dev/null
+++ b/controller/gateway/resent_test.go
@@ -0,0 +1,71 @@
+package gateway_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	plantainladder "github.com/plantainladder/plantainladder"
+	"github.com/plantainladder/plantainladder/rpc"
+	"github.com/plantainladder/plantainladder/wire"
+)
+
+// A leader is lost after it has committed a job, and before it has answered. The gateway
+// sends the job again to the next leader, which has a newer configuration. The caller
+// takes a refusal for the answer to its only call, though the job runs.
+var _ = Describe("A submission that is sent again", func() {
+	var g *group
+	var c *rpc.Client
+
+	BeforeEach(func() {
+		g = newGroup()
+		g.submit(document(1, []string{"t1", "t2"}, "q", "r"))
+		g.submit(submission("j1", "t1"))
+		c = g.serve(g.leader())
+	})
+
+	submit := func(s wire.Submission) wire.ResultKind {
+		r := call[wire.Submission, wire.Result](c, wire.MethodSubmit, s)
+		Expect(r.Leader).To(BeTrue())
+		return r.Body.Kind
+	}
+
+	resent := func(path string) wire.Submission {
+		return wire.Submission{
+			WorkflowRequest: request(path, "t1"),
+			Spec:            spec(""),
+			Resent:          true,
+		}
+	}
+
+	DescribeTable("is accepted if it was accepted before", func(now plantainladder.PutConfiguration) {
+		g.submit(now)
+		Expect(submit(resent("/q/j1"))).To(Equal(wire.ResultDone))
+		Expect(g.leader().core.State().ActiveWorkflows()).To(HaveLen(1))
+	},
+		Entry("though its key was withdrawn", document(2, []string{"t2"}, "q", "r")),
+		Entry("though its route was dropped", document(2, []string{"t1"}, "r")),
+		Entry("though its key and its route are gone", document(2, []string{"t2"}, "r")),
+		Entry("and nothing has changed", document(2, []string{"t1"}, "q")),
+	)
+
+	It("is refused if it was not accepted before", func() {
+		g.submit(document(2, []string{"t2"}, "r"))
+		Expect(submit(resent("/q/j2"))).To(Equal(wire.ResultNoQueue))
+		Expect(submit(resent("/r/j2"))).To(Equal(wire.ResultBadToken))
+	})
+
+	It("is refused if other work was accepted with its identifier", func() {
+		g.submit(document(2, []string{"t2"}, "q", "r"))
+		other := resent("/q/j1")
+		other.Spec.Steps[0].Tasks = 2
+		Expect(submit(other)).To(Equal(wire.ResultBadToken))
+		Expect(submit(resent("/r/j1"))).To(Equal(wire.ResultBadToken), "on another queue")
+	})
+
+	It("is refused if it is a new call with a withdrawn key", func() {
+		g.submit(document(2, []string{"t2"}, "q"))
+		again := resent("/q/j1")
+		again.Resent = false
+		Expect(submit(again)).To(Equal(wire.ResultBadToken))
+	})
+})
--- a/controller/gateway/workflow.go
+++ b/controller/gateway/workflow.go
@@ -47,9 +47,26 @@
 	return q, res
 }
 
-// resolveSubmission is resolve for a submission.
-func resolveSubmission(s plantainladder.State, req wire.WorkflowRequest) wire.Result {
-	q, res := resolve(s.Configuration(), req)
+// resolveSubmission is resolve for a submission. A submission that is sent again since its
+// answer was lost is not refused if it was accepted before: the caller would take the
+// refusal for the answer to its only call.
+func resolveSubmission(state plantainladder.State, s wire.Submission) wire.Result {
+	q, res := resolve(state.Configuration(), s.WorkflowRequest)
+	s.Spec.ID, s.Spec.Queue = s.Path[strings.LastIndexByte(s.Path, '/')+1:], res.Queue
+	switch {
+	case s.Spec.ID != res.ID:
+		// The queue's route is not there any more.
+		s.Spec.Queue = ""
+	case res.Kind == wire.ResultDone && !q.RequiresPlacementAdvisor:
+		return res
+	}
+	if s.Resent && state.HasAccepted(s.Spec) {
+		return wire.Result{
+			Kind:  wire.ResultDone,
+			Queue: s.Spec.Queue,
+			ID:    s.Spec.ID,
+		}
+	}
 	if res.Kind == wire.ResultDone && q.RequiresPlacementAdvisor {
 		res.Kind = wire.ResultUnsupported
 		res.Detail = "queues that require a placement advisor are not supported"
@@ -150,7 +167,7 @@
 // holds a lease. The command is decided on once more when it is committed, but a refusal
 // is final, so it is given only if a majority has confirmed the state. If ok is false,
 // reply is the final reply to the request.
-func (g *Server) resolveOnLeader(ctx context.Context, req wire.WorkflowRequest, resolve func(plantainladder.State, wire.WorkflowRequest) wire.Result) (res wire.Result, reply wire.LeaderReply[wire.Result], ok bool) {
+func resolveOnLeader[Q any](ctx context.Context, g *Server, req Q, resolve func(plantainladder.State, Q) wire.Result) (res wire.Result, reply wire.LeaderReply[wire.Result], ok bool) {
 	core, redirect, ok := g.leaderCore()
 	if !ok {
 		reply.Redirect = redirect
@@ -168,19 +185,20 @@
 }
 
 func (g *Server) submit(ctx context.Context, s wire.Submission) (wire.LeaderReply[wire.Result], error) {
-	res, reply, ok := g.resolveOnLeader(ctx, s.WorkflowRequest, resolveSubmission)
+	res, reply, ok := resolveOnLeader(ctx, g, s, resolveSubmission)
 	if !ok {
 		return reply, nil
 	}
 	s.Spec.ID, s.Spec.Queue = res.ID, res.Queue
 	return g.commitAndReply(ctx, res, plantainladder.SubmitWorkflow{
-		Spec:  s.Spec,
-		Token: s.Token,
+		Spec:   s.Spec,
+		Token:  s.Token,
+		Resent: s.Resent,
 	}), nil
 }
 
 func (g *Server) cancel(ctx context.Context, req wire.WorkflowRequest) (wire.LeaderReply[wire.Result], error) {
-	res, reply, ok := g.resolveOnLeader(ctx, req, resolveCancellation)
+	res, reply, ok := resolveOnLeader(ctx, g, req, resolveCancellation)
 	if !ok {
 		return reply, nil
 	}
--- a/workflow/spec.go
+++ b/workflow/spec.go
@@ -5,6 +5,8 @@
 
 import (
 	"fmt"
+	"reflect"
+	"slices"
 	"time"
 
 	"github.com/plantainladder/plantainladder/pool"
@@ -81,6 +83,19 @@
 	return s.Repetitions > 0
 }
 
+// RequestsSameWork reports whether two specifications are equal but for the identifier,
+// the queue and the organisation.
+func (s Spec) RequestsSameWork(other Spec) bool {
+	return s.Payload == other.Payload && s.Repetitions == other.Repetitions && s.FirstAt.Equal(other.FirstAt) &&
+		s.Interval == other.Interval && slices.EqualFunc(s.Steps, other.Steps, Step.equals)
+}
+
+func (s Step) equals(other Step) bool {
+	areDependenciesEqual := slices.Equal(s.Dependencies, other.Dependencies)
+	s.Dependencies, other.Dependencies = nil, nil
+	return areDependenciesEqual && reflect.DeepEqual(s, other)
+}
+
 // OccurrenceCount returns the number of occurrences, which is at least 1.
 func (s Spec) OccurrenceCount() int {
 	return max(s.Repetitions, 1)
