Log and count when a controller stood still or a clock was set

No line told for how long a controller had not run, so an answer from older state could not be told from a lost entry by its log. Each tick now carries the time of day beside the steady clock. If more than 1 s has passed between two ticks, or the clocks differ by more than 0.2 s, one line has both times and whether the controller leads, and controller_standstills_total counts it by kind. At most one line is written per tick.

--- a/control/core.go
+++ b/control/core.go
@@ -24,6 +24,7 @@
 	snapshotIndex     uint64
 	isSavingSnapshot  bool
 	receivedSnapshot  *SnapshotReceived
+	lastPulse         pulse
 }
 
 // NewCore returns a core with the replica and the state recovered from disk.
@@ -81,6 +82,8 @@
 		c, more := c.reconcile(now)
 		out = append(out, more...)
 		c, more = c.logGroupHealth(now)
+		out = append(out, more...)
+		c, more = c.logStandstill(now, e)
 		return c, append(out, more...)
 	case PeerMessageReceived:
 		c.lastSender, c.lastSenderAddress = e.Message.From, e.SenderAddress
--- a/control/effect.go
+++ b/control/effect.go
@@ -113,6 +113,7 @@
 	CounterOrderRetries CounterName = "order_retries_total"
 	CounterRunCrashes   CounterName = "run_crashes_total"
 	CounterLossVerdicts CounterName = "loss_verdicts_total"
+	CounterStandstills  CounterName = "standstills_total"
 )
 
 // Labels of CounterRunCrashes: whether other workflows had runs on the worker.
--- a/control/event.go
+++ b/control/event.go
@@ -18,6 +18,9 @@
 type Tick struct {
 	// Jitter is a random duration from zero to the election timeout.
 	Jitter time.Duration
+	// TimeOfDay is the time of day without a reading of the steady clock; zero if it is
+	// not to be compared with that.
+	TimeOfDay time.Time
 }
 
 // PeerMessageReceived delivers a message of another replica.
--- a/controller/node/meters.go
+++ b/controller/node/meters.go
@@ -50,6 +50,9 @@
 	}
 	counter(control.CounterRunCrashes, control.LabelAlone)
 	counter(control.CounterRunCrashes, control.LabelShared)
+	for _, label := range []string{control.LabelStopped, control.LabelSuspended, control.LabelSetBack} {
+		counter(control.CounterStandstills, label)
+	}
 	for _, f := range workflow.WorkerFates() {
 		counter(control.CounterLossVerdicts, string(f))
 	}
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -271,7 +271,8 @@
 	go n.loop.Run(ctx)
 	go n.loop.Tick(ctx, tickInterval, func() control.Event {
 		return control.Tick{
-			Jitter: rand.N(electionTimeout),
+			Jitter:    rand.N(electionTimeout),
+			TimeOfDay: time.Now().Round(0),
 		}
 	})
 	if n.cfg.Voters > 0 {
--- a/controller/node/perform.go
+++ b/controller/node/perform.go
@@ -52,6 +52,9 @@
 	case control.LogGroupHealth:
 		n.logger.Info().Int("tolerated", f.Tolerated).Int("missing", f.Missing).Strs("silent", f.Silent).
 			Msg("The number of controllers that the group can lose was assessed anew.")
+	case control.LogStandstill:
+		n.logger.Warn().Dur("steady", f.Steady).Dur("time-of-day", f.TimeOfDay).Bool("leader", f.IsLeader).
+			Msg("Controller stood still, or a clock was set.")
 	case control.LogMessage:
 		n.logger.Info().Msg(f.Text)
 	case control.IncrementCounter:
