Let the seeds agree on the first group

Ruled out: a second group, or the old identity after the restart; core-1 had no group then.

Change: the seeds agree on the first group and its voters by single-decree Paxos (package formation); a core that lost its disk is no acceptor any more. No group has fewer than f+1 first voters, and a leader with fewer than f+1 never accepts commands. A change is answered with group-incomplete meanwhile. The product's own `members form` and `--form` stay.

--- a/consensus/event.go
+++ b/consensus/event.go
@@ -59,6 +59,16 @@
 	Self member.Member
 }
 
+// InstallGroup makes a replica that belongs to no group a voter of a new one, on whose
+// voters all of them have agreed. Each of them gets the same first entry, and they elect
+// a leader. It has no effect on a replica that belongs to a group.
+type InstallGroup struct {
+	// Set is the new group. The replica is one of its voters.
+	Set member.Set
+	// Campaigns is true if the replica starts an election at once.
+	Campaigns bool
+}
+
 // EntriesSynced reports that all entries up to an index are durable on disk.
 type EntriesSynced struct {
 	// Index and Term identify the last durable entry. The event is ignored if
@@ -98,6 +108,7 @@
 func (Propose) event()            {}
 func (ChangeMembers) event()      {}
 func (FormGroup) event()          {}
+func (InstallGroup) event()       {}
 func (EntriesSynced) event()      {}
 func (Compacted) event()          {}
 func (SnapshotReceived) event()   {}
--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -21,7 +21,7 @@
 		}
 	}
 	r.hardState = HardState{
-		Term: 1,
+		Term: firstTerm,
 		Vote: r.cfg.ID,
 	}
 	set := member.Set{
@@ -41,6 +41,43 @@
 	})
 }
 
+// firstTerm is the term of the entry that names the first voters of a group.
+const firstTerm = 1
+
+func (r Replica) stepInstallGroup(now time.Time, e InstallGroup) (Replica, []Effect) {
+	isOther := r.Group() != "" && r.Group() != e.Set.Group
+	if isOther || r.Members().Group != "" || r.log.LastIndex() > 0 || !e.Set.IsVoter(r.cfg.ID) {
+		return r, nil
+	}
+	r.hardState.Term = max(r.hardState.Term, firstTerm)
+	first := Entry{
+		Index: 1,
+		Term:  firstTerm,
+		Payload: Members{
+			Set: e.Set,
+		},
+	}
+	r = r.withEntry(first).withElectionTimer(now)
+	if e.Campaigns {
+		r.electionDeadline = now
+	}
+	return r, []Effect{
+		Persist{
+			Hard: r.hardState,
+			Entries: []Entry{
+				first,
+			},
+		},
+	}
+}
+
+// FirstGroup returns the set of the first entry while the replica holds no other entry
+// and knows no leader, and false otherwise. The other voters may not know the group then.
+func (r Replica) FirstGroup() (member.Set, bool) {
+	isFirst := r.log.BaseIndex() == 0 && r.log.LastIndex() == 1 && r.leaderID == ""
+	return r.Members(), isFirst
+}
+
 func (r Replica) stepChangeMembers(now time.Time, e ChangeMembers) (Replica, []Effect) {
 	l, ok := r.role.(Leader)
 	refusal := Refused{
--- a/consensus/replica.go
+++ b/consensus/replica.go
@@ -241,6 +241,8 @@
 		r, out = r.stepChangeMembers(now, e)
 	case FormGroup:
 		r, out = r.stepFormGroup(now, e)
+	case InstallGroup:
+		r, out = r.stepInstallGroup(now, e)
 	case EntriesSynced:
 		r = r.stepEntriesSynced(e)
 	case Compacted:
--- a/control/control_suite_test.go
+++ b/control/control_suite_test.go
@@ -34,6 +34,11 @@
 }
 
 func newLeader() *leader {
+	return newLeaderOf(0)
+}
+
+// newLeaderOf returns the leader of a group that is to have the number of voters.
+func newLeaderOf(voters int) *leader {
 	now := time.Unix(1_700_000_000, 0)
 	l := &leader{
 		now: now,
@@ -44,6 +49,7 @@
 			},
 			SnapshotEvery: 1000,
 			Policy:        schedule.Guaranteed{},
+			Voters:        voters,
 		}, consensus.NewReplica(now, consensus.Config{
 			ID:              "c1",
 			ElectionTimeout: time.Second,
--- a/control/core.go
+++ b/control/core.go
@@ -10,6 +10,7 @@
 
 	plantainladder "github.com/plantainladder/plantainladder"
 	"github.com/plantainladder/plantainladder/consensus"
+	"github.com/plantainladder/plantainladder/formation"
 )
 
 // Core is the immutable state of a controller.
@@ -24,6 +25,7 @@
 	snapshotIndex     uint64
 	isSavingSnapshot  bool
 	receivedSnapshot  *SnapshotReceived
+	formation         formation.Formation
 }
 
 // NewCore returns a core with the replica and the state recovered from disk.
@@ -37,6 +39,12 @@
 	}
 }
 
+// WithFormation returns c with the state of the agreement on the first group.
+func (c Core) WithFormation(f formation.Formation) Core {
+	c.formation = f
+	return c
+}
+
 // Replica returns the consensus replica.
 func (c Core) Replica() consensus.Replica {
 	return c.replica
@@ -80,6 +88,8 @@
 		})
 		c, more := c.reconcile(now)
 		out = append(out, more...)
+		c, more = c.tickFormation(now, e.Jitter)
+		out = append(out, more...)
 		c, more = c.logGroupHealth(now)
 		return c, append(out, more...)
 	case PeerMessageReceived:
@@ -91,8 +101,10 @@
 		if !c.acceptsCommands(now) {
 			return c, []Effect{
 				Reply{
-					Token:  e.Token,
-					Answer: Busy{},
+					Token: e.Token,
+					Answer: Busy{
+						IsGroupIncomplete: true,
+					},
 				},
 			}
 		}
@@ -129,6 +141,10 @@
 		return c.stepObservation(now, e), nil
 	case Join:
 		return c.stepJoin(now, e)
+	case FormationReceived:
+		return c.stepFormation(now, formation.MessageReceived{
+			Message: e.Message,
+		})
 	case TimerFired:
 		return c.stepTimerFired(), nil
 	}
--- a/control/effect.go
+++ b/control/effect.go
@@ -135,7 +135,10 @@
 
 // Busy reports that the request cannot be accepted now and may be retried: the
 // log has no room for it, or the group has too few voters yet.
-type Busy struct{}
+type Busy struct {
+	// IsGroupIncomplete is true if the group has too few voters.
+	IsGroupIncomplete bool
+}
 
 // OutcomeUnknown reports that the request was accepted and that it is not known
 // whether it takes effect.
--- a/control/join.go
+++ b/control/join.go
@@ -20,7 +20,8 @@
 	// controller may replace it. It is longer than a restart takes.
 	deadMemberTimeout = 6 * time.Second
 	// groupCompletionTimeout is how long a new leader waits for the configured
-	// number of voters. After it, the leader accepts commands with fewer voters.
+	// number of voters. After it, those that are missing count as lost, and the leader
+	// accepts commands with fewer voters.
 	groupCompletionTimeout = 6 * time.Second
 )
 
@@ -41,7 +42,16 @@
 
 // acceptsCommands reports whether the group has enough voters to accept
 // commands: an accepted command must survive as many failures as the configured
-// number of voters tolerates.
+// number of voters tolerates. If v of 2f+1 voters are there and the others count as
+// lost, v-f-1 more may be lost. With v > f, f+1 voters are left then, which are a
+// majority and hold every committed entry. With fewer, none need be left.
 func (c Core) acceptsCommands(now time.Time) bool {
-	return c.leadership == nil || c.replica.Members().Voters() >= c.cfg.Voters || now.Sub(c.leadership.since) > groupCompletionTimeout
+	voters := c.replica.Members().Voters()
+	switch {
+	case c.leadership == nil || voters >= c.cfg.Voters:
+		return true
+	case voters < c.cfg.Voters/2+1:
+		return false
+	}
+	return now.Sub(c.leadership.since) > groupCompletionTimeout
 }
--- /dev/null
+++ b/controller/disk/formation.go
@@ -0,0 +1,54 @@
+package disk
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+
+	"github.com/google/renameio/v2"
+
+	"github.com/plantainladder/plantainladder/codec"
+	"github.com/plantainladder/plantainladder/formation"
+	"github.com/plantainladder/plantainladder/util"
+)
+
+const formationFile = "formation"
+
+// SaveFormation durably replaces the state of the agreement on the first group.
+func (f *Folder) SaveFormation(s formation.Stored) (err error) {
+	defer util.Annotate(&err, "disk: save formation")
+	body, err := codec.Marshal(s)
+	if err != nil {
+		return err
+	}
+	err = renameio.WriteFile(f.formationPath(), appendFrame(nil, body), filePerm, renameio.WithTempDir(f.path))
+	if err != nil {
+		return asFullError(err, nil)
+	}
+	return syncFolder(f.path)
+}
+
+// LoadFormation returns the state of the agreement on the first group, or false if
+// there is none. It returns a *DamageError if the file is damaged.
+func (f *Folder) LoadFormation() (s formation.Stored, ok bool, err error) {
+	defer util.Annotate(&err, "disk: load formation")
+	b, err := os.ReadFile(f.formationPath())
+	if errors.Is(err, os.ErrNotExist) {
+		return s, false, nil
+	}
+	if err != nil {
+		return s, false, err
+	}
+	body, rest, isWhole := readFrame(b)
+	if !isWhole || len(rest) > 0 {
+		return s, false, &DamageError{
+			Path: f.formationPath(),
+		}
+	}
+	s, err = codec.Unmarshal[formation.Stored](body)
+	return s, err == nil, err
+}
+
+func (f *Folder) formationPath() string {
+	return filepath.Join(f.path, formationFile)
+}
--- a/controller/disk/leftover.go
+++ b/controller/disk/leftover.go
@@ -11,6 +11,7 @@
 var leftoverPatterns = []string{
 	"." + snapshotFile + "*",
 	"." + identityFile + "*",
+	"." + formationFile + "*",
 	"*.wal" + tempSuffix,
 	receivedSnapshotFile,
 }
--- a/controller/gateway/server.go
+++ b/controller/gateway/server.go
@@ -102,7 +102,7 @@
 	case control.NotLeader:
 		reply.Redirect = a.Redirect
 	case control.Busy:
-		reply.Leader, reply.Busy = true, true
+		reply.Leader, reply.Busy, reply.GroupIncomplete = true, true, a.IsGroupIncomplete
 	case control.OutcomeUnknown:
 		reply.Leader, reply.OutcomeUnknown = true, true
 	case control.Refused:
--- a/controller/node/config.go
+++ b/controller/node/config.go
@@ -29,6 +29,15 @@
 	// FormGroup is true if this controller forms a new group when it belongs to
 	// none.
 	FormGroup bool
+	// IsFirstStart is true if this controller takes part in the agreement on the first
+	// group, as it does after a restart too. A controller whose disk was lost must be
+	// started without it.
+	IsFirstStart bool
+	// Founders lists the addresses of the controllers that agree on the first group,
+	// the same on all controllers.
+	Founders []string
+	// Founder is the position of this controller among them, or formation.NoFounder.
+	Founder int
 	// Seeds returns addresses of controllers to send join requests to.
 	Seeds func() []string
 	// Dispatch configures the dispatch of workflows; its zero value disables it.
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/plantainladder/plantainladder/controller/operator"
 	"github.com/plantainladder/plantainladder/controller/replica"
 	"github.com/plantainladder/plantainladder/controller/worker"
+	"github.com/plantainladder/plantainladder/formation"
 	"github.com/plantainladder/plantainladder/loop"
 	"github.com/plantainladder/plantainladder/member"
 	"github.com/plantainladder/plantainladder/rpc"
@@ -80,6 +81,10 @@
 	if err != nil {
 		return nil, errors.Join(err, folder.Close())
 	}
+	stored, err := loadFormation(cfg, folder, core.Replica())
+	if err != nil {
+		return nil, errors.Join(err, folder.Close())
+	}
 	n = &Node{
 		cfg:     cfg,
 		logger:  util.ForComponent(cfg.Logger, "controller"),
@@ -93,6 +98,11 @@
 	if n.cfg.Advertise == "" {
 		n.cfg.Advertise = cfg.Listen
 	}
+	core = core.WithFormation(formation.New(time.Now(), formation.Config{
+		Self:   n.self(),
+		Voters: cfg.Voters,
+		Group:  util.NewID(),
+	}, stored))
 	n.loop = loop.New(loop.Config[control.Core, control.Event, control.Effect]{
 		Initial:     core,
 		Step:        control.Core.Step,
@@ -181,6 +191,14 @@
 	n.logger.Info().Dur("waited", waited).Msg("Disk has room again.")
 }
 
+// self returns this controller as a member of the group.
+func (n *Node) self() member.Member {
+	return member.Member{
+		ID:      n.folder.ID(),
+		Address: n.cfg.Advertise,
+	}
+}
+
 // joiner returns the Joiner that adds this controller to the group.
 func (n *Node) joiner() *replica.Joiner {
 	return replica.NewJoiner(replica.JoinerConfig{
@@ -190,10 +208,7 @@
 			Logger:     util.ForComponent(n.cfg.Logger, "controller/replica"),
 			CountBytes: n.meters.countBytes,
 		},
-		Self: member.Member{
-			ID:      n.folder.ID(),
-			Address: n.cfg.Advertise,
-		},
+		Self:      n.self(),
 		FormGroup: n.cfg.FormGroup,
 		Seeds:     n.cfg.Seeds,
 		Post:      n.loop.Post,
--- a/controller/node/perform.go
+++ b/controller/node/perform.go
@@ -20,6 +20,12 @@
 		})
 	case control.SendMessage:
 		n.sendMessage(f)
+	case control.SaveFormation:
+		n.saveFormation(f.Save)
+	case control.SendFormation:
+		n.sendFormation(f.Send)
+	case control.LogFormation:
+		n.logFormation(f.Record)
 	case control.StreamSnapshot:
 		n.peers.QueueSnapshot(f.Address, f.Send)
 	case control.SaveSnapshot:
--- a/controller/replica/peers.go
+++ b/controller/replica/peers.go
@@ -11,6 +11,7 @@
 
 	"github.com/plantainladder/plantainladder/consensus"
 	"github.com/plantainladder/plantainladder/controller/disk"
+	"github.com/plantainladder/plantainladder/formation"
 	"github.com/plantainladder/plantainladder/rpc"
 	"github.com/plantainladder/plantainladder/util"
 	"github.com/plantainladder/plantainladder/wire"
@@ -51,9 +52,11 @@
 	transfers chan snapshotTransfer
 }
 
+// outgoingMessage is a message on the first group if formation is set.
 type outgoingMessage struct {
-	address string
-	message wire.Message
+	address   string
+	message   wire.Message
+	formation *wire.FormationMessage
 }
 
 type snapshotTransfer struct {
@@ -82,6 +85,22 @@
 	}
 }
 
+// QueueFormation queues a message on the first group like QueueMessage.
+func (p *Peers) QueueFormation(address string, m formation.Message) {
+	encoded, err := wire.FromFormation(m)
+	if err != nil {
+		p.cfg.Logger.Error().Err(err).Msg("Encoding a message on the first group failed.")
+		return
+	}
+	select {
+	case p.messages <- outgoingMessage{
+		address:   address,
+		formation: &encoded,
+	}:
+	default:
+	}
+}
+
 // QueueSnapshot queues a transfer of the latest snapshot without blocking. It
 // drops the transfer if the queue is full.
 func (p *Peers) QueueSnapshot(address string, s consensus.SendSnapshot) {
@@ -107,6 +126,10 @@
 			if m.address == "" {
 				continue
 			}
+			if m.formation != nil {
+				rpc.Send(clients.Get(m.address), wire.MethodFormation, *m.formation)
+				continue
+			}
 			rpc.Send(clients.Get(m.address), wire.MethodMessage, m.message)
 		}
 	}
--- a/controller/replica/server.go
+++ b/controller/replica/server.go
@@ -31,6 +31,15 @@
 			SenderAddress: m.SenderAddress,
 		})
 	})
+	rpc.Handle(s, wire.MethodFormation, func(ctx context.Context, m wire.FormationMessage) (wire.Empty, error) {
+		message, err := m.ToFormation()
+		if err != nil {
+			return wire.Empty{}, err
+		}
+		return wire.Empty{}, cfg.Post(ctx, control.FormationReceived{
+			Message: message,
+		})
+	})
 	rpc.Handle(s, wire.MethodSnapshot, cfg.receiveChunk)
 }
 
--- a/gateway/controller/leader.go
+++ b/gateway/controller/leader.go
@@ -167,6 +167,15 @@
 	return e.Method + ": the controller does not know whether the request was committed"
 }
 
+// A GroupIncompleteError reports that the leader accepts no commands, since its group has
+// too few voters to keep them.
+type GroupIncompleteError struct{}
+
+// Error returns the reason.
+func (e *GroupIncompleteError) Error() string {
+	return "the group of controllers has too few voters yet"
+}
+
 // attempt is one call to one controller. It reports whether the controller leads
 // and, if it does not, returns the address of the leader as far as it is known.
 type attempt func(ctx context.Context, c *rpc.Client) (leader bool, redirect string, err error)
@@ -244,8 +253,10 @@
 
 // Command replicates a command and returns its outcome. It repeats the command
 // until the outcome is known, so the command must be idempotent or have an
-// identifier. It returns a *NoLeaderError if ctx ends before.
+// identifier. It returns a *NoLeaderError if ctx ends before, whose cause is a
+// *GroupIncompleteError if a leader answered that its group has too few voters.
 func (l *LeaderClient) Command(ctx context.Context, id string, c plantainladder.Command) (o plantainladder.Outcome, err error) {
+	isGroupIncomplete := false
 	body, err := wire.MarshalCommand(c)
 	if err != nil {
 		return o, err
@@ -256,6 +267,7 @@
 			Body: body,
 		})
 		o = r.Outcome
+		isGroupIncomplete = isGroupIncomplete || r.GroupIncomplete
 		if err == nil && r.OutcomeUnknown {
 			err = &OutcomeUnknownError{
 				Method: wire.MethodCommand,
@@ -263,6 +275,10 @@
 		}
 		return r.Leader && !r.Busy && !r.OutcomeUnknown, r.Redirect, err
 	})
+	var noLeader *NoLeaderError
+	if isGroupIncomplete && errors.As(err, &noLeader) {
+		noLeader.Cause = &GroupIncompleteError{}
+	}
 	return o, err
 }
 
--- a/wire/poll.go
+++ b/wire/poll.go
@@ -38,6 +38,9 @@
 	// Busy is true if the leader's queue was full and it did not accept the
 	// command.
 	Busy bool `json:"busy,omitempty"`
+	// GroupIncomplete is true if the leader is busy since its group has too few
+	// voters.
+	GroupIncomplete bool `json:"group-incomplete,omitempty"`
 	// OutcomeUnknown is true if the leader accepted the command and does not know
 	// whether it was committed.
 	OutcomeUnknown bool `json:"lost,omitempty"`
