--- a/control/core.go
+++ b/control/core.go
@@ -10,6 +10,7 @@
 
 	plantainladder "github.com/plantainladder/plantainladder"
 	"github.com/plantainladder/plantainladder/consensus"
+	"github.com/plantainladder/plantainladder/formation"
 )
 
 // Core is the immutable state of a controller.
@@ -25,6 +26,7 @@
 	isSavingSnapshot  bool
 	receivedSnapshot  *SnapshotReceived
 	lastPulse         pulse
+	formation         formation.Formation
 }
 
 // NewCore returns a core with the replica and the state recovered from disk.
@@ -38,6 +40,12 @@
 	}
 }
 
+// WithFormation returns c with the state of the agreement on the first group.
+func (c Core) WithFormation(f formation.Formation) Core {
+	c.formation = f
+	return c
+}
+
 // Replica returns the consensus replica.
 func (c Core) Replica() consensus.Replica {
 	return c.replica
@@ -81,6 +89,8 @@
 		})
 		c, more := c.reconcile(now)
 		out = append(out, more...)
+		c, more = c.tickFormation(now, e.Jitter)
+		out = append(out, more...)
 		c, more = c.logGroupHealth(now)
 		out = append(out, more...)
 		c, more = c.logStandstill(now, e)
@@ -94,8 +104,10 @@
 		if !c.acceptsCommands(now) {
 			return c, []Effect{
 				Reply{
-					Token:  e.Token,
-					Answer: Busy{},
+					Token: e.Token,
+					Answer: Busy{
+						IsGroupIncomplete: true,
+					},
 				},
 			}
 		}
@@ -134,6 +146,10 @@
 		return c.stepObservation(now, e), nil
 	case Join:
 		return c.stepJoin(now, e)
+	case FormationReceived:
+		return c.stepFormation(now, formation.MessageReceived{
+			Message: e.Message,
+		})
 	case TimerFired:
 		return c.stepTimerFired(), nil
 	}
@@ -332,40 +348,6 @@
 	}
 }
 
-func (c Core) stepSubmit(now time.Time, e Submit) (Core, []Effect) {
-	b, err := c.cfg.Codec.Encode(plantainladder.Envelope{
-		ID:      e.ID,
-		At:      now,
-		Command: e.Command,
-	})
-	if err != nil {
-		return c, []Effect{
-			Reply{
-				Token: e.Token,
-				Answer: Refused{
-					Reason: string(plantainladder.RefusedBadField),
-					Detail: err.Error(),
-				},
-			},
-		}
-	}
-	return c.stepReplica(now, consensus.Propose{
-		Proposals: []consensus.Proposal{
-			{
-				Token: e.Token,
-				Bytes: b,
-			},
-		},
-	})
-}
-
-// propose replicates a command that the leader itself issues.
-func (c Core) propose(now time.Time, command plantainladder.Command) (Core, []Effect) {
-	return c.stepSubmit(now, Submit{
-		Command: command,
-	})
-}
-
 // roleChanged creates or discards the leader state. Pending requests of a lost
 // leadership have an unknown outcome: the next leader may commit their entries.
 func (c Core) roleChanged(now time.Time, f consensus.RoleChanged) (Core, []Effect) {
--- a/controller/disk/leftover.go
+++ b/controller/disk/leftover.go
@@ -10,6 +10,7 @@
 var leftoverPatterns = []string{
 	"." + snapshotFile + "*",
 	"." + identityFile + "*",
+	"." + formationFile + "*",
 	"*.wal" + tempSuffix,
 	receivedSnapshotFile,
 }
