Answer the calls that are on their way when a front stops

Callers saw: a call over an open connection ended without an answer when the front that it was sent to got SIGTERM, though the call was sent whole.

Cause: Stop called http.Server.SetKeepAlivesEnabled(false), which closes idle connections at once, also those with a call on its way. 2.5 s later it called Shutdown, which closes the listener with connections in its queue, and net/http returns without an answer for calls whose headers it reads after that.

Fix: during the notice period connections stay open; the answer to each call that arrives closes its connection. Then the listener stops: it accepts what is in its queue and refuses the rest, in two adjacent system calls. Connections without a call get a read deadline, after which they are closed only if nothing has arrived. Shutdown is not called; the stop waits until no connection is open.

--- a/http1/server.go
+++ b/http1/server.go
@@ -1,5 +1,5 @@
-// Package http1 serves HTTP/1.1, stops in an orderly way and tells what became of the
-// calls that a stop met.
+// Package http1 serves HTTP/1.1, stops without leaving calls unanswered that callers
+// have sent over open connections, and tells what became of the calls that a stop met.
 package http1
 
 import (
@@ -37,7 +37,7 @@
 type Server struct {
 	cfg         Config
 	http        *http.Server
-	listener    net.Listener
+	listener    *listener
 	connections connections
 	calls       calls
 	isStopping  atomic.Bool
@@ -52,7 +52,7 @@
 	}
 	s = &Server{
 		cfg:      cfg,
-		listener: l,
+		listener: newListener(l.(*net.TCPListener)),
 	}
 	s.http = &http.Server{
 		Handler:           http.HandlerFunc(s.serveHTTP),
@@ -71,7 +71,11 @@
 
 // Serve answers calls until Stop or Close. It returns http.ErrServerClosed then.
 func (s *Server) Serve() error {
-	return s.http.Serve(s.listener)
+	err := s.http.Serve(s.listener)
+	if s.isStopping.Load() {
+		return http.ErrServerClosed
+	}
+	return err
 }
 
 // Close closes the listener and all connections at once.
@@ -79,7 +83,12 @@
 	return s.http.Close()
 }
 
+// serveHTTP passes a call on to the handler. The answer to a call that arrives while
+// the server stops closes its connection.
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.isStopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	s.calls.serve(s, w, r)
 }
 
@@ -93,18 +102,24 @@
 	AnswerTimeout time.Duration
 }
 
-// Stop goes on serving for the notice period, closes the listener and waits for the
-// calls under way. It returns context.DeadlineExceeded if calls were left.
+// Stop stops the server without breaking a call off. During the notice period it
+// accepts connections and calls as before, but the answer to each call that arrives
+// closes its connection. Connections without a call stay open until the end of the
+// period, since a call may be on its way. Then Stop closes the listener, once the
+// connections in its queue are accepted, and waits for the calls under way. It returns
+// the error of ctx or context.DeadlineExceeded if calls were left.
 func (s *Server) Stop(ctx context.Context, cfg StopConfig) (err error) {
 	defer util.Annotate(&err, "http1: stop")
 	startedAt := time.Now()
 	s.isStopping.Store(true)
 	s.logStart(cfg)
-	s.http.SetKeepAlivesEnabled(false)
 	util.SleepContext(ctx, cfg.NoticePeriod)
 	ctx, cancel := context.WithTimeout(ctx, cfg.AnswerTimeout)
 	defer cancel()
-	err = s.http.Shutdown(ctx)
+	err = s.listener.stop(ctx, time.Now())
+	s.connections.closeIdle(time.Now())
+	// http.Server.Shutdown would drop the calls that are read after it.
+	err = errors.Join(err, s.connections.awaitNone(ctx))
 	s.reportEnd(time.Since(startedAt), err)
 	return errors.Join(err, s.http.Close())
 }
