Leave a stopping front the time of the longest call after its notice period

Callers saw: a call that a stopping front accepted near the end of its notice period, and that took long since no leader answered, ended without an answer.

Cause: a call may take 2.9 s; with a shutdown timeout of 6 s the front left 2.5 s.

Fix: the notice period and the time for answers are derived from the shutdown timeout and the longest call. Where it is too short for both, the contexts of the calls end shortly before, so that their handlers answer.

--- a/http1/server.go
+++ b/http1/server.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -41,6 +40,8 @@
 	connections connections
 	calls       calls
 	isStopping  atomic.Bool
+	// cancelCalls ends the contexts of the calls under way.
+	cancelCalls context.CancelFunc
 }
 
 // Listen returns a Server that listens on a TCP address. Serve answers calls.
@@ -50,9 +51,11 @@
 	if err != nil {
 		return nil, err
 	}
+	ctx, cancel := context.WithCancel(context.Background())
 	s = &Server{
-		cfg:      cfg,
-		listener: newListener(l.(*net.TCPListener)),
+		cfg:         cfg,
+		listener:    newListener(l.(*net.TCPListener)),
+		cancelCalls: cancel,
 	}
 	s.http = &http.Server{
 		Handler:           http.HandlerFunc(s.serveHTTP),
@@ -60,6 +63,7 @@
 		IdleTimeout:       cfg.IdleTimeout,
 		MaxHeaderBytes:    cfg.MaxHeaderBytes,
 		ConnState:         s.connections.stateChanged,
+		BaseContext:       func(net.Listener) context.Context { return ctx },
 	}
 	return s, nil
 }
@@ -80,6 +84,7 @@
 
 // Close closes the listener and all connections at once.
 func (s *Server) Close() error {
+	s.cancelCalls()
 	return s.http.Close()
 }
 
@@ -91,52 +96,3 @@
 	}
 	s.calls.serve(s, w, r)
 }
-
-// StopConfig holds the periods of a stop.
-type StopConfig struct {
-	// NoticePeriod is how long the server goes on accepting connections and calls,
-	// so that callers and load balancers turn to other servers.
-	NoticePeriod time.Duration
-	// AnswerTimeout is how long calls may take that are under way at the end of the
-	// notice period.
-	AnswerTimeout time.Duration
-}
-
-// Stop stops the server without breaking a call off. During the notice period it
-// accepts connections and calls as before, but the answer to each call that arrives
-// closes its connection. Connections without a call stay open until the end of the
-// period, since a call may be on its way. Then Stop closes the listener, once the
-// connections in its queue are accepted, and waits for the calls under way. It returns
-// the error of ctx or context.DeadlineExceeded if calls were left.
-func (s *Server) Stop(ctx context.Context, cfg StopConfig) (err error) {
-	defer util.Annotate(&err, "http1: stop")
-	startedAt := time.Now()
-	s.isStopping.Store(true)
-	s.logStart(cfg)
-	util.SleepContext(ctx, cfg.NoticePeriod)
-	ctx, cancel := context.WithTimeout(ctx, cfg.AnswerTimeout)
-	defer cancel()
-	err = s.listener.stop(ctx, time.Now())
-	s.connections.closeIdle(time.Now())
-	// http.Server.Shutdown would drop the calls that are read after it.
-	err = errors.Join(err, s.connections.awaitNone(ctx))
-	s.reportEnd(time.Since(startedAt), err)
-	return errors.Join(err, s.http.Close())
-}
-
-func (s *Server) logStart(cfg StopConfig) {
-	open, idle, _ := s.connections.count()
-	s.cfg.Logger.Info().Int64("running", s.calls.running.Load()).Int("connections", open).Int("idle", idle).
-		Dur("notice", cfg.NoticePeriod).Dur("answers", cfg.AnswerTimeout).Msg("Server is stopping.")
-}
-
-// reportEnd logs and counts the calls that were left without an answer.
-func (s *Server) reportEnd(took time.Duration, err error) {
-	open, _, received := s.connections.count()
-	running := int(s.calls.running.Load())
-	dropped := max(received-int(s.calls.passedOn.Load()), 0)
-	s.cfg.CountCalls(LeftRunning, running)
-	s.cfg.CountCalls(Dropped, dropped)
-	s.cfg.Logger.Info().Int64("answered", s.calls.answeredWhileStopping.Load()).Int("left-running", running).
-		Int("dropped", dropped).Int("connections", open).Dur("took", took).AnErr("cause", err).Msg("Server has stopped.")
-}
--- a/http1/stop_test.go
+++ b/http1/stop_test.go
@@ -142,4 +142,38 @@
 		}()
 		Eventually(stopped).WithTimeout(5 * noticePeriod).Should(Receive(MatchError(context.DeadlineExceeded)))
 	})
+
+	It("ends the context of a call that takes too long, so that its handler answers", func() {
+		started := make(chan struct{})
+		s, _ := listen(func(w http.ResponseWriter, r *http.Request) {
+			close(started)
+			<-r.Context().Done()
+			w.WriteHeader(http.StatusGatewayTimeout)
+		})
+		conn := dial(s)
+		answered := make(chan *http.Response, 1)
+		go func() {
+			defer GinkgoRecover()
+			resp, err := call(conn, bufio.NewReader(conn))
+			Expect(err).NotTo(HaveOccurred())
+			answered <- resp
+		}()
+		Eventually(started).Should(BeClosed())
+		Expect(s.Stop(context.Background(), http1.StopConfig{
+			NoticePeriod:  noticePeriod,
+			AnswerTimeout: 2 * noticePeriod,
+		})).To(Succeed())
+		Eventually(answered).Should(Receive(HaveField("StatusCode", http.StatusGatewayTimeout)))
+	})
+
+	DescribeTable("divides its time between the notice and the longest call", func(timeout, notice time.Duration) {
+		cfg := http1.SplitTimeout(timeout, 2500*time.Millisecond, 2900*time.Millisecond)
+		Expect(cfg.NoticePeriod).To(Equal(notice))
+		Expect(cfg.NoticePeriod + cfg.AnswerTimeout).To(Equal(timeout))
+	},
+		Entry("with more than enough time", 20*time.Second, 2500*time.Millisecond),
+		Entry("with a notice period that is a little shorter", 5700*time.Millisecond, 2350*time.Millisecond),
+		Entry("with too little time for the longest call", 3*time.Second, 1250*time.Millisecond),
+		Entry("with hardly any time", time.Second, 500*time.Millisecond),
+	)
 })
