--- a/http1/server.go
+++ b/http1/server.go
@@ -1,10 +1,9 @@
-// Package http1 serves HTTP/1.1, stops in an orderly way and tells what became of the
-// calls that a stop met.
+// Package http1 serves HTTP/1.1, stops without leaving calls unanswered that callers
+// have sent over open connections, and tells what became of the calls that a stop met.
 package http1
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -37,10 +36,12 @@
 type Server struct {
 	cfg         Config
 	http        *http.Server
-	listener    net.Listener
+	listener    *listener
 	connections connections
 	calls       calls
 	isStopping  atomic.Bool
+	// cancelCalls ends the contexts of the calls under way.
+	cancelCalls context.CancelFunc
 }
 
 // Listen returns a Server that listens on a TCP address. Serve answers calls.
@@ -50,9 +51,11 @@
 	if err != nil {
 		return nil, err
 	}
+	ctx, cancel := context.WithCancel(context.Background())
 	s = &Server{
-		cfg:      cfg,
-		listener: l,
+		cfg:         cfg,
+		listener:    newListener(l.(*net.TCPListener)),
+		cancelCalls: cancel,
 	}
 	s.http = &http.Server{
 		Handler:           http.HandlerFunc(s.serveHTTP),
@@ -60,6 +63,7 @@
 		IdleTimeout:       cfg.IdleTimeout,
 		MaxHeaderBytes:    cfg.MaxHeaderBytes,
 		ConnState:         s.connections.stateChanged,
+		BaseContext:       func(net.Listener) context.Context { return ctx },
 	}
 	return s, nil
 }
@@ -71,57 +75,24 @@
 
 // Serve answers calls until Stop or Close. It returns http.ErrServerClosed then.
 func (s *Server) Serve() error {
-	return s.http.Serve(s.listener)
+	err := s.http.Serve(s.listener)
+	if s.isStopping.Load() {
+		return http.ErrServerClosed
+	}
+	return err
 }
 
 // Close closes the listener and all connections at once.
 func (s *Server) Close() error {
+	s.cancelCalls()
 	return s.http.Close()
 }
 
+// serveHTTP passes a call on to the handler. The answer to a call that arrives while
+// the server stops closes its connection.
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.isStopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	s.calls.serve(s, w, r)
 }
-
-// StopConfig holds the periods of a stop.
-type StopConfig struct {
-	// NoticePeriod is how long the server goes on accepting connections and calls,
-	// so that callers and load balancers turn to other servers.
-	NoticePeriod time.Duration
-	// AnswerTimeout is how long calls may take that are under way at the end of the
-	// notice period.
-	AnswerTimeout time.Duration
-}
-
-// Stop goes on serving for the notice period, closes the listener and waits for the
-// calls under way. It returns context.DeadlineExceeded if calls were left.
-func (s *Server) Stop(ctx context.Context, cfg StopConfig) (err error) {
-	defer util.Annotate(&err, "http1: stop")
-	startedAt := time.Now()
-	s.isStopping.Store(true)
-	s.logStart(cfg)
-	s.http.SetKeepAlivesEnabled(false)
-	util.SleepContext(ctx, cfg.NoticePeriod)
-	ctx, cancel := context.WithTimeout(ctx, cfg.AnswerTimeout)
-	defer cancel()
-	err = s.http.Shutdown(ctx)
-	s.reportEnd(time.Since(startedAt), err)
-	return errors.Join(err, s.http.Close())
-}
-
-func (s *Server) logStart(cfg StopConfig) {
-	open, idle, _ := s.connections.count()
-	s.cfg.Logger.Info().Int64("running", s.calls.running.Load()).Int("connections", open).Int("idle", idle).
-		Dur("notice", cfg.NoticePeriod).Dur("answers", cfg.AnswerTimeout).Msg("Server is stopping.")
-}
-
-// reportEnd logs and counts the calls that were left without an answer.
-func (s *Server) reportEnd(took time.Duration, err error) {
-	open, _, received := s.connections.count()
-	running := int(s.calls.running.Load())
-	dropped := max(received-int(s.calls.passedOn.Load()), 0)
-	s.cfg.CountCalls(LeftRunning, running)
-	s.cfg.CountCalls(Dropped, dropped)
-	s.cfg.Logger.Info().Int64("answered", s.calls.answeredWhileStopping.Load()).Int("left-running", running).
-		Int("dropped", dropped).Int("connections", open).Dur("took", took).AnErr("cause", err).Msg("Server has stopped.")
-}
