--- a/controller/disk/log.go
+++ b/controller/disk/log.go
@@ -214,10 +214,17 @@
 }
 
 // Append writes one batch; Sync makes it durable. If the disk is full, it leaves
-// the log unchanged and returns a *FullError.
+// the log unchanged and returns a *FullError. Entries that do not follow the last one
+// replace all: they follow a snapshot that was saved by a process that was killed before
+// it compacted the log. Recover finds a gap that no snapshot covers.
 func (l *Log) Append(hard consensus.HardState, entries []consensus.Entry) (err error) {
 	defer util.Annotate(&err, "disk: append to log")
-	frame, err := encodeBatch(false, hard, entries)
+	known := l.content.Entries
+	if n := len(known); n > 0 && len(entries) > 0 && entries[0].Index > known[n-1].Index+1 {
+		known = nil
+	}
+	isReset := len(known) < len(l.content.Entries)
+	frame, err := encodeBatch(isReset, hard, entries)
 	if err != nil {
 		return err
 	}
@@ -226,7 +233,7 @@
 	}
 	l.size += int64(len(frame))
 	l.content.Hard = hard
-	l.content.Entries = mergeEntries(l.content.Entries, entries)
+	l.content.Entries = mergeEntries(known, entries)
 	return nil
 }
 
--- a/controller/disk/powerloss/durable_test.go
+++ b/controller/disk/powerloss/durable_test.go
@@ -204,6 +204,28 @@
 		}
 	})
 
+	It("a log is not damaged that was not compacted after a received snapshot", func() {
+		for seed := range uint64(seedsPerTest) {
+			l := newLossyFolder(seed)
+			l.run(func(f *disk.Folder, log *disk.Log) {
+				Expect(log.Append(hard, entries(1, 3))).To(Succeed())
+				Expect(log.Sync()).To(Succeed())
+				Expect(f.SaveSnapshot(disk.Snapshot{
+					Meta: consensus.SnapshotMeta{
+						Index: 10,
+						Term:  1,
+					},
+				})).To(Succeed())
+			})
+			l.run(func(_ *disk.Folder, log *disk.Log) {
+				Expect(log.Append(hard, entries(11, 2))).To(Succeed())
+				Expect(log.Sync()).To(Succeed())
+			})
+			l.disk.losePower(seed%2 == 0)
+			Expect(l.run(nothing).StoredState.Entries).To(Equal(entries(11, 2)))
+		}
+	})
+
 	It("a snapshot is there that a process read at its start", func() {
 		for seed := range uint64(seedsPerTest / 10) {
 			for operations := 1; operations < 15; operations++ {
