Bound the rounds of messages that confirmations begin

Every lookup of a job that came alone began a round of messages to the group.

Cause: a round began as soon as no other was under way, which takes 1 ms, so they were hardly shared; and each process asks for the members of the group every 0.7 s.

Change: at most four rounds per heartbeat interval begin for confirmations. One that finds the last round longer ago begins at once, and rounds for entries and heartbeats count for all that wait. The list of members is read on the lease again: it only says where to look for the leader, and an older one does no harm.

--- a/consensus/confirm.go
+++ b/consensus/confirm.go
@@ -30,10 +30,17 @@
 	sentNS int64
 }
 
-// stepConfirmLeadership makes the request wait for the next round of heartbeats, which
-// begins at once unless one is under way for earlier requests. So a burst of requests
-// needs two rounds at most.
-func (r Replica) stepConfirmLeadership(now time.Time, e ConfirmLeadership) (Replica, []Effect) {
+// RoundDue wakes the replica when a round of messages may begin that requests wait for.
+type RoundDue struct{}
+
+func (RoundDue) event() {}
+
+// roundsPerHeartbeat bounds the rounds of messages that begin only for confirmations.
+const roundsPerHeartbeat = 4
+
+// stepConfirmLeadership makes the request wait for the next round of messages to all
+// members. All that wait share it, so a burst of requests needs two rounds at most.
+func (r Replica) stepConfirmLeadership(e ConfirmLeadership) (Replica, []Effect) {
 	l, ok := r.role.(Leader)
 	if !ok || !r.IsEstablishedLeader() || l.transferee != "" {
 		return r, []Effect{
@@ -48,14 +55,21 @@
 		sentNS: l.sentNS,
 	})
 	r.role = l
-	if l.confirmationsSent > 0 {
-		return r, nil
+	return r, nil
+}
+
+// RoundDueAt returns when a round may begin that requests wait for. It returns false if
+// none waits, or if the round has begun.
+func (r Replica) RoundDueAt() (at time.Time, ok bool) {
+	l, ok := r.role.(Leader)
+	if !ok || l.confirmationsSent > 0 || len(l.confirmations) == 0 {
+		return at, false
 	}
-	return r.replicateToAll(now)
+	return l.roundAt.Add(r.cfg.Heartbeat / roundsPerHeartbeat), true
 }
 
-// answerConfirmations answers the requests that a majority has confirmed, and begins a
-// round for those that came during the last one.
+// answerConfirmations answers the requests that a majority has confirmed, and begins the
+// round for those that came since the last one, if it is due.
 func (r Replica) answerConfirmations(now time.Time) (Replica, []Effect) {
 	l, ok := r.role.(Leader)
 	if !ok || len(l.confirmations) == 0 {
@@ -72,7 +86,7 @@
 	}
 	l.confirmationsSent = max(l.confirmationsSent, 0)
 	r.role = l
-	if l.confirmationsSent > 0 || len(l.confirmations) == 0 {
+	if at, ok := r.RoundDueAt(); !ok || now.Before(at) {
 		return r, out
 	}
 	next, more := r.replicateToAll(now)
--- a/consensus/confirm_test.go
+++ b/consensus/confirm_test.go
@@ -37,6 +37,7 @@
 	It("is given with no time passing and no entry written", func() {
 		c := newFormedCluster(3)
 		last := c.leader().replica.Log().LastIndex()
+		c.now = c.now.Add(heartbeat)
 		c.confirm(c.leader())
 		Expect(c.confirmed).To(BeZero())
 		c.deliverAll()
@@ -59,6 +60,26 @@
 		Expect(c.confirmed).To(Equal(1), "the next heartbeat confirms it, since the first round was lost")
 	})
 
+	It("costs four rounds of messages to all members per heartbeat at most", func() {
+		c := newFormedCluster(3)
+		leader := c.leader()
+		sent := 0
+		for range 1000 {
+			c.now = c.now.Add(time.Millisecond)
+			c.confirm(leader)
+			for _, m := range c.inFlight {
+				if m.From == leader.id {
+					sent++
+				}
+			}
+			c.deliverAll()
+		}
+		Expect(c.confirmed).To(BeNumerically(">", 950))
+		const rounds = 4 * int(time.Second/heartbeat)
+		Expect(sent).To(BeNumerically("<=", 2*(rounds+1)))
+		Expect(sent).To(BeNumerically(">", rounds), "requests do not wait for heartbeats")
+	})
+
 	It("is refused by a leader whose clock stood still while another was elected", func() {
 		c := newFormedCluster(3)
 		old := c.leader()
--- a/consensus/replica.go
+++ b/consensus/replica.go
@@ -252,7 +252,7 @@
 	case TransferLeadership:
 		r, out = r.stepTransferLeadership(now)
 	case ConfirmLeadership:
-		r, out = r.stepConfirmLeadership(now, e)
+		r, out = r.stepConfirmLeadership(e)
 	}
 	r, out = r.applyCommitted(out)
 	r, more := r.answerConfirmations(now)
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -98,6 +98,7 @@
 	}
 	r.heartbeatDue = now.Add(r.cfg.Heartbeat)
 	l.sentNS = max(l.sentNS+1, int64(now.Sub(l.electedAt)))
+	l.roundAt = now
 	l.confirmationsSent = len(l.confirmations)
 	var out []Effect
 	for _, m := range r.Members().Members {
--- a/consensus/role.go
+++ b/consensus/role.go
@@ -42,6 +42,8 @@
 	// sentNS is the SentNS of the last message to a member. Each round to all members
 	// has a higher one than all messages before it, even if the clock stands still.
 	sentNS int64
+	// roundAt is when messages were last sent to all members.
+	roundAt time.Time
 	// confirmations holds the requests that wait for a majority, the oldest first. The
 	// first confirmationsSent of them wait for a round that has begun.
 	confirmations     []confirmation
--- a/control/core.go
+++ b/control/core.go
@@ -25,6 +25,8 @@
 	isSavingSnapshot  bool
 	receivedSnapshot  *SnapshotReceived
 	lastPulse         pulse
+	// isRoundTimerRunning is true while a RoundDue event is pending.
+	isRoundTimerRunning bool
 }
 
 // NewCore returns a core with the replica and the state recovered from disk.
@@ -70,6 +72,7 @@
 // Step returns the next state and the effects to perform.
 func (c Core) Step(now time.Time, e Event) (Core, []Effect) {
 	c, out := c.step(now, e)
+	c, out = c.startRoundTimer(now, out)
 	return c.runDispatch(now, e, out)
 }
 
@@ -126,6 +129,9 @@
 		})
 	case ConfirmLeadership:
 		return c.stepReplica(now, consensus.ConfirmLeadership(e))
+	case RoundDue:
+		c.isRoundTimerRunning = false
+		return c.stepReplica(now, consensus.RoundDue{})
 	case StepDown:
 		return c.stepReplica(now, consensus.TransferLeadership{})
 	case PushAnswered:
--- a/controller/gateway/gateway_suite_test.go
+++ b/controller/gateway/gateway_suite_test.go
@@ -141,6 +141,9 @@
 		case control.SendMessage:
 			g.sent++
 			g.inFlight = append(g.inFlight, f)
+		case control.StartRoundTimer:
+			h.now = h.now.Add(f.Delay)
+			g.stepOne(h, control.RoundDue{})
 		case control.Reply:
 			h.pending.Answer(f.Token, f.Answer)
 		}
--- a/controller/gateway/query.go
+++ b/controller/gateway/query.go
@@ -16,10 +16,12 @@
 	handleQuery(s, g, wire.MethodJobs, jobs)
 	handleQuery(s, g, wire.MethodWorkers, workers)
 	handleQuery(s, g, wire.MethodMinions, minions)
-	handleQuery(s, g, wire.MethodMembers, members)
 	handleQuery(s, g, wire.MethodStatus, status)
 	handleQuery(s, g, wire.MethodInForce, inForce)
 	handleQuery(s, g, wire.MethodClaims, claims)
+	// Every process asks for the members all the time, to know where to look for the
+	// leader. An older list does no harm, so the lease suffices.
+	handleUnconfirmed(s, g, wire.MethodMembers, members)
 }
 
 // handleQuery registers a query that the leader answers from its published state once a
@@ -27,18 +29,31 @@
 func handleQuery[Q, A any](s *rpc.Server, g *Server, method string, query func(c control.Core, now time.Time, q Q) A) {
 	rpc.Handle(s, method, func(ctx context.Context, q Q) (wire.LeaderReply[A], error) {
 		core, redirect, ok := g.confirmedCore(ctx)
-		if !ok {
-			return wire.LeaderReply[A]{
-				Redirect: redirect,
-			}, nil
-		}
-		return wire.LeaderReply[A]{
-			Leader: true,
-			Body:   query(core, g.cfg.Clock(), q),
-		}, nil
+		return queryReply(g, core, redirect, ok, query, q), nil
+	})
+}
+
+// handleUnconfirmed registers a query that the leader answers from its published state
+// while it holds a lease.
+func handleUnconfirmed[Q, A any](s *rpc.Server, g *Server, method string, query func(c control.Core, now time.Time, q Q) A) {
+	rpc.Handle(s, method, func(_ context.Context, q Q) (wire.LeaderReply[A], error) {
+		core, redirect, ok := g.leaderCore()
+		return queryReply(g, core, redirect, ok, query, q), nil
 	})
 }
 
+func queryReply[Q, A any](g *Server, core control.Core, redirect string, isLeader bool, query func(c control.Core, now time.Time, q Q) A, q Q) wire.LeaderReply[A] {
+	if !isLeader {
+		return wire.LeaderReply[A]{
+			Redirect: redirect,
+		}
+	}
+	return wire.LeaderReply[A]{
+		Leader: true,
+		Body:   query(core, g.cfg.Clock(), q),
+	}
+}
+
 func jobs(c control.Core, _ time.Time, q api.JobsQuery) (out api.Jobs) {
 	if q.ID != "" {
 		if j, ok := c.State().Job(q.ID); ok && matchesOrganisation(j, q) {
--- a/controller/node/perform.go
+++ b/controller/node/perform.go
@@ -45,6 +45,10 @@
 		time.AfterFunc(f.Delay, func() {
 			_ = n.loop.Post(n.ctx, control.TimerFired{})
 		})
+	case control.StartRoundTimer:
+		time.AfterFunc(f.Delay, func() {
+			_ = n.loop.Post(n.ctx, control.RoundDue{})
+		})
 	case control.LogDecision:
 		n.logDecision(f.Record)
 	case control.LogMembers:
