--- a/control/standstill.go
+++ b/control/standstill.go
@@ -36,10 +36,18 @@
 	return s.Steady > maxTickGap || (s.TimeOfDay-s.Steady).Abs() > maxClockDrift
 }
 
+// isLong reports whether requests may have waited for longer than their senders did.
+func (s Standstill) isLong() bool {
+	return max(s.Steady, s.TimeOfDay) > maxTickGap
+}
+
 // pulse is the time of a controller's last tick by both clocks.
 type pulse struct {
 	now       time.Time
 	timeOfDay time.Time
+	// resumedAt is when the controller last ran again after a long standstill; zero if
+	// it never stood still.
+	resumedAt time.Time
 }
 
 // since returns the time from p to a later moment.
@@ -60,8 +68,12 @@
 	c.lastPulse = pulse{
 		now:       now,
 		timeOfDay: e.TimeOfDay,
+		resumedAt: last.resumedAt,
 	}
 	s := last.since(now, e.TimeOfDay)
+	if !last.now.IsZero() && s.isLong() {
+		c.lastPulse.resumedAt = now
+	}
 	if last.now.IsZero() || !s.isNoteworthy() {
 		return c, nil
 	}
@@ -77,6 +89,22 @@
 	}
 }
 
+// lateRequestsTimeout is how long after a standstill a controller may still read requests
+// that were sent during it.
+const lateRequestsTimeout = time.Second
+
+// MayReadLateRequests reports whether a request that is read now may have been sent long
+// before, since the controller stood still meanwhile. Its sender may have turned to
+// another controller, and have changed its mind since.
+func (c Core) MayReadLateRequests(now, timeOfDay time.Time) bool {
+	if c.lastPulse.now.IsZero() {
+		return false
+	}
+	resumedAt := c.lastPulse.resumedAt
+	hasResumed := !resumedAt.IsZero() && now.Sub(resumedAt) < lateRequestsTimeout
+	return hasResumed || c.lastPulse.since(now, timeOfDay).isLong()
+}
+
 // Labels of CounterStandstills.
 const (
 	// LabelStopped means that the controller did not run for some time.
--- a/control/standstill_test.go
+++ b/control/standstill_test.go
@@ -55,3 +55,32 @@
 		Entry("too short to tell from load", 900*time.Millisecond, 900*time.Millisecond, ""),
 	)
 })
+
+// A process that stood still reads requests that waited in its sockets. Their senders may
+// have turned to another process and changed their minds.
+var _ = Describe("Requests to a controller that stood still", func() {
+	DescribeTable("may be late", func(steady, timeOfDay time.Duration, isLate bool) {
+		l := newLeader()
+		at := l.now
+		tick := func(steady, timeOfDay time.Duration) {
+			l.now, at = l.now.Add(steady), at.Add(timeOfDay)
+			l.step(control.Tick{
+				TimeOfDay: at,
+			})
+		}
+		tick(0, 0)
+		tick(50*time.Millisecond, 50*time.Millisecond)
+		Expect(l.core.MayReadLateRequests(l.now.Add(steady), at.Add(timeOfDay))).To(Equal(isLate), "before the next tick")
+		tick(steady, timeOfDay)
+		Expect(l.core.MayReadLateRequests(l.now, at)).To(Equal(isLate), "after the next tick")
+		for range 20 {
+			tick(50*time.Millisecond, 50*time.Millisecond)
+		}
+		Expect(l.core.MayReadLateRequests(l.now, at)).To(BeFalse(), "a second later")
+	},
+		Entry("after a stop of the process", 4*time.Second, 4*time.Second, true),
+		Entry("after a suspension of the machine", time.Duration(0), 4*time.Second, true),
+		Entry("but not after a tick that was late by less than senders wait", 900*time.Millisecond, 900*time.Millisecond, false),
+		Entry("but not after the time of day was set back", 50*time.Millisecond, -2*time.Second, false),
+	)
+})
