--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -281,15 +281,15 @@
 	case err = <-failed:
 		return err
 	case <-stopping:
-		n.transferLeadership(ctx)
+		n.logger.Info().Msg("Controller is stopping.")
+		n.TransferLeadership(ctx)
 		return server.Close()
 	}
 }
 
-// transferLeadership steps down as leader and waits until this controller no
-// longer leads, or the timeout has passed.
-func (n *Node) transferLeadership(ctx context.Context) {
-	n.logger.Info().Msg("Controller is stopping.")
+// TransferLeadership steps down as leader and waits until this controller no
+// longer leads, the timeout has passed or ctx ends.
+func (n *Node) TransferLeadership(ctx context.Context) {
 	_ = n.loop.Post(ctx, control.StepDown{})
 	deadline := time.NewTimer(shutdownTimeout)
 	defer deadline.Stop()
@@ -297,6 +297,8 @@
 	defer ticker.Stop()
 	for n.loop.State().Replica().IsLeader() {
 		select {
+		case <-ctx.Done():
+			return
 		case <-deadline.C:
 			return
 		case <-ticker.C:
