Answer the calls that are on their way when a gateway stops

Callers saw: a call over an open connection ended without an answer when the gateway that it was sent to got SIGTERM.

Fix: the gateway uses http1.Server and counts what its stop met.

--- a/gateway/main.go
+++ b/gateway/main.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -21,6 +20,7 @@
 	"github.com/plantainladder/plantainladder/gateway/minion"
 	"github.com/plantainladder/plantainladder/gateway/operator"
 	"github.com/plantainladder/plantainladder/gateway/worker"
+	"github.com/plantainladder/plantainladder/http1"
 	"github.com/plantainladder/plantainladder/loop"
 	"github.com/plantainladder/plantainladder/util"
 )
@@ -41,7 +41,7 @@
 	effectRouter *caller.EffectRouter
 	leaderClient *controller.LeaderClient
 	poller       *controller.Poller
-	http         *http.Server
+	handler      http.Handler
 }
 
 func newServer(cfg settings, logger zerolog.Logger) *server {
@@ -75,18 +75,14 @@
 		},
 		Clock: time.Now,
 	})
-	s.http = &http.Server{
-		Handler:           s.handler(logger),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	s.handler = s.newHandler(logger)
 	return s
 }
 
-func (s *server) handler(logger zerolog.Logger) http.Handler {
+func (s *server) newHandler(logger zerolog.Logger) http.Handler {
 	mux := http.NewServeMux()
 	createRefusalCounters()
+	createStopCounters()
 	caller.NewHandler(caller.Config{
 		Gateway:        s.cfg.name,
 		EffectRouter:   s.effectRouter,
@@ -139,7 +135,14 @@
 // have ended.
 func (s *server) run(stop <-chan os.Signal) (err error) {
 	defer util.Annotate(&err, "gateway: run")
-	listener, err := net.Listen("tcp", s.cfg.listen)
+	server, err := http1.Listen(s.cfg.listen, http1.Config{
+		Handler:        s.handler,
+		HeaderTimeout:  headerTimeout,
+		IdleTimeout:    idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+		CountCalls:     countStopCalls,
+		Logger:         s.logger,
+	})
 	if err != nil {
 		return err
 	}
@@ -152,29 +155,26 @@
 		return admission.Tick{}
 	})
 	failed := make(chan error, 1)
-	go func() { failed <- s.http.Serve(listener) }()
-	s.logger.Info().Str("address", listener.Addr().String()).Msg("Gateway is listening.")
+	go func() { failed <- server.Serve() }()
+	s.logger.Info().Str("address", server.Address()).Msg("Gateway is listening.")
 	select {
 	case err = <-failed:
 		return err
 	case <-stop:
-		return s.stop(ctx)
+		return s.stop(ctx, server)
 	}
 }
 
 // stop shuts the gateway down. The gateway first reports that it is not ready and
 // goes on serving for the drain notice, so that the load balancer removes it. It
 // then waits for the running requests, at most for the drain limit.
-func (s *server) stop(ctx context.Context) (err error) {
+func (s *server) stop(ctx context.Context, server *http1.Server) error {
 	s.logger.Info().Msg("Gateway is stopping.")
 	_ = s.loop.Post(ctx, admission.Drain{})
-	s.http.SetKeepAlivesEnabled(false)
-	wait := time.NewTimer(s.cfg.drainNotice)
-	defer wait.Stop()
-	<-wait.C
-	ctx, cancel := context.WithTimeout(ctx, s.cfg.drainLimit)
-	defer cancel()
-	err = s.http.Shutdown(ctx)
+	err := server.Stop(ctx, http1.StopConfig{
+		NoticePeriod:  s.cfg.drainNotice,
+		AnswerTimeout: s.cfg.drainLimit,
+	})
 	if errors.Is(err, context.DeadlineExceeded) {
 		s.logger.Warn().Msg("Drain limit was reached while requests were still running.")
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -8,6 +9,7 @@
 	plantainladder "github.com/plantainladder/plantainladder"
 	"github.com/plantainladder/plantainladder/admission"
 	"github.com/plantainladder/plantainladder/gateway/reply"
+	"github.com/plantainladder/plantainladder/http1"
 )
 
 var (
@@ -26,6 +28,17 @@
 	}
 }
 
+// createStopCounters creates the counter of each outcome of a call that a stop meets.
+func createStopCounters() {
+	for _, o := range http1.Outcomes() {
+		countStopCalls(o, 0)
+	}
+}
+
+func countStopCalls(o http1.Outcome, n int) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("gateway_stop_calls_total{outcome=%q}", o)).Add(n)
+}
+
 func countBytes(written, read int) {
 	bytesWritten.Add(written)
 	bytesRead.Add(read)
