Let a successor at another address join while it still counts as lost

Cause: a successor could replace a member only after 6 s of silence, counted from the election of the leader, and asked one controller after the other, each up to 0.6 s, to let it join. The users' bound is catchUpS, 4 s from the start of the successor; until then the group of five had four live voters.

Change: the silence is three eighths of catchUpS, which the platform's settings have (6 s without it, as in the product), and a controller asks all that it knows at once.

--- a/control/config.go
+++ b/control/config.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	plantainladder "github.com/plantainladder/plantainladder"
 	"github.com/plantainladder/plantainladder/dispatch"
 	"github.com/plantainladder/plantainladder/schedule"
@@ -30,4 +32,26 @@
 	// Voters is the number of voters up to which the group admits controllers
 	// that ask to join. Zero means that only operators add members.
 	Voters int
+	// CatchUpDuration is the time after its start for which a controller that takes the
+	// place of another counts as lost; zero if that is not specified.
+	CatchUpDuration time.Duration
+}
+
+const (
+	// defaultDeadMemberTimeout is how long a member may be silent before a controller at
+	// another address may replace it, unless a time to catch up is specified.
+	defaultDeadMemberTimeout = 6 * time.Second
+	// The silence takes this part of the time to catch up. The rest is for an election
+	// and the three changes of the group.
+	silenceNumerator   = 3
+	silenceDenominator = 8
+)
+
+// deadMemberTimeout returns how long a member may be silent before a controller at
+// another address may replace it.
+func (cfg Config) deadMemberTimeout() time.Duration {
+	if cfg.CatchUpDuration == 0 {
+		return defaultDeadMemberTimeout
+	}
+	return cfg.CatchUpDuration * silenceNumerator / silenceDenominator
 }
--- a/control/first_start_suite_test.go
+++ b/control/first_start_suite_test.go
@@ -49,6 +49,7 @@
 	now       time.Time
 	random    *rand.Rand
 	tolerated int
+	catchUp   time.Duration
 	founders  []string
 	machines  []*machine
 	// cut holds the addresses of the machines that are cut off from the others.
@@ -63,11 +64,12 @@
 	needsOperator bool
 }
 
-func newFirstStart(machines, tolerated int, seed uint64) *firstStart {
+func newFirstStart(machines, tolerated int, catchUp time.Duration, seed uint64) *firstStart {
 	s := &firstStart{
 		now:          time.Unix(1_700_000_000, 0),
 		random:       rand.New(rand.NewPCG(seed, uint64(machines))),
 		tolerated:    tolerated,
+		catchUp:      catchUp,
 		cut:          map[string]bool{},
 		groups:       map[string]bool{},
 		tokens:       map[uint64]string{},
@@ -107,9 +109,10 @@
 			Encode: wire.MarshalEnvelope,
 			Decode: wire.UnmarshalEnvelope,
 		},
-		SnapshotEvery: 1_000_000,
-		Policy:        schedule.Guaranteed{},
-		Voters:        2*s.tolerated + 1,
+		SnapshotEvery:   1_000_000,
+		Policy:          schedule.Guaranteed{},
+		Voters:          2*s.tolerated + 1,
+		CatchUpDuration: s.catchUp,
 	}, consensus.NewReplica(s.now, consensus.Config{
 		ID:              m.id,
 		ElectionTimeout: 500 * time.Millisecond,
@@ -283,13 +286,20 @@
 	}
 }
 
-// requestJoin does what a Joiner does: it asks a controller, then its leader.
+// requestJoin does what a Joiner does: it asks the founders, and the leaders that they
+// name.
 func (s *firstStart) requestJoin(m *machine) {
 	if !m.isUp || s.now.Before(m.joinAt) || m.core.Replica().IsMember(s.now, silenceBeforeJoin) {
 		return
 	}
 	m.joinAt = s.now.Add(250*time.Millisecond + time.Duration(s.random.IntN(250))*time.Millisecond)
-	address := s.founders[s.random.IntN(len(s.founders))]
+	for _, address := range s.founders {
+		s.requestJoinAt(m, address)
+	}
+}
+
+// requestJoinAt asks one controller, and the leader that it names.
+func (s *firstStart) requestJoinAt(m *machine, address string) {
 	for range 2 {
 		if address == "" || !s.canReach(m.address, address) || !s.machineAt(address).isUp {
 			return
--- a/control/first_start_test.go
+++ b/control/first_start_test.go
@@ -95,7 +95,7 @@
 }
 
 func playFaults(machines, tolerated int, seed uint64, isUnlimited bool) *firstStart {
-	s := newFirstStart(machines, tolerated, seed)
+	s := newFirstStart(machines, tolerated, catchUpTime, seed)
 	d := &faultDay{
 		s:           s,
 		isUnlimited: isUnlimited,
@@ -165,7 +165,7 @@
 	})
 
 	It("does not wait for completion if no machine is missing", func() {
-		s := newFirstStart(5, 2, 1)
+		s := newFirstStart(5, 2, catchUpTime, 1)
 		startedAt := s.now
 		_, ok := s.awaitGroup()
 		Expect(ok).To(BeTrue())
@@ -173,7 +173,7 @@
 	})
 
 	It("acknowledges nothing on a machine that is cut off from all others", func() {
-		s := newFirstStart(5, 2, 1)
+		s := newFirstStart(5, 2, catchUpTime, 1)
 		s.cut["a1"] = true
 		for range 10 * time.Second / simulatedStep {
 			s.submit()
--- a/control/join.go
+++ b/control/join.go
@@ -15,22 +15,17 @@
 
 func (Join) event() {}
 
-const (
-	// deadMemberTimeout is how long a member may be silent before another
-	// controller may replace it. It is longer than a restart takes.
-	deadMemberTimeout = 6 * time.Second
-	// groupCompletionTimeout is how long a new leader waits for the configured
-	// number of voters. After it, those that are missing count as lost, and the leader
-	// accepts commands with fewer voters.
-	groupCompletionTimeout = 6 * time.Second
-)
+// groupCompletionTimeout is how long a new leader waits for the configured
+// number of voters. After it, those that are missing count as lost, and the leader
+// accepts commands with fewer voters.
+const groupCompletionTimeout = 6 * time.Second
 
 func (c Core) stepJoin(now time.Time, e Join) (Core, []Effect) {
 	if c.leadership == nil || c.cfg.Voters == 0 {
 		return c, nil
 	}
 	change, ok := c.replica.Members().JoinChange(e.Member, c.cfg.Voters, func(id string) bool {
-		return c.replica.IsSilent(now, id, deadMemberTimeout)
+		return c.replica.IsSilent(now, id, c.cfg.deadMemberTimeout())
 	})
 	if !ok {
 		return c, nil
--- /dev/null
+++ b/control/replaced_machine_test.go
@@ -0,0 +1,79 @@
+package control_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const (
+	replacementSeeds = 40
+	// replacementDelay is the time between the loss of a machine and the start of the one
+	// that takes its place.
+	replacementDelay = time.Second
+	// shortestCatchUp is the shortest time to catch up of the users' deployments.
+	shortestCatchUp = 4 * time.Second
+)
+
+func (s *firstStart) advanceFor(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.advance()
+	}
+}
+
+// addMachine starts an empty machine at another address.
+func (s *firstStart) addMachine() *machine {
+	m := &machine{
+		address: fmt.Sprintf("a%d", len(s.machines)+1),
+	}
+	m.id = "id-" + m.address
+	s.machines = append(s.machines, m)
+	s.boot(m)
+	return m
+}
+
+// hasOnlyLiveVoters reports whether a leader has a complete group without the machines
+// that are gone.
+func (s *firstStart) hasOnlyLiveVoters() bool {
+	leader, ok := s.completeLeader()
+	if !ok {
+		return false
+	}
+	for _, m := range leader.core.Replica().Members().Members {
+		if !m.Voter || !s.machineAt(m.Address).isUp {
+			return false
+		}
+	}
+	return true
+}
+
+var _ = Describe("A machine that is replaced by one at another address", func() {
+	It("stops counting once its successor has had the time to catch up, so that as many others may be lost", func() {
+		for seed := range uint64(replacementSeeds) {
+			s := newFirstStart(5, 2, shortestCatchUp, seed)
+			s.advanceFor(8 * time.Second)
+			leader, ok := s.completeLeader()
+			Expect(ok).To(BeTrue(), "seed %d", seed)
+			gone := []*machine{
+				s.machines[seed%5],
+			}
+			if seed%4 == 0 {
+				gone = append(gone, s.machines[(seed+1)%5])
+			}
+			if seed%4 == 1 {
+				gone[0] = leader
+			}
+			for _, m := range gone {
+				s.crash(m)
+			}
+			s.advanceFor(replacementDelay)
+			for range gone {
+				s.addMachine()
+			}
+			s.advanceFor(shortestCatchUp)
+			Expect(s.hasOnlyLiveVoters()).To(BeTrue(), "seed %d, %d machines lost", seed, len(gone))
+		}
+	})
+})
--- a/controller/node/config.go
+++ b/controller/node/config.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"github.com/rs/zerolog"
 
 	"github.com/plantainladder/plantainladder/dispatch"
@@ -26,6 +28,9 @@
 	// Voters is the number of voters up to which the group admits controllers that
 	// ask to join; zero if only operators add members.
 	Voters int
+	// CatchUpDuration is the time after its start for which a controller that takes the
+	// place of another counts as lost; zero if that is not specified.
+	CatchUpDuration time.Duration
 	// FormGroup is true if this controller forms a new group when it belongs to
 	// none.
 	FormGroup bool
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -144,6 +144,7 @@
 		Policy:          schedule.Guaranteed{},
 		Dispatch:        cfg.Dispatch,
 		Voters:          cfg.Voters,
+		CatchUpDuration: cfg.CatchUpDuration,
 	}, rep, state), nil
 }
 
--- a/controller/replica/join.go
+++ b/controller/replica/join.go
@@ -53,8 +53,7 @@
 }
 
 // Run forms the group if configured to. After that, while this controller is not a
-// member that hears from a leader, it asks the known controllers in turn, until ctx
-// ends.
+// member that hears from a leader, it asks the known controllers, until ctx ends.
 func (j *Joiner) Run(ctx context.Context) {
 	if j.cfg.FormGroup && j.cfg.Core().Replica().Group() == "" {
 		j.cfg.Peers.Logger.Info().Str("id", j.cfg.Self.ID).Msg("Forming a new group with this controller as its only voter.")
@@ -65,19 +64,29 @@
 	}
 	clients := rpc.NewPool(j.cfg.Peers.clientConfig())
 	defer clients.Close()
-	for attempt := 0; ctx.Err() == nil; attempt++ {
+	for ctx.Err() == nil {
 		util.SleepContext(ctx, joinInterval+rand.N(joinInterval))
-		addresses := j.addresses()
-		if j.isMember(time.Now()) || len(addresses) == 0 {
-			continue
+		if !j.isMember(time.Now()) {
+			j.requestJoins(ctx, clients, j.requestJoins(ctx, clients, j.addresses()))
 		}
-		address := addresses[attempt%len(addresses)]
-		for range 2 {
-			if address = j.requestJoin(ctx, clients.Get(address)); address == "" {
-				break
-			}
+	}
+}
+
+// requestJoins asks several controllers at once to add this one: those that are gone
+// must not delay the request to the leader. It returns the addresses of leaders that the
+// others named.
+func (j *Joiner) requestJoins(ctx context.Context, clients *rpc.Pool, addresses []string) (leaders []string) {
+	redirects := make(chan string, len(addresses))
+	for _, address := range addresses {
+		c := clients.Get(address)
+		go func() { redirects <- j.requestJoin(ctx, c) }()
+	}
+	for range addresses {
+		if address := <-redirects; address != "" && !slices.Contains(leaders, address) {
+			leaders = append(leaders, address)
 		}
 	}
+	return leaders
 }
 
 // isMember reports whether this controller is a member and hears from a leader. Its
