Remove a voter that is gone before its successor becomes one

What callers would see: a machine loses its disk again right after it has become a voter in its own place; the group of three, which bears one loss, serves nothing any more, for good. With five it is so if another machine is down.

Cause: the successor was promoted first, and the voter that it replaces removed after that. In between the group has one voter more, of which one is gone. If the successor is lost then, four voters have two that live, and no change of the group can be committed.

Change: a member that is gone is removed before its successor is promoted: one whose address the successor has, or that has been silent for two election timeouts. One that is alive is removed after the promotion, as before. The removal is committed by the voters that remain, which the group needs in any case.

--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -10,6 +10,10 @@
 // be promoted to a voter.
 const maxPromotionLag = 64
 
+// replacedMemberTimeout is the silence, in election timeouts, after which a member that
+// is being replaced counts as gone.
+const replacedMemberTimeout = 2
+
 func (r Replica) stepFormGroup(now time.Time, e FormGroup) (Replica, []Effect) {
 	if r.Members().Group != "" || r.log.LastIndex() > 0 {
 		return r, []Effect{
@@ -176,13 +180,12 @@
 	for _, m := range r.Members().Members {
 		p := l.progress[m.ID]
 		isReachable := now.Sub(p.LastContact) < r.cfg.ElectionTimeout
-		_, isReplacementPending := r.Members().Get(m.Replaces)
 		switch {
 		case !m.Voter && isReachable && p.Match+maxPromotionLag >= r.log.LastIndex() && p.Match > 0:
-			return member.Promote{
-				ID: m.ID,
-			}, true
-		case m.Voter && m.Replaces != "" && isReplacementPending:
+			if c, ok := r.promotion(now, l, m); ok {
+				return c, true
+			}
+		case m.Voter && r.isReplacementPending(m):
 			return member.Remove{
 				ID: m.Replaces,
 			}, true
@@ -190,3 +193,30 @@
 	}
 	return nil, false
 }
+
+func (r Replica) isReplacementPending(m member.Member) bool {
+	_, ok := r.Members().Get(m.Replaces)
+	return ok
+}
+
+// promotion returns the next change on the way of a learner to a voter, or false while it
+// is not known whether the member that it replaces is alive. One that is not, as when the
+// learner has its address, is removed first: with both as voters, the group would bear one
+// loss less if the new one is lost as well. One that is alive is removed later, so that the
+// group never has fewer voters.
+func (r Replica) promotion(now time.Time, l Leader, m member.Member) (c member.Change, ok bool) {
+	if replaced, ok := r.Members().Get(m.Replaces); ok {
+		isGone := replaced.Address == m.Address || r.IsSilent(now, m.Replaces, replacedMemberTimeout*r.cfg.ElectionTimeout)
+		switch {
+		case isGone:
+			return member.Remove{
+				ID: m.Replaces,
+			}, true
+		case now.Sub(l.progress[m.Replaces].LastContact) >= r.cfg.ElectionTimeout:
+			return nil, false
+		}
+	}
+	return member.Promote{
+		ID: m.ID,
+	}, true
+}
--- a/control/replaced_machine_test.go
+++ b/control/replaced_machine_test.go
@@ -77,3 +77,32 @@
 		}
 	})
 })
+
+var _ = Describe("A machine that loses its disk again as soon as it is a voter", func() {
+	It("does not stop a group that bears the loss of one machine", func() {
+		for seed := range uint64(replacementSeeds) {
+			s := newFirstStart(3, 1, shortestCatchUp, seed)
+			s.advanceFor(8 * time.Second)
+			lost := s.machines[seed%3]
+			for range 3 {
+				s.wipe(lost)
+				s.boot(lost)
+				for end := s.now.Add(formationTimeout); s.now.Before(end) && !s.isVoter(lost); {
+					s.advance()
+				}
+			}
+			_, ok := s.awaitGroup()
+			Expect(ok).To(BeTrue(), "seed %d", seed)
+		}
+	})
+})
+
+// isVoter reports whether some machine's log has the machine as a voter.
+func (s *firstStart) isVoter(m *machine) bool {
+	for _, other := range s.machines {
+		if known, ok := other.core.Replica().Members().Get(m.id); ok && known.Voter {
+			return true
+		}
+	}
+	return false
+}
