--- a/controller/disk/log.go
+++ b/controller/disk/log.go
@@ -48,6 +48,9 @@
 	Entries []consensus.Entry
 	// TornBytes is the length of the torn write that was truncated from the end.
 	TornBytes int64
+	// IsRewritten is false if the log was empty, or if the disk was full and the log was
+	// only synced: an earlier sync that failed then counts as if it had not.
+	IsRewritten bool
 }
 
 // OpenLog opens the log in a folder, makes its content durable and returns it. A
@@ -87,7 +90,10 @@
 		return nil, content, err
 	}
 	l.size = info.Size()
-	if err = errors.Join(l.file.Sync(), cfg.Files.SyncFolder(folder), l.rewrite()); err != nil {
+	if err = errors.Join(l.file.Sync(), cfg.Files.SyncFolder(folder)); err == nil {
+		content.IsRewritten, err = l.rewrite()
+	}
+	if err != nil {
 		return nil, content, errors.Join(err, l.file.Close())
 	}
 	return l, content, nil
@@ -95,23 +101,24 @@
 
 // rewrite replaces the segment with a new file of the same content. If an earlier sync
 // has failed, the kernel takes for written what the disk does not hold, and no further
-// sync of the same file writes it. If the disk is full, the old file stays.
-func (l *Log) rewrite() (err error) {
+// sync of the same file writes it. If the disk is full, the old file stays, and rewrite
+// returns false.
+func (l *Log) rewrite() (done bool, err error) {
 	path := segmentPath(l.folder, l.number)
 	data, err := os.ReadFile(path)
 	if err != nil || len(data) == 0 {
-		return err
+		return false, err
 	}
 	file, err := l.writeDurably(path, data)
 	if full := (*FullError)(nil); errors.As(err, &full) {
-		return nil
+		return false, nil
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	err = l.file.Close()
 	l.file = file
-	return err
+	return true, err
 }
 
 func segmentPath(folder string, n int) string {
--- a/controller/disk/powerloss/durable_test.go
+++ b/controller/disk/powerloss/durable_test.go
@@ -191,7 +191,7 @@
 				Expect(log.Append(hard, entries(1, 3))).To(Succeed())
 			})
 			l.disk.isFull = true
-			l.run(func(_ *disk.Folder, log *disk.Log) {
+			r := l.run(func(_ *disk.Folder, log *disk.Log) {
 				full := (*disk.FullError)(nil)
 				Expect(errors.As(log.Append(hard, entries(4, 1)), &full)).To(BeTrue())
 				Expect(errors.As(log.CompactLog(0), &full)).To(BeTrue())
@@ -199,8 +199,11 @@
 				Expect(log.Append(hard, entries(4, 1))).To(Succeed())
 				Expect(log.Sync()).To(Succeed())
 			})
+			Expect(r.IsRewritten).To(BeFalse())
 			l.disk.losePower(seed%2 == 0)
-			Expect(l.run(nothing).StoredState.Entries).To(HaveLen(4), "seed %d", seed)
+			r = l.run(nothing)
+			Expect(r.IsRewritten).To(BeTrue())
+			Expect(r.StoredState.Entries).To(HaveLen(4), "seed %d", seed)
 		}
 	})
 
--- a/controller/disk/recover.go
+++ b/controller/disk/recover.go
@@ -13,6 +13,8 @@
 	State []byte
 	// TornBytes is the length of the torn write that was truncated from the log.
 	TornBytes int64
+	// IsRewritten is LogContent.IsRewritten.
+	IsRewritten bool
 }
 
 // Recover reads the snapshot and the log of a folder and opens the log for
@@ -36,8 +38,9 @@
 			Hard:     content.Hard,
 			Snapshot: snapshot.Meta,
 		},
-		State:     snapshot.State,
-		TornBytes: content.TornBytes,
+		State:       snapshot.State,
+		TornBytes:   content.TornBytes,
+		IsRewritten: content.IsRewritten,
 	}
 	nextIndex := snapshot.Meta.Index + 1
 	for _, e := range content.Entries {
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -105,6 +105,7 @@
 	n.createComponents(cfg.Logger)
 	n.logger.Info().Str("id", folder.ID()).Int("entries", len(recovered.StoredState.Entries)).
 		Uint64("snapshot", recovered.StoredState.Snapshot.Index).Int64("torn-bytes", recovered.TornBytes).
+		Uint64("term", recovered.StoredState.Hard.Term).Bool("rewritten", recovered.IsRewritten).
 		Msg("Recovered the log and the snapshot from the data folder.")
 	return n, nil
 }
