Accept a resent submission only for the call that submitted the workflow

Cause: the mark said only that an earlier attempt of this call may have been sent, not that this call had submitted the workflow.

Change: each call of a front has a random identifier, which goes with all attempts and is kept with the workflow. Only a submission with the same identifier is accepted without effect. That says whose call it is too, so the work is no longer compared.

The table 'is refused if another call submitted the workflow' replaces two cases that told calls apart by the mark and by the work; a call of the same identifier with other work can't be made any more. The tests of the mark become tests of the identifier.

--- a/apply_workflow.go
+++ b/apply_workflow.go
@@ -26,9 +26,6 @@
 	Spec workflow.Spec `json:"spec"`
 	// Token is the token that the caller sent. It may be empty for a public queue.
 	Token string `json:"token"`
-	// Resent is true if the answer to the same submission was lost. If the workflow was
-	// accepted then, it is accepted again without effect, whatever was withdrawn since.
-	Resent bool `json:"resent,omitempty"`
 }
 
 // CancelWorkflow cancels a workflow of the organisation that the token belongs to.
@@ -153,15 +150,16 @@
 	}
 }
 
-// HasAccepted reports whether a workflow was accepted with the specification, apart from
-// the organisation. An empty queue matches any.
-func (s State) HasAccepted(spec workflow.Spec) bool {
-	w, ok := s.workflows.get(spec.ID)
-	return ok && (spec.Queue == "" || spec.Queue == w.Spec.Queue) && w.Spec.RequestsSameWork(spec)
+// HasAccepted reports whether a call has submitted the workflow with the identifier. If
+// the call sends its submission again since the answer was lost, that is accepted without
+// effect, whatever was withdrawn since.
+func (s State) HasAccepted(id, call string) bool {
+	w, ok := s.workflows.get(id)
+	return ok && call != "" && w.Spec.Call == call
 }
 
 func (s State) applySubmitWorkflow(now time.Time, c SubmitWorkflow) (State, Outcome) {
-	if c.Resent && s.HasAccepted(c.Spec) {
+	if s.HasAccepted(c.Spec.ID, c.Spec.Call) {
 		return s, Outcome{}
 	}
 	q, ok := s.configuration.Queue(c.Spec.Queue)
--- a/controller/gateway/resent_test.go
+++ b/controller/gateway/resent_test.go
@@ -19,7 +19,9 @@
 	BeforeEach(func() {
 		g = newGroup()
 		g.submit(document(1, []string{"t1", "t2"}, "q", "r"))
-		g.submit(submission("j1", "t1"))
+		first := submission("j1", "t1")
+		first.Spec.Call = "call 1"
+		g.submit(first)
 		c = g.serve(g.leader())
 	})
 
@@ -30,11 +32,12 @@
 	}
 
 	resent := func(path string) wire.Submission {
-		return wire.Submission{
+		s := wire.Submission{
 			WorkflowRequest: request(path, "t1"),
 			Spec:            spec(""),
-			Resent:          true,
 		}
+		s.Spec.Call = "call 1"
+		return s
 	}
 
 	DescribeTable("is accepted if it was accepted before", func(now plantainladder.PutConfiguration) {
@@ -54,18 +57,14 @@
 		Expect(submit(resent("/r/j2"))).To(Equal(wire.ResultBadToken))
 	})
 
-	It("is refused if other work was accepted with its identifier", func() {
+	DescribeTable("is refused if another call submitted the workflow", func(call, token string) {
 		g.submit(document(2, []string{"t2"}, "q", "r"))
 		other := resent("/q/j1")
-		other.Spec.Steps[0].Tasks = 2
+		other.Spec.Call, other.Token = call, token
 		Expect(submit(other)).To(Equal(wire.ResultBadToken))
-		Expect(submit(resent("/r/j1"))).To(Equal(wire.ResultBadToken), "on another queue")
-	})
-
-	It("is refused if it is a new call with a withdrawn key", func() {
-		g.submit(document(2, []string{"t2"}, "q"))
-		again := resent("/q/j1")
-		again.Resent = false
-		Expect(submit(again)).To(Equal(wire.ResultBadToken))
-	})
+	},
+		Entry("with a withdrawn key", "call 2", "t1"),
+		Entry("with a key that there never was", "call 2", "never"),
+		Entry("without an identifier", "", "t1"),
+	)
 })
--- a/controller/gateway/workflow.go
+++ b/controller/gateway/workflow.go
@@ -52,19 +52,15 @@
 // refusal for the answer to its only call.
 func resolveSubmission(state plantainladder.State, s wire.Submission) wire.Result {
 	q, res := resolve(state.Configuration(), s.WorkflowRequest)
-	s.Spec.ID, s.Spec.Queue = s.Path[strings.LastIndexByte(s.Path, '/')+1:], res.Queue
-	switch {
-	case s.Spec.ID != res.ID:
-		// The queue's route is not there any more.
-		s.Spec.Queue = ""
-	case res.Kind == wire.ResultDone && !q.RequiresPlacementAdvisor:
+	if res.Kind == wire.ResultDone && !q.RequiresPlacementAdvisor {
 		return res
 	}
-	if s.Resent && state.HasAccepted(s.Spec) {
+	// The queue's route may not be there any more, and with it the prefix of the path.
+	if id := s.Path[strings.LastIndexByte(s.Path, '/')+1:]; state.HasAccepted(id, s.Spec.Call) {
 		return wire.Result{
 			Kind:  wire.ResultDone,
-			Queue: s.Spec.Queue,
-			ID:    s.Spec.ID,
+			Queue: res.Queue,
+			ID:    id,
 		}
 	}
 	if res.Kind == wire.ResultDone && q.RequiresPlacementAdvisor {
@@ -191,9 +187,8 @@
 	}
 	s.Spec.ID, s.Spec.Queue = res.ID, res.Queue
 	return g.commitAndReply(ctx, res, plantainladder.SubmitWorkflow{
-		Spec:   s.Spec,
-		Token:  s.Token,
-		Resent: s.Resent,
+		Spec:  s.Spec,
+		Token: s.Token,
 	}), nil
 }
 
--- a/gateway/controller/leader.go
+++ b/gateway/controller/leader.go
@@ -299,21 +299,12 @@
 }
 
 // Submit sends a submission to the leader and returns the result. If an answer is lost,
-// the submission is sent again, marked as such. It returns a *NoLeaderError if ctx ends
-// before a leader replies.
+// the submission is sent again with the same identifier of the call, by which a leader
+// knows what it has accepted. It returns a *NoLeaderError if ctx ends before a leader
+// replies.
 func Submit(ctx context.Context, l *LeaderClient, s wire.Submission) (res wire.Result, err error) {
-	err = l.withLeader(ctx, wire.MethodSubmit, func(ctx context.Context, c *rpc.Client) (bool, string, error) {
-		r, err := rpc.Call[wire.Submission, wire.LeaderReply[wire.Result]](ctx, c, wire.MethodSubmit, s)
-		res = r.Body
-		if err == nil && r.OutcomeUnknown {
-			err = &OutcomeUnknownError{
-				Method: wire.MethodSubmit,
-			}
-		}
-		s.Resent = s.Resent || wasSent(err)
-		return r.Leader && !r.OutcomeUnknown, r.Redirect, err
-	})
-	return res, err
+	s.Spec.Call = util.NewID()
+	return Query[wire.Submission, wire.Result](ctx, l, wire.MethodSubmit, s)
 }
 
 // CallController calls the controller at an address, whether it leads or not.
--- a/gateway/controller/submit_test.go
+++ b/gateway/controller/submit_test.go
@@ -31,53 +31,68 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-// refuseUnlessResent replies as a leader does whose configuration lacks the key of a job
-// that was accepted before.
-func refuseUnlessResent(s wire.Submission) wire.LeaderReply[wire.Result] {
-	kind := wire.ResultBadToken
-	if s.Resent {
-		kind = wire.ResultDone
-	}
-	return wire.LeaderReply[wire.Result]{
-		Leader: true,
-		Body: wire.Result{
-			Kind: kind,
-		},
+// accept records the identifiers of the calls whose submissions arrive, and accepts them.
+func accept(calls chan<- string) func(s wire.Submission) wire.LeaderReply[wire.Result] {
+	return func(s wire.Submission) wire.LeaderReply[wire.Result] {
+		calls <- s.Spec.Call
+		return wire.LeaderReply[wire.Result]{
+			Leader: true,
+			Body: wire.Result{
+				Kind: wire.ResultDone,
+			},
+		}
 	}
 }
 
-func submit(addresses ...string) wire.ResultKind {
+func submit(addresses ...string) {
 	l := startClient(addresses...)
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	r, err := controller.Submit(ctx, l, wire.Submission{})
+	_, err := controller.Submit(ctx, l, wire.Submission{})
 	Expect(err).NotTo(HaveOccurred())
-	return r.Kind
 }
 
 // A leader may have accepted a job whose answer was lost. The next one can tell that only
-// from a mark; without it, it refuses what runs.
+// by the identifier of the call; without it, it refuses what runs.
 var _ = Describe("A submission to the leader", func() {
-	It("is marked as sent again if its outcome is unknown", func() {
-		Expect(submit(startSubmitController(func(wire.Submission) wire.LeaderReply[wire.Result] {
+	var calls chan string
+
+	BeforeEach(func() {
+		calls = make(chan string, 2)
+	})
+
+	expectSameCall := func() {
+		GinkgoHelper()
+		var first, second string
+		Expect(calls).To(Receive(&first))
+		Expect(calls).To(Receive(&second))
+		Expect(first).NotTo(BeEmpty())
+		Expect(second).To(Equal(first))
+	}
+
+	It("has the same call's identifier when it is sent again since its outcome is unknown", func() {
+		submit(startSubmitController(func(s wire.Submission) wire.LeaderReply[wire.Result] {
+			calls <- s.Spec.Call
 			return wire.LeaderReply[wire.Result]{
 				OutcomeUnknown: true,
 			}
-		}), startSubmitController(refuseUnlessResent))).To(Equal(wire.ResultDone))
+		}), startSubmitController(accept(calls)))
+		expectSameCall()
 	})
 
-	It("is marked as sent again if its answer did not come in time", func() {
-		Expect(submit(startSubmitController(func(wire.Submission) wire.LeaderReply[wire.Result] {
+	It("has the same call's identifier when it is sent again since its answer did not come in time", func() {
+		submit(startSubmitController(func(s wire.Submission) wire.LeaderReply[wire.Result] {
+			calls <- s.Spec.Call
 			time.Sleep(2 * time.Second)
 			return wire.LeaderReply[wire.Result]{}
-		}), startSubmitController(refuseUnlessResent))).To(Equal(wire.ResultDone))
+		}), startSubmitController(accept(calls)))
+		expectSameCall()
 	})
 
-	It("is not marked if no controller can have got it", func() {
-		const nobody = "127.0.0.1:1"
-		notLeading := startSubmitController(func(wire.Submission) wire.LeaderReply[wire.Result] {
-			return wire.LeaderReply[wire.Result]{}
-		})
-		Expect(submit(nobody, notLeading, startSubmitController(refuseUnlessResent))).To(Equal(wire.ResultBadToken))
+	It("has another call's identifier if it is another call", func() {
+		address := startSubmitController(accept(calls))
+		submit(address)
+		submit(address)
+		Expect(<-calls).NotTo(Equal(<-calls))
 	})
 })
--- a/wire/consumer.go
+++ b/wire/consumer.go
@@ -33,9 +33,6 @@
 	WorkflowRequest
 	// Spec is the workflow; its identifier, queue and organisation are not set.
 	Spec workflow.Spec `json:"spec"`
-	// Resent is true if the same submission was sent before for the same call of the
-	// consumer, and its answer was lost. It may have been accepted.
-	Resent bool `json:"resent,omitempty"`
 }
 
 // A Result is a leader's reply to a WorkflowRequest, a Submission or a
--- a/workflow/spec.go
+++ b/workflow/spec.go
@@ -5,8 +5,6 @@
 
 import (
 	"fmt"
-	"reflect"
-	"slices"
 	"time"
 
 	"github.com/plantainladder/plantainladder/pool"
@@ -65,6 +63,9 @@
 	// Organisation is the name of the owner. It is empty if the caller sent no
 	// token to a public queue.
 	Organisation string `json:"organisation"`
+	// Call is the random identifier of the call that submitted the workflow; empty if it
+	// has none.
+	Call string `json:"call,omitempty"`
 	// Payload is passed to every task unchanged.
 	Payload string `json:"payload"`
 	// Steps lists the steps. A step may only depend on earlier ones.
@@ -83,19 +84,6 @@
 	return s.Repetitions > 0
 }
 
-// RequestsSameWork reports whether two specifications are equal but for the identifier,
-// the queue and the organisation.
-func (s Spec) RequestsSameWork(other Spec) bool {
-	return s.Payload == other.Payload && s.Repetitions == other.Repetitions && s.FirstAt.Equal(other.FirstAt) &&
-		s.Interval == other.Interval && slices.EqualFunc(s.Steps, other.Steps, Step.equals)
-}
-
-func (s Step) equals(other Step) bool {
-	areDependenciesEqual := slices.Equal(s.Dependencies, other.Dependencies)
-	s.Dependencies, other.Dependencies = nil, nil
-	return areDependenciesEqual && reflect.DeepEqual(s, other)
-}
-
 // OccurrenceCount returns the number of occurrences, which is at least 1.
 func (s Spec) OccurrenceCount() int {
 	return max(s.Repetitions, 1)
