Do not run a call that waited on a link that was cut

What callers saw: an evacuation, its withdrawal or a submission was carried out seconds after its caller had got 503 or 504, with no process standing still. By then a later order had been acknowledged by another core: a zone stayed out of service after its return was acknowledged (LOST), tasks started in an evacuated zone (EVAC), or a submission was accepted after its cancellation was answered.

Cause: the link from core X to leader A is cut and the bytes of the call wait in the kernel of X. The caller gives up, and X closes the connection, but the bytes are delivered before the close once the link heals. A closed a silent connection only after 10 s and ran the call until then.

Change: a server records when it last read a ping or a frame of a connection. After a silence of more than 750 ms it closes the connection and runs nothing of what it reads. A client pings every 250 ms and closes the connection if a pong takes 500 ms, so after 750 ms without a ping it has given up and failed its calls, before the 900 ms of an order. A ping after the silence counts too, since it may stand before the call. Messages without a reply are dropped likewise; replicas repeat them. A server that stood still itself closes all its connections.

Evidence: before the change "does not run a call that waited on a link that was cut" (rpc, both entries) and "is not carried out after its caller got 503" (platform/operator) failed at once with "Expected <int32>: 2 to be equivalent to <int>: 1": the call ran when the link healed, 1 s and 2 s after its caller had its answer. After it both suites passed 10 of 10 times with -race.

What remains: if the cut loses only the pong of a ping that arrived, the client gives up 500 ms after that ping, and a call still runs if the link heals within the next 250 ms.

--- a/rpc/server.go
+++ b/rpc/server.go
@@ -26,7 +26,27 @@
 	CountBytes func(written, read int)
 }
 
-const idleTimeout = 10 * time.Second
+const (
+	idleTimeout = 10 * time.Second
+	// longestSilence is the time after which a client whose pings do not arrive has
+	// closed the connection and failed its calls.
+	longestSilence = pingInterval + pingTimeout
+)
+
+// A link is what a server knows of the link to a client.
+type link struct {
+	lastRead time.Time
+	// wasCut tells that what is read may have waited on the link.
+	wasCut bool
+}
+
+// WithRead returns l after a ping or a frame was read.
+func (l link) WithRead(now time.Time) link {
+	return link{
+		lastRead: now,
+		wasCut:   l.wasCut || now.Sub(l.lastRead) > longestSilence,
+	}
+}
 
 type handler func(ctx context.Context, body cbor.RawMessage) (cbor.RawMessage, error)
 
@@ -70,13 +90,23 @@
 		http.Error(w, "wrong cluster token", http.StatusUnauthorized)
 		return
 	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	// Pings are received in the goroutine that reads frames.
+	l := link{
+		lastRead: time.Now(),
+	}
 	var idle atomic.Pointer[time.Timer]
 	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{
 		OnPingReceived: func(context.Context, []byte) bool {
 			if t := idle.Load(); t != nil {
 				t.Reset(idleTimeout)
 			}
-			return true
+			l = l.WithRead(time.Now())
+			if l.wasCut {
+				cancel()
+			}
+			return !l.wasCut
 		},
 	})
 	if err != nil {
@@ -88,12 +118,12 @@
 	idle.Store(t)
 	conn.SetReadLimit(MaxFrame)
 	defer func() { _ = conn.CloseNow() }()
-	ctx, cancel := context.WithCancel(r.Context())
-	defer cancel()
-	s.serve(ctx, conn)
+	s.serve(ctx, conn, &l)
 }
 
-func (s *Server) serve(ctx context.Context, conn *websocket.Conn) {
+// serve runs the calls that it reads, until one may have waited on a link that was
+// cut: its caller has turned elsewhere.
+func (s *Server) serve(ctx context.Context, conn *websocket.Conn, l *link) {
 	running := make(chan struct{}, s.cfg.MaxCalls)
 	for {
 		f, n, err := readFrame(ctx, conn)
@@ -101,6 +131,10 @@
 			return
 		}
 		s.count(0, n)
+		*l = l.WithRead(time.Now())
+		if l.wasCut {
+			return
+		}
 		if f.ID == 0 {
 			// Messages without a reply are handled in the order in which they arrive.
 			s.answer(ctx, conn, f)
