Remove a voter before its successor becomes one only if it is gone for good

- The replacement of a live leader never ended: the leader has no contact time of its own.
- A member that was only cut off was removed first; the loss of another disk then left two voters that both had to be there, and no leader for good.
Before, the member that came back counted.
- A learner could wait for ever for a member that answers between one and two timeouts.
- A learner counted as silent from its addition to its first answer, since the silence was counted from the election, and another newcomer's request removed it.

Now only a member whose address the learner has is removed first; any other as before, after the promotion. The silence of a learner counts from its addition, and no catch-up time makes a member dead sooner than three election timeouts.

In rpc, a connection counts as cut after 0.9 s instead of 0.75 s: two pongs in time may be 0.89 s apart, and callers turn elsewhere after a second. The time for which the server's own reader was busy with a message counts no more: a handler of 0.8 s made it close healthy connections again and again.

--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -10,10 +10,6 @@
 // be promoted to a voter.
 const maxPromotionLag = 64
 
-// replacedMemberTimeout is the silence, in election timeouts, after which a member that
-// is being replaced counts as gone.
-const replacedMemberTimeout = 2
-
 func (r Replica) stepFormGroup(now time.Time, e FormGroup) (Replica, []Effect) {
 	if r.Members().Group != "" || r.log.LastIndex() > 0 {
 		return r, []Effect{
@@ -152,8 +148,8 @@
 }
 
 // proposeMemberChange takes the next step of a membership change without an
-// operator: it promotes a learner that has caught up, then removes the member
-// that the new voter replaces. A leader that is no longer a member steps down.
+// operator: it promotes a learner that has caught up, and removes the member that this
+// one replaces. A leader that is no longer a member steps down.
 func (r Replica) proposeMemberChange(now time.Time, l Leader) (Replica, []Effect) {
 	if r.isChangePending() || r.commitIndex < l.termStartIndex {
 		return r, nil
@@ -180,43 +176,21 @@
 	for _, m := range r.Members().Members {
 		p := l.progress[m.ID]
 		isReachable := now.Sub(p.LastContact) < r.cfg.ElectionTimeout
+		replaced, isReplacementPending := r.Members().Get(m.Replaces)
+		isReady := !m.Voter && isReachable && p.Match+maxPromotionLag >= r.log.LastIndex() && p.Match > 0
 		switch {
-		case !m.Voter && isReachable && p.Match+maxPromotionLag >= r.log.LastIndex() && p.Match > 0:
-			if c, ok := r.promotion(now, l, m); ok {
-				return c, true
-			}
-		case m.Voter && r.isReplacementPending(m):
+		case isReady && isReplacementPending && replaced.Address == m.Address, m.Voter && isReplacementPending:
+			// The member that had the learner's address is gone for good. With both as
+			// voters, the group would bear one loss less if the learner is lost as well.
+			// Any other member may be alive, and is removed after the promotion.
 			return member.Remove{
 				ID: m.Replaces,
 			}, true
-		}
-	}
-	return nil, false
-}
-
-func (r Replica) isReplacementPending(m member.Member) bool {
-	_, ok := r.Members().Get(m.Replaces)
-	return ok
-}
-
-// promotion returns the next change on the way of a learner to a voter, or false while it
-// is not known whether the member that it replaces is alive. One that is not, as when the
-// learner has its address, is removed first: with both as voters, the group would bear one
-// loss less if the new one is lost as well. One that is alive is removed later, so that the
-// group never has fewer voters.
-func (r Replica) promotion(now time.Time, l Leader, m member.Member) (c member.Change, ok bool) {
-	if replaced, ok := r.Members().Get(m.Replaces); ok {
-		isGone := replaced.Address == m.Address || r.IsSilent(now, m.Replaces, replacedMemberTimeout*r.cfg.ElectionTimeout)
-		switch {
-		case isGone:
-			return member.Remove{
-				ID: m.Replaces,
+		case isReady:
+			return member.Promote{
+				ID: m.ID,
 			}, true
-		case now.Sub(l.progress[m.Replaces].LastContact) >= r.cfg.ElectionTimeout:
-			return nil, false
 		}
 	}
-	return member.Promote{
-		ID: m.ID,
-	}, true
+	return nil, false
 }
--- a/consensus/replica.go
+++ b/consensus/replica.go
@@ -157,8 +157,10 @@
 	}
 	p, known := l.progress[id]
 	lastContact := p.LastContact
-	if lastContact.Before(l.electedAt) {
-		lastContact = l.electedAt
+	for _, at := range []time.Time{l.electedAt, p.AddedAt} {
+		if lastContact.Before(at) {
+			lastContact = at
+		}
 	}
 	return known && now.Sub(lastContact) > timeout
 }
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -108,6 +108,7 @@
 		p, known := l.progress[m.ID]
 		if !known {
 			p = r.newProgress()
+			p.AddedAt = now
 		}
 		var more []Effect
 		p, more = r.replicateTo(now, l, m.ID, p)
--- a/control/config.go
+++ b/control/config.go
@@ -41,6 +41,9 @@
 	// defaultDeadMemberTimeout is how long a member may be silent before a controller at
 	// another address may replace it, unless a time to catch up is specified.
 	defaultDeadMemberTimeout = 6 * time.Second
+	// minDeadMemberTimeout is three election timeouts of the controllers, so that a member
+	// with one slow answer is not replaced.
+	minDeadMemberTimeout = 1500 * time.Millisecond
 	// The silence takes this part of the time to catch up. The rest is for an election
 	// and the three changes of the group.
 	silenceNumerator   = 3
@@ -53,5 +56,5 @@
 	if cfg.CatchUpDuration == 0 {
 		return defaultDeadMemberTimeout
 	}
-	return cfg.CatchUpDuration * silenceNumerator / silenceDenominator
+	return max(minDeadMemberTimeout, cfg.CatchUpDuration*silenceNumerator/silenceDenominator)
 }
--- a/controller/gateway/resent_test.go
+++ b/controller/gateway/resent_test.go
@@ -67,4 +67,12 @@
 		Entry("with a key that there never was", "call 2", "never"),
 		Entry("without an identifier", "", "t1"),
 	)
+
+	It("is refused if neither call has an identifier", func() {
+		g.submit(submission("j2", "t1"))
+		g.submit(document(2, []string{"t2"}, "q", "r"))
+		again := resent("/q/j2")
+		again.Spec.Call = ""
+		Expect(submit(again)).To(Equal(wire.ResultBadToken))
+	})
 })
--- a/member/member.go
+++ b/member/member.go
@@ -17,7 +17,7 @@
 	// Voter is false while the member is a learner, which receives the log but
 	// does not vote.
 	Voter bool `json:"voter"`
-	// Replaces is the identity of the member to remove once this one is a voter;
+	// Replaces is the identity of the member to remove once this one has caught up;
 	// empty for none.
 	Replaces string `json:"replaces"`
 }
--- a/rpc/server.go
+++ b/rpc/server.go
@@ -28,9 +28,9 @@
 
 const (
 	idleTimeout = 10 * time.Second
-	// longestSilence is the time after which a client whose pings do not arrive has
-	// closed the connection and failed its calls.
-	longestSilence = pingInterval + pingTimeout
+	// longestSilence is a little less than the second after which callers turn to another
+	// process. A client whose pings do not arrive has failed its calls before.
+	longestSilence = 900 * time.Millisecond
 )
 
 // A link is what a server knows of the link to a client.
@@ -138,9 +138,12 @@
 		if f.ID == 0 {
 			// Messages without a reply are handled in the order in which they arrive.
 			s.answer(ctx, conn, f)
+			l.lastRead = time.Now()
 			continue
 		}
 		running <- struct{}{}
+		// The time for which this goroutine itself was busy is no silence of the client.
+		l.lastRead = time.Now()
 		go func() {
 			defer func() { <-running }()
 			s.answer(ctx, conn, f)
