--- a/controller/gateway/old_leader_test.go
+++ b/controller/gateway/old_leader_test.go
@@ -46,10 +46,10 @@
 	}
 }
 
-func submission(id, token string) plantainladder.SubmitWorkflow {
+func submission(id string) plantainladder.SubmitWorkflow {
 	return plantainladder.SubmitWorkflow{
 		Spec:  spec(id),
-		Token: token,
+		Token: "t1",
 	}
 }
 
@@ -92,7 +92,7 @@
 	BeforeEach(func() {
 		g = newGroup()
 		g.submit(document(1, []string{"t1"}, "q"))
-		g.submit(submission("j1", "t1"))
+		g.submit(submission("j1"))
 		old = g.leader()
 		c = g.serve(old)
 		Expect(call[wire.WorkflowRequest, wire.Result](c, wire.MethodLookup, request("/q/j1", "t1"))).
@@ -113,7 +113,7 @@
 
 	DescribeTable("refuses nothing that was acknowledged meanwhile", func(method, path, token string) {
 		g.submit(document(2, []string{"t1", "t2"}, "q", "r"))
-		g.submit(submission("j2", "t1"))
+		g.submit(submission("j2"))
 		Expect(isAnswered(method, request(path, token)).Leader).To(BeFalse())
 	},
 		Entry("a submission to a new route", wire.MethodSubmit, "/r/j3", "t1"),
--- a/controller/gateway/resent_test.go
+++ b/controller/gateway/resent_test.go
@@ -19,7 +19,7 @@
 	BeforeEach(func() {
 		g = newGroup()
 		g.submit(document(1, []string{"t1", "t2"}, "q", "r"))
-		first := submission("j1", "t1")
+		first := submission("j1")
 		first.Spec.Call = "call 1"
 		g.submit(first)
 		c = g.serve(g.leader())
@@ -69,7 +69,7 @@
 	)
 
 	It("is refused if neither call has an identifier", func() {
-		g.submit(submission("j2", "t1"))
+		g.submit(submission("j2"))
 		g.submit(document(2, []string{"t2"}, "q", "r"))
 		again := resent("/q/j2")
 		again.Spec.Call = ""
