--- a/controller/gateway/workflow.go
+++ b/controller/gateway/workflow.go
@@ -63,7 +63,7 @@
 			ID:    id,
 		}
 	}
-	if res.Kind == wire.ResultDone && q.RequiresPlacementAdvisor {
+	if res.Kind == wire.ResultDone {
 		res.Kind = wire.ResultUnsupported
 		res.Detail = "queues that require a placement advisor are not supported"
 	}
--- a/prove/proxy/proxy.go
+++ b/prove/proxy/proxy.go
@@ -137,6 +137,11 @@
 	return p, nil
 }
 
+// Address returns the address that the proxy listens on.
+func (p *Proxy) Address() string {
+	return p.listener.Addr().String()
+}
+
 // Close stops the proxy and closes its connections.
 func (p *Proxy) Close() {
 	close(p.done)
--- a/rpc/server.go
+++ b/rpc/server.go
@@ -48,6 +48,13 @@
 	}
 }
 
+// WithReader returns l after the time in which its reader was busy with what it had read.
+// That is no silence of the client.
+func (l link) WithReader(now time.Time) link {
+	l.lastRead = now
+	return l
+}
+
 type handler func(ctx context.Context, body cbor.RawMessage) (cbor.RawMessage, error)
 
 // A Server runs the calls of clients. Its methods must be registered with Handle
@@ -138,12 +145,11 @@
 		if f.ID == 0 {
 			// Messages without a reply are handled in the order in which they arrive.
 			s.answer(ctx, conn, f)
-			l.lastRead = time.Now()
+			*l = l.WithReader(time.Now())
 			continue
 		}
 		running <- struct{}{}
-		// The time for which this goroutine itself was busy is no silence of the client.
-		l.lastRead = time.Now()
+		*l = l.WithReader(time.Now())
 		go func() {
 			defer func() { <-running }()
 			s.answer(ctx, conn, f)
