--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -27,6 +27,8 @@
 	// writtenSnapshot the same for its written snapshot.
 	snapshot        []string
 	writtenSnapshot []string
+	// isDirty is true if something was written since the last sync of a slow disk began.
+	isDirty bool
 	// isFull is true while nothing that the host writes becomes durable.
 	isFull bool
 	// refusesSnapshots is true while the transfers of snapshots to the host fail.
--- a/consensus/disk_test.go
+++ b/consensus/disk_test.go
@@ -8,6 +8,7 @@
 
 func (h *host) persist(f consensus.Persist) {
 	h.written.Hard = f.Hard
+	h.isDirty = true
 	if len(f.Entries) == 0 {
 		return
 	}
