Answer a leader's messages in time although the disk is slow

Callers saw 503 no-leader from a group that had a leader. A follower answered a message only after the sync of all entries up to it. A leader counts the time of the message that was answered as the last contact, so syncs of more than 450 ms at two of three remaining followers took its lease away, and syncs of a second its leadership. Reads and their confirmation need no disk, but waited for it.

A follower whose disk has been busy with a sync for a heartbeat interval now also answers at once, with the last entry that is durable as the match. Contact and confirmation depend on the term that the follower is in, not on its log: a candidate of a later term needs the vote of a follower that has moved to that term, and such a follower answers no message of an earlier one.

--- a/consensus/replica.go
+++ b/consensus/replica.go
@@ -54,6 +54,9 @@
 	commitIndex  uint64
 	appliedIndex uint64
 	syncedIndex  uint64
+	// syncBeganAt is when the disk began to sync the entries after syncedIndex: when it
+	// got the first of them, or at the end of the sync before.
+	syncBeganAt time.Time
 	// memberships holds the set of members at the base entry of the log and
 	// those of later entries, the latest last.
 	memberships []membershipEntry
@@ -246,7 +249,7 @@
 	case InstallGroup:
 		r, out = r.stepInstallGroup(now, e)
 	case EntriesSynced:
-		r = r.stepEntriesSynced(e)
+		r = r.stepEntriesSynced(now, e)
 	case Compacted:
 		r = r.stepCompacted(e)
 	case SnapshotReceived:
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -191,6 +191,7 @@
 		}
 	}
 	var newEntries []Entry
+	wasSynced := r.syncedIndex >= r.log.LastIndex()
 	for _, e := range request.Entries {
 		if e.Index <= r.log.BaseIndex() {
 			continue
@@ -203,6 +204,9 @@
 	}
 	var out []Effect
 	if len(newEntries) > 0 {
+		if wasSynced {
+			r.syncBeganAt = now
+		}
 		out = append(out, Persist{
 			Hard:    r.hardState,
 			Entries: newEntries,
@@ -210,15 +214,22 @@
 	}
 	matchIndex := request.PrevIndex + uint64(len(request.Entries))
 	r.commitIndex = max(r.commitIndex, min(request.CommitIndex, matchIndex))
-	return r, append(out, Send{
-		Message: r.newMessage(msg.From, AppendReply{
-			Accepted: true,
-			Match:    matchIndex,
-			SentNS:   request.SentNS,
-		}),
-		// Entries of an earlier request may not be durable yet.
-		AfterSync: matchIndex > r.syncedIndex,
-	})
+	accepted := func(match uint64) Send {
+		return Send{
+			Message: r.newMessage(msg.From, AppendReply{
+				Accepted: true,
+				Match:    match,
+				SentNS:   request.SentNS,
+			}),
+			// Entries of an earlier request may not be durable yet.
+			AfterSync: match > r.syncedIndex,
+		}
+	}
+	if matchIndex > r.syncedIndex && now.Sub(r.syncBeganAt) >= r.cfg.Heartbeat {
+		// A leader must not lose its lease, or reads their confirmation, to a slow disk.
+		out = append(out, accepted(r.syncedIndex))
+	}
+	return r, append(out, accepted(matchIndex))
 }
 
 // matchHint returns the last entry that may match the leader's log, given that
@@ -303,11 +314,12 @@
 	return r
 }
 
-func (r Replica) stepEntriesSynced(e EntriesSynced) Replica {
+func (r Replica) stepEntriesSynced(now time.Time, e EntriesSynced) Replica {
 	if term, ok := r.log.Term(e.Index); !ok || term != e.Term {
 		return r
 	}
 	r.syncedIndex = max(r.syncedIndex, e.Index)
+	r.syncBeganAt = now
 	l, ok := r.role.(Leader)
 	if !ok {
 		return r
