Elect a leader although syncs take longer than the election timeout

Callers saw 503 no-leader for as long as the disks were slow. An election took the sync of the candidate's vote and then those of the voters, while a candidate began anew after 500 ms to 1 s and dropped the votes that came later; voters supported the next candidate although their disks were still busy with the vote before. After two disks of five are lost all three others have to vote, so one slow disk is enough.

The requests for votes no longer wait for the candidate's disk. Its own vote counts once it is durable, and it does not lead before that: after a restart it could lead the same term again with other entries, which a test shows. While a vote is on its way to the disk, its replica neither starts an election nor supports one; its timer begins when the vote is durable. A candidate that asks again whether it would win still counts the votes of its present term. The disk writer reports a durable term and vote for that, as it reports entries.

--- a/consensus/disk_test.go
+++ b/consensus/disk_test.go
@@ -30,6 +30,9 @@
 	h.snapshot = h.writtenSnapshot
 	c.inFlight = append(c.inFlight, h.awaitingSync...)
 	h.awaitingSync = nil
+	c.step(h, consensus.HardStateSynced{
+		Hard: h.disk.Hard,
+	})
 	if n := len(h.disk.Entries); n > 0 {
 		last := h.disk.Entries[n-1]
 		c.step(h, consensus.EntriesSynced{
--- a/consensus/effect.go
+++ b/consensus/effect.go
@@ -6,8 +6,8 @@
 	effect()
 }
 
-// Persist appends a record to the log on disk. Once its entries are durable,
-// the caller reports EntriesSynced.
+// Persist appends a record to the log on disk. Once its entries are durable, the caller
+// reports EntriesSynced, and HardStateSynced for its term and vote.
 type Persist struct {
 	// Hard is the term and vote to store.
 	Hard HardState
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -6,7 +6,7 @@
 	if l, ok := r.role.(Leader); ok {
 		return r.tickLeader(now, l)
 	}
-	if now.Before(r.electionDeadline) {
+	if now.Before(r.electionDeadline) || r.isVoteUnsynced() {
 		return r, nil
 	}
 	r = r.withElectionTimer(now)
@@ -22,6 +22,7 @@
 		votes: map[string]bool{
 			r.cfg.ID: true,
 		},
+		candidacy: r.candidacy(),
 	}
 	if r.Members().Quorum() == 1 {
 		return r.startElection(now, false)
@@ -32,7 +33,7 @@
 		LastTerm:  r.log.LastTerm(),
 	})
 	msg.Term++
-	return r, r.sendToVoters(msg, false)
+	return r, r.sendToVoters(msg)
 }
 
 func (r Replica) startElection(now time.Time, isTransfer bool) (Replica, []Effect) {
@@ -42,9 +43,7 @@
 	}
 	r.leaderID = ""
 	r.role = Candidate{
-		votes: map[string]bool{
-			r.cfg.ID: true,
-		},
+		votes: map[string]bool{},
 	}
 	out := []Effect{
 		r.persistHardState(),
@@ -58,17 +57,16 @@
 		LastTerm:           r.log.LastTerm(),
 		LeadershipTransfer: isTransfer,
 	})
-	return r, append(out, r.sendToVoters(msg, true)...)
+	return r, append(out, r.sendToVoters(msg)...)
 }
 
-func (r Replica) sendToVoters(msg Message, afterSync bool) []Effect {
+func (r Replica) sendToVoters(msg Message) []Effect {
 	var out []Effect
 	for _, m := range r.Members().Members {
 		if m.Voter && m.ID != r.cfg.ID {
 			msg.To = m.ID
 			out = append(out, Send{
-				Message:   msg,
-				AfterSync: afterSync,
+				Message: msg,
 			})
 		}
 	}
@@ -157,7 +155,7 @@
 		}
 	}
 	if request.PreVote {
-		granted := upToDate && msg.Term > r.hardState.Term
+		granted := upToDate && msg.Term > r.hardState.Term && !r.isVoteUnsynced()
 		reply := r.newMessage(msg.From, VoteReply{
 			PreVote: true,
 			Granted: granted,
@@ -205,18 +203,68 @@
 }
 
 func (r Replica) stepVoteReply(now time.Time, from string, reply VoteReply) (Replica, []Effect) {
-	c, ok := r.role.(Candidate)
-	if !ok || reply.PreVote || !reply.Granted {
+	if reply.PreVote || !reply.Granted {
+		return r, nil
+	}
+	return r.countVote(now, from)
+}
+
+// countVote counts a durable vote for this replica in its present term. The replica does
+// not lead before its own vote is durable: after a restart it could lead the same term
+// again, with other entries.
+func (r Replica) countVote(now time.Time, from string) (Replica, []Effect) {
+	c := r.candidacy()
+	if c.votes == nil {
 		return r, nil
 	}
 	c.votes = withVote(c.votes, from)
-	r.role = c
-	if countVotes(c.votes, r.Members()) < r.Members().Quorum() {
+	switch role := r.role.(type) {
+	case Candidate:
+		r.role = c
+	case PreCandidate:
+		role.candidacy = c
+		r.role = role
+	case Follower, Leader:
+	}
+	if !c.votes[r.cfg.ID] || countVotes(c.votes, r.Members()) < r.Members().Quorum() {
 		return r, nil
 	}
 	return r.becomeLeader(now)
 }
 
+// candidacy returns the election that the replica started in its present term. Its votes
+// are nil if there is none.
+func (r Replica) candidacy() Candidate {
+	switch role := r.role.(type) {
+	case Candidate:
+		return role
+	case PreCandidate:
+		return role.candidacy
+	case Follower, Leader:
+	}
+	return Candidate{}
+}
+
+// isVoteUnsynced reports whether the replica's vote is on its way to the disk. It decides
+// an election that is under way, so the replica neither starts another one nor supports
+// one until then.
+func (r Replica) isVoteUnsynced() bool {
+	return r.hardState.Vote != "" && r.syncedHard != r.hardState
+}
+
+func (r Replica) stepHardStateSynced(now time.Time, e HardStateSynced) (Replica, []Effect) {
+	wasUnsynced := r.isVoteUnsynced()
+	r.syncedHard = e.Hard
+	if !wasUnsynced || r.isVoteUnsynced() {
+		return r, nil
+	}
+	r = r.withElectionTimer(now)
+	if r.hardState.Vote != r.cfg.ID {
+		return r, nil
+	}
+	return r.countVote(now, r.cfg.ID)
+}
+
 func (r Replica) becomeLeader(now time.Time) (Replica, []Effect) {
 	l := Leader{
 		electedAt:      now,
--- a/consensus/event.go
+++ b/consensus/event.go
@@ -76,6 +76,13 @@
 	Index, Term uint64
 }
 
+// HardStateSynced reports that a term and vote are durable on disk.
+type HardStateSynced struct {
+	// Hard is the last term and vote that are durable. The event is ignored if the replica
+	// has another term or vote since.
+	Hard HardState
+}
+
 // Compacted reports that a durable snapshot covers all entries up to an index,
 // so that the replica can drop them.
 type Compacted struct {
@@ -110,6 +117,7 @@
 func (FormGroup) event()          {}
 func (InstallGroup) event()       {}
 func (EntriesSynced) event()      {}
+func (HardStateSynced) event()    {}
 func (Compacted) event()          {}
 func (SnapshotReceived) event()   {}
 func (SnapshotSent) event()       {}
--- a/consensus/replica.go
+++ b/consensus/replica.go
@@ -50,6 +50,7 @@
 type Replica struct {
 	cfg          Config
 	hardState    HardState
+	syncedHard   HardState
 	log          Log
 	commitIndex  uint64
 	appliedIndex uint64
@@ -79,6 +80,7 @@
 	r := Replica{
 		cfg:              cfg,
 		hardState:        stored.Hard,
+		syncedHard:       stored.Hard,
 		log:              NewLog(stored.Snapshot.Index, stored.Snapshot.Term),
 		commitIndex:      stored.Snapshot.Index,
 		appliedIndex:     stored.Snapshot.Index,
@@ -250,6 +252,8 @@
 		r, out = r.stepInstallGroup(now, e)
 	case EntriesSynced:
 		r = r.stepEntriesSynced(now, e)
+	case HardStateSynced:
+		r, out = r.stepHardStateSynced(now, e)
 	case Compacted:
 		r = r.stepCompacted(e)
 	case SnapshotReceived:
--- a/consensus/role.go
+++ b/consensus/role.go
@@ -22,9 +22,13 @@
 // a new term.
 type PreCandidate struct {
 	votes map[string]bool
+	// candidacy is the election that the replica started in its present term; it can
+	// still be won. Its votes are nil if there is none.
+	candidacy Candidate
 }
 
-// Candidate has started a new term and asks for votes.
+// Candidate has started a new term and asks for votes. Its own vote counts once it is
+// durable.
 type Candidate struct {
 	votes map[string]bool
 }
--- a/consensus/slow_disk_test.go
+++ b/consensus/slow_disk_test.go
@@ -91,6 +91,9 @@
 		delete(c.syncs, h.id)
 		h.disk = s.state
 		c.inFlight = append(c.inFlight, s.messages...)
+		c.step(h, consensus.HardStateSynced{
+			Hard: s.state.Hard,
+		})
 		if n := len(s.state.Entries); n > 0 {
 			c.step(h, consensus.EntriesSynced{
 				Index: s.state.Entries[n-1].Index,
@@ -139,6 +142,27 @@
 // time after which the users count machines as in touch.
 const recoveryBound = 6 * time.Second
 
+var _ = Describe("A candidate whose own vote is not durable", func() {
+	It("does not lead the same term twice with other entries if it restarts", func() {
+		c := newFormedCluster(5)
+		old := c.leader()
+		c.crash(old)
+		candidate := c.hosts["c2"]
+		Expect(candidate).NotTo(Equal(old))
+		term := candidate.replica.Hard().Term
+		candidate.isFull = true
+		for c.now = c.now.Add(2 * electionTimeout); candidate.replica.Hard().Term == term; c.now = c.now.Add(tickInterval) {
+			c.step(candidate, consensus.Tick{})
+			c.deliverAll()
+		}
+		Expect(candidate.replica.Hard().Vote).To(Equal(candidate.id))
+		Expect(candidate.replica.IsLeader()).To(BeFalse())
+		candidate.isFull = false
+		c.sync(candidate)
+		Expect(candidate.replica.IsLeader()).To(BeTrue())
+	})
+})
+
 var _ = Describe("Three voters of five whose disks are slow", func() {
 	It("elect a leader in time after all stopped at once", func() {
 		var failed []string
--- a/control/core.go
+++ b/control/core.go
@@ -122,6 +122,8 @@
 			Index: e.Index,
 			Term:  e.Term,
 		})
+	case HardStateSynced:
+		return c.stepReplica(now, consensus.HardStateSynced(e))
 	case SnapshotSaved:
 		return c.stepSnapshotSaved(now, e)
 	case SnapshotReceived:
--- a/control/event.go
+++ b/control/event.go
@@ -50,6 +50,12 @@
 	Poll Poll
 }
 
+// HardStateSynced reports that a term and vote of the replica are durable.
+type HardStateSynced struct {
+	// Hard is the last term and vote that are durable.
+	Hard consensus.HardState
+}
+
 // EntriesSynced reports that all log entries up to an index are durable.
 type EntriesSynced struct {
 	// Index and Term identify the last durable entry.
@@ -127,6 +133,7 @@
 func (Submit) event()              {}
 func (PollReceived) event()        {}
 func (EntriesSynced) event()       {}
+func (HardStateSynced) event()     {}
 func (SnapshotSaved) event()       {}
 func (SnapshotReceived) event()    {}
 func (SnapshotSent) event()        {}
--- a/control/first_start_suite_test.go
+++ b/control/first_start_suite_test.go
@@ -210,6 +210,9 @@
 
 func (s *firstStart) writeLog(m *machine, p consensus.Persist) {
 	m.log.Hard = p.Hard
+	s.step(m, control.HardStateSynced{
+		Hard: p.Hard,
+	})
 	if len(p.Entries) == 0 {
 		return
 	}
--- a/controller/disk/powerloss/group_test.go
+++ b/controller/disk/powerloss/group_test.go
@@ -119,6 +119,11 @@
 				Term:  e.Term,
 			})
 		},
+		HardStateSynced: func(hard consensus.HardState) {
+			m.events = append(m.events, consensus.HardStateSynced{
+				Hard: hard,
+			})
+		},
 		QueueLength: 1 << 12,
 	})
 	m.applied = decodeApplied(r.State)
--- a/controller/disk/writer.go
+++ b/controller/disk/writer.go
@@ -54,6 +54,9 @@
 	// EntriesSynced is called with the last entry after each sync that made entries
 	// durable. It must not block.
 	EntriesSynced func(e consensus.Entry)
+	// HardStateSynced is called with the last term and vote after each sync that made
+	// them durable; nil for none. It must not block.
+	HardStateSynced func(hard consensus.HardState)
 	// ObserveSync is called after each sync with the number of entries and the time
 	// that writing and syncing took; nil for none.
 	ObserveSync func(entries int, duration time.Duration)
@@ -76,6 +79,7 @@
 	cfg           WriterConfig
 	operations    chan Operation
 	snapshotIndex uint64
+	syncedHard    consensus.HardState
 }
 
 // NewWriter returns a Writer; Run starts it.
@@ -199,6 +203,10 @@
 	if n := len(entries); n > 0 {
 		w.cfg.EntriesSynced(entries[n-1])
 	}
+	if w.cfg.HardStateSynced != nil && hard != w.syncedHard {
+		w.syncedHard = hard
+		w.cfg.HardStateSynced(hard)
+	}
 	return nil
 }
 
--- a/controller/gateway/gateway_suite_test.go
+++ b/controller/gateway/gateway_suite_test.go
@@ -131,6 +131,9 @@
 	for _, f := range out {
 		switch f := f.(type) {
 		case control.WriteLog:
+			g.stepOne(h, control.HardStateSynced{
+				Hard: f.Persist.Hard,
+			})
 			if n := len(f.Persist.Entries); n > 0 {
 				g.syncs++
 				g.stepOne(h, control.EntriesSynced{
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -56,7 +56,8 @@
 	folder  *disk.Folder
 	log     *disk.Log
 	writer  *disk.Writer
-	synced  syncReporter
+	synced  syncReporter[consensus.Entry]
+	hard    syncReporter[consensus.HardState]
 	peers   *replica.Peers
 	pusher  *worker.Pusher
 	pending *gateway.PendingRequests
@@ -92,7 +93,8 @@
 		logger:  util.ForComponent(cfg.Logger, "controller"),
 		folder:  folder,
 		log:     log,
-		synced:  newSyncReporter(),
+		synced:  newSyncReporter[consensus.Entry](),
+		hard:    newSyncReporter[consensus.HardState](),
 		pending: gateway.NewPendingRequests(),
 		meters:  newMeters(),
 		ctx:     ctx,
@@ -153,13 +155,14 @@
 // state.
 func (n *Node) createComponents(logger zerolog.Logger) {
 	n.writer = disk.NewWriter(disk.WriterConfig{
-		Folder:        n.folder,
-		Log:           n.log,
-		EntriesSynced: n.synced.report,
-		ObserveSync:   n.meters.observeSync,
-		FullChanged:   n.reportDiskFull,
-		FullTimeout:   diskFullTimeout,
-		QueueLength:   diskQueueLength,
+		Folder:          n.folder,
+		Log:             n.log,
+		EntriesSynced:   n.synced.report,
+		HardStateSynced: n.hard.report,
+		ObserveSync:     n.meters.observeSync,
+		FullChanged:     n.reportDiskFull,
+		FullTimeout:     diskFullTimeout,
+		QueueLength:     diskQueueLength,
 	})
 	n.peers = replica.NewPeers(replica.Config{
 		Token:  n.cfg.ClusterToken,
@@ -285,7 +288,8 @@
 	failed := make(chan error, 2)
 	go func() { failed <- server.Serve(listener) }()
 	go func() { failed <- n.writer.Run(ctx) }()
-	go n.synced.run(ctx, n.loop.Post)
+	go n.synced.run(ctx, n.loop.Post, entriesSynced)
+	go n.hard.run(ctx, n.loop.Post, hardStateSynced)
 	go n.peers.Run(ctx)
 	go n.loop.Run(ctx)
 	go n.loop.Tick(ctx, tickInterval, func() control.Event {
--- a/controller/node/sync_report.go
+++ b/controller/node/sync_report.go
@@ -7,41 +7,51 @@
 	"github.com/plantainladder/plantainladder/control"
 )
 
-// A syncReporter passes the last durable entry from the disk writer to the event
+// A syncReporter passes what became durable last from the disk writer to the event
 // loop. The writer must not wait for the loop, which waits for the writer while
 // the writer's queue is full.
-type syncReporter struct {
-	// latest holds the last entry that was not reported yet.
-	latest chan consensus.Entry
+type syncReporter[T any] struct {
+	// latest holds the last value that was not reported yet.
+	latest chan T
 }
 
-func newSyncReporter() syncReporter {
-	return syncReporter{
-		latest: make(chan consensus.Entry, 1),
+func newSyncReporter[T any]() syncReporter[T] {
+	return syncReporter[T]{
+		latest: make(chan T, 1),
 	}
 }
 
-// report replaces the entry to report. It does not block; only the disk writer may
+// report replaces the value to report. It does not block; only the disk writer may
 // call it.
-func (s syncReporter) report(e consensus.Entry) {
+func (s syncReporter[T]) report(v T) {
 	select {
 	case <-s.latest:
 	default:
 	}
-	s.latest <- e
+	s.latest <- v
 }
 
-// run posts the entries until ctx ends.
-func (s syncReporter) run(ctx context.Context, post func(ctx context.Context, e control.Event) error) {
+// run posts an event for each value until ctx ends.
+func (s syncReporter[T]) run(ctx context.Context, post func(ctx context.Context, e control.Event) error, toEvent func(v T) control.Event) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case e := <-s.latest:
-			_ = post(ctx, control.EntriesSynced{
-				Index: e.Index,
-				Term:  e.Term,
-			})
+		case v := <-s.latest:
+			_ = post(ctx, toEvent(v))
 		}
 	}
 }
+
+func entriesSynced(e consensus.Entry) control.Event {
+	return control.EntriesSynced{
+		Index: e.Index,
+		Term:  e.Term,
+	}
+}
+
+func hardStateSynced(hard consensus.HardState) control.Event {
+	return control.HardStateSynced{
+		Hard: hard,
+	}
+}
