Answer reads of the configuration from a confirmed state

Operators saw 503 no-answer on reading the configuration back from a group with a leader. A read committed an entry, which a new leader refuses for 6 s while its group lacks a voter, as after a lost disk, and which waits for the disks of a majority. Refused like that, a core names no leader, so the caller went round the cores until its time was over.

Of the same class as slow answers of followers: an answer that changes nothing depended on the disk.

The leader now answers as for jobs: from its state, once a majority has confirmed that it led when the call came. The command Confirm stays for logs that hold it.

--- a/apply_workflow.go
+++ b/apply_workflow.go
@@ -15,8 +15,7 @@
 	Document configuration.Document `json:"document"`
 }
 
-// Confirm changes nothing. Once it is applied, its proposer knows that the state
-// includes everything that was committed before.
+// Confirm changes nothing. Leaders no longer propose it; logs of earlier versions hold it.
 type Confirm struct{}
 
 // SubmitWorkflow adds a workflow.
--- a/controller/gateway/workflow.go
+++ b/controller/gateway/workflow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"time"
 
 	plantainladder "github.com/plantainladder/plantainladder"
 	"github.com/plantainladder/plantainladder/configuration"
@@ -16,7 +17,7 @@
 	rpc.Handle(s, wire.MethodSubmit, g.submit)
 	rpc.Handle(s, wire.MethodCancel, g.cancel)
 	rpc.Handle(s, wire.MethodLookup, g.lookup)
-	rpc.Handle(s, wire.MethodConfiguration, g.configuration)
+	handleQuery(s, g, wire.MethodConfiguration, configurationDocument)
 	rpc.Handle(s, wire.MethodAnnounceWorker, g.announceWorker)
 	rpc.Handle(s, wire.MethodJoin, g.join)
 }
@@ -224,23 +225,13 @@
 	return leaderReply(resolveLookup(core.State(), req)), nil
 }
 
-// configuration returns the latest configuration document. It commits an entry
-// first, because a leader that was paused and replaced would otherwise return an
-// old document.
-func (g *Server) configuration(ctx context.Context, _ wire.Empty) (reply wire.LeaderReply[wire.Document], err error) {
-	_, retry, ok := g.commit(ctx, plantainladder.Confirm{})
-	if !ok {
-		reply.Redirect = retry.Redirect
-		return reply, nil
+// configurationDocument returns the latest configuration document.
+func configurationDocument(c control.Core, _ time.Time, _ wire.Empty) wire.Document {
+	d := c.State().Configuration()
+	return wire.Document{
+		Version: d.Version,
+		Source:  d.Source,
 	}
-	d := g.cfg.Core().State().Configuration()
-	return wire.LeaderReply[wire.Document]{
-		Leader: true,
-		Body: wire.Document{
-			Version: d.Version,
-			Source:  d.Source,
-		},
-	}, nil
 }
 
 // announceWorker handles a worker's announcement. An announcement with new content
