Tell why no leader answered a call

A call that no leader answered was logged as "no controller was called in time" also when controllers were called and answered that they do not lead: the error of the last attempt was kept, and such an answer is no error.

NoLeaderError.Cause is now a sealed interface: not-called, not-reached, no-leader-known, redirected, failed, no-reply, busy, outcome-unknown or group-incomplete, that of the call that got furthest. A last call that the end of the request cut short after less than 100 ms does not count, unless it is the only one. The error also has the controller that was called last and the number of calls. The lines on pings, on calls of consumers and operators and on polls have `cause`, `last-called` and `calls`; gateway_controller_failures_total counts by cause. Sent, status codes, reasons and which controller is called next are as before; the detail in answers, a text for people, now names the cause.

--- a/gateway/controller/leader.go
+++ b/gateway/controller/leader.go
@@ -76,6 +76,9 @@
 		retryCounter(method, retryNoAnswer)
 		retryCounter(method, retryNotLeader)
 	}
+	for _, cause := range causeNames {
+		failureCounter(cause)
+	}
 	return l
 }
 
@@ -137,76 +140,51 @@
 	l.ring.Store(&ring)
 }
 
-// A NoLeaderError reports that no leader replied in time.
-type NoLeaderError struct {
-	// Sent is true if a controller may have received the request.
-	Sent bool
-	// Cause is the error of the last attempt.
-	Cause error
-}
-
-// Error returns the error of the last attempt.
-func (e *NoLeaderError) Error() string {
-	return "no leading controller answered: " + e.Cause.Error()
+// A reply is what a controller's answer tells about the leader.
+type reply struct {
+	// isLeaders is true if it is the answer of a leader that has accepted the request.
+	isLeaders bool
+	// redirect is the address of the leader, as far as it is known.
+	redirect string
+	// refusal is why a leader did not accept the request; nil if there is no such reason.
+	refusal Cause
 }
 
-// Unwrap returns the error of the last attempt.
-func (e *NoLeaderError) Unwrap() error {
-	return e.Cause
-}
-
-// An OutcomeUnknownError reports a request that a controller accepted and of
-// which it does not know whether it was committed.
-type OutcomeUnknownError struct {
-	// Method is the method that was called.
-	Method string
-}
-
-// Error returns the method that was called.
-func (e *OutcomeUnknownError) Error() string {
-	return e.Method + ": the controller does not know whether the request was committed"
-}
-
-// A GroupIncompleteError reports that the leader accepts no commands, since its group has
-// too few voters to keep them.
-type GroupIncompleteError struct{}
-
-// Error returns the reason.
-func (e *GroupIncompleteError) Error() string {
-	return "the group of controllers has too few voters yet"
-}
-
-// attempt is one call to one controller. It reports whether the controller leads
-// and, if it does not, returns the address of the leader as far as it is known.
-type attempt func(ctx context.Context, c *rpc.Client) (leader bool, redirect string, err error)
-
-var errNoAttempt = errors.New("no controller was called in time")
+// attempt is one call to one controller.
+type attempt func(ctx context.Context, c *rpc.Client) (reply, error)
 
 // withLeader calls controllers until a leader replies or ctx ends.
 func (l *LeaderClient) withLeader(ctx context.Context, method string, try attempt) (err error) {
-	sent := false
 	start := l.leader.Load()
 	address, ringPosition := *start, *start
 	redirects := 0
-	last := errNoAttempt
+	record := callRecord{
+		cause: &NotCalledError{},
+	}
 	for ctx.Err() == nil {
 		c, err := l.client(ctx, address)
 		if err != nil {
 			break
 		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		leader, redirect, err := try(callCtx, c)
+		startedAt := time.Now()
+		answer, err := try(callCtx, c)
 		cancel()
-		if err == nil && leader {
+		if err == nil && answer.isLeaders {
 			l.leader.Store(&address)
 			return nil
 		}
-		last = l.recordRetry(method, err, last)
-		sent = sent || wasSent(err)
+		countRetry(method, err)
+		record = record.withCall(finishedCall{
+			address: address,
+			answer:  answer,
+			err:     err,
+			took:    time.Since(startedAt),
+		})
 		if err != nil && address == *start && !errors.Is(ctx.Err(), context.Canceled) {
 			l.skip(start)
 		}
-		address = redirect
+		address = answer.redirect
 		if redirects++; address == "" || redirects > maxRedirects {
 			// Each call has its own position in the ring: calls that shared one
 			// could skip the same controller again and again.
@@ -216,9 +194,12 @@
 		}
 		util.SleepContext(ctx, retryBackoff)
 	}
+	failureCounter(CauseName(record.cause)).Inc()
 	return &NoLeaderError{
-		Sent:  sent,
-		Cause: last,
+		Sent:       record.isSent,
+		Cause:      record.cause,
+		LastCalled: record.lastCalled,
+		Calls:      record.calls,
 	}
 }
 
@@ -230,22 +211,22 @@
 	l.leader.CompareAndSwap(leader, &next)
 }
 
-// recordRetry counts a retry and returns the latest error, which is last if there
-// is no new one.
-func (l *LeaderClient) recordRetry(method string, err, last error) error {
+func countRetry(method string, err error) {
 	reason := retryNotLeader
 	if err != nil {
 		reason = retryNoAnswer
-		last = err
 	}
 	retryCounter(method, reason).Inc()
-	return last
 }
 
 func retryCounter(method, reason string) *metrics.Counter {
 	return metrics.GetOrCreateCounter(fmt.Sprintf("gateway_controller_retries_total{method=%q,reason=%q}", method, reason))
 }
 
+func failureCounter(cause string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf("gateway_controller_failures_total{cause=%q}", cause))
+}
+
 func wasSent(err error) bool {
 	var noReply *rpc.NoReplyError
 	return err != nil && (!errors.As(err, &noReply) || noReply.Sent)
@@ -256,36 +237,46 @@
 // identifier. It returns a *NoLeaderError if ctx ends before, whose cause is a
 // *GroupIncompleteError if a leader answered that its group has too few voters.
 func (l *LeaderClient) Command(ctx context.Context, id string, c plantainladder.Command) (o plantainladder.Outcome, err error) {
-	isGroupIncomplete := false
 	body, err := wire.MarshalCommand(c)
 	if err != nil {
 		return o, err
 	}
-	err = l.withLeader(ctx, wire.MethodCommand, func(ctx context.Context, client *rpc.Client) (bool, string, error) {
+	err = l.withLeader(ctx, wire.MethodCommand, func(ctx context.Context, client *rpc.Client) (reply, error) {
 		r, err := rpc.Call[wire.Command, wire.CommandReply](ctx, client, wire.MethodCommand, wire.Command{
 			ID:   id,
 			Body: body,
 		})
 		o = r.Outcome
-		isGroupIncomplete = isGroupIncomplete || r.GroupIncomplete
 		if err == nil && r.OutcomeUnknown {
 			err = &OutcomeUnknownError{
 				Method: wire.MethodCommand,
 			}
 		}
-		return r.Leader && !r.Busy && !r.OutcomeUnknown, r.Redirect, err
+		return reply{
+			isLeaders: r.Leader && !r.Busy && !r.OutcomeUnknown,
+			redirect:  r.Redirect,
+			refusal:   refusalOf(r),
+		}, err
 	})
-	var noLeader *NoLeaderError
-	if isGroupIncomplete && errors.As(err, &noLeader) {
-		noLeader.Cause = &GroupIncompleteError{}
-	}
 	return o, err
 }
 
+// refusalOf returns why a leader did not accept a command; nil if it did, or if there is
+// no such reason.
+func refusalOf(r wire.CommandReply) Cause {
+	switch {
+	case r.GroupIncomplete:
+		return &GroupIncompleteError{}
+	case r.Busy:
+		return &BusyError{}
+	}
+	return nil
+}
+
 // Query sends a query to the leader and returns the reply. It returns a
 // *NoLeaderError if ctx ends before the leader replies.
 func Query[Q, A any](ctx context.Context, l *LeaderClient, method string, q Q) (a A, err error) {
-	err = l.withLeader(ctx, method, func(ctx context.Context, client *rpc.Client) (bool, string, error) {
+	err = l.withLeader(ctx, method, func(ctx context.Context, client *rpc.Client) (reply, error) {
 		r, err := rpc.Call[Q, wire.LeaderReply[A]](ctx, client, method, q)
 		a = r.Body
 		if err == nil && r.OutcomeUnknown {
@@ -293,7 +284,10 @@
 				Method: method,
 			}
 		}
-		return r.Leader && !r.OutcomeUnknown, r.Redirect, err
+		return reply{
+			isLeaders: r.Leader && !r.OutcomeUnknown,
+			redirect:  r.Redirect,
+		}, err
 	})
 	return a, err
 }
--- a/gateway/controller/poller.go
+++ b/gateway/controller/poller.go
@@ -144,16 +144,19 @@
 func (p *Poller) poll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, lease.ViewDuration)
 	defer cancel()
-	err := p.cfg.LeaderClient.withLeader(ctx, wire.MethodPoll, func(ctx context.Context, c *rpc.Client) (bool, string, error) {
+	err := p.cfg.LeaderClient.withLeader(ctx, wire.MethodPoll, func(ctx context.Context, c *rpc.Client) (reply, error) {
 		sent := p.cfg.Clock()
-		reply, err := rpc.Call[control.Poll, control.PollReply](ctx, c, wire.MethodPoll, p.nextPoll(sent))
-		if err == nil && reply.Leader {
-			p.applyReply(sent, reply)
+		r, err := rpc.Call[control.Poll, control.PollReply](ctx, c, wire.MethodPoll, p.nextPoll(sent))
+		if err == nil && r.Leader {
+			p.applyReply(sent, r)
 		}
-		return reply.Leader, reply.Redirect, err
+		return reply{
+			isLeaders: r.Leader,
+			redirect:  r.Redirect,
+		}, err
 	})
 	if err != nil {
-		p.cfg.LeaderClient.cfg.Logger.Warn().Err(err).Msg("No leading controller answered the poll.")
+		p.cfg.LeaderClient.cfg.Logger.Warn().Err(err).EmbedObject(LogFields(err)).Msg("No leading controller answered the poll.")
 	}
 }
 
