Log why an election failed, and how long votes wait for the disk

An election that failed left no line: "candidate" and then "follower" tells neither who refused, nor why, nor who did not answer.

consensus: a replica that stops being a pre-candidate or a candidate without having won returns ElectionFailed with the round, why it ended, the term, its duration, and the voters that granted, refused and did not answer. VoteReply has the reason of a refusal: later-term, log-behind, lease or voted; the field is left out if it is empty, so a vote that is given is encoded as before, and replicas that do not know it ignore it. Who gets a vote, the terms of the replies and what is persisted are as before: the reason is what was decided on.

control, controller: the effects LogElection and LogRole. "Replica role is now X." has the term, the leader, the end of the log and the voters. A vote, or a request for one, that waited for the disk for more than 100 ms is logged; controller_vote_sync_seconds has all of them. It has fixed buckets, since only such a histogram is exported before its first value.

Tests: each reason, each end of a round, the encoding in both directions, a replica that is cut off from its leader in the model, the addresses in the log, a vote behind a disk writer that does not run. They don't compile without the change.

--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -40,6 +40,8 @@
 	suspendedAt time.Time
 	lag         time.Duration
 	inbox       []consensus.Message
+	// failedElections holds the rounds of its elections that failed.
+	failedElections []consensus.ElectionFailed
 }
 
 // A cluster is a set of hosts and the network between them, with a record of
@@ -179,6 +181,8 @@
 		}
 	case consensus.InstallSnapshot:
 		h.installSnapshot(f.Meta, c.arriving)
+	case consensus.ElectionFailed:
+		h.failedElections = append(h.failedElections, f)
 	case consensus.RoleChanged:
 	}
 }
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -22,6 +22,7 @@
 		votes: map[string]bool{
 			r.cfg.ID: true,
 		},
+		ballot: newBallot(now),
 	}
 	if r.Members().Quorum() == 1 {
 		return r.startElection(now, false)
@@ -45,6 +46,7 @@
 		votes: map[string]bool{
 			r.cfg.ID: true,
 		},
+		ballot: newBallot(now),
 	}
 	out := []Effect{
 		r.persistHardState(),
@@ -147,22 +149,22 @@
 func (r Replica) stepVote(now time.Time, msg Message, request Vote) (Replica, []Effect) {
 	// A voter refuses its vote while a leader may have a lease.
 	leaseMayHold := now.Before(r.leaderContactAt.Add(r.cfg.ElectionTimeout)) || r.IsLeader()
-	upToDate := request.LastTerm > r.log.LastTerm() ||
-		request.LastTerm == r.log.LastTerm() && request.LastIndex >= r.log.LastIndex()
 	if leaseMayHold && !request.LeadershipTransfer {
 		return r, []Effect{
 			r.send(msg.From, VoteReply{
 				PreVote: request.PreVote,
+				Refusal: RefusedLease,
 			}),
 		}
 	}
 	if request.PreVote {
-		granted := upToDate && msg.Term > r.hardState.Term
+		refusal := r.voteRefusal(msg, request)
 		reply := r.newMessage(msg.From, VoteReply{
 			PreVote: true,
-			Granted: granted,
+			Granted: refusal == "",
+			Refusal: refusal,
 		})
-		if granted {
+		if refusal == "" {
 			reply.Term = msg.Term
 		}
 		return r, []Effect{
@@ -171,23 +173,24 @@
 			},
 		}
 	}
-	return r.castVote(now, msg, upToDate)
+	return r.castVote(now, msg, request)
 }
 
-func (r Replica) castVote(now time.Time, msg Message, upToDate bool) (Replica, []Effect) {
+func (r Replica) castVote(now time.Time, msg Message, request Vote) (Replica, []Effect) {
 	var out []Effect
 	if msg.Term > r.hardState.Term {
 		r = r.withTerm(msg.Term)
 		out = append(out, r.persistHardState())
 	}
-	granted := upToDate && msg.Term == r.hardState.Term && (r.hardState.Vote == "" || r.hardState.Vote == msg.From)
-	if granted {
+	refusal := r.voteRefusal(msg, request)
+	if refusal == "" {
 		r.hardState.Vote = msg.From
 		r = r.withElectionTimer(now)
 		out = append(out, r.persistHardState())
 	}
 	return r, append(out, r.sendAfterSync(msg.From, VoteReply{
-		Granted: granted,
+		Granted: refusal == "",
+		Refusal: refusal,
 	}))
 }
 
--- a/consensus/message.go
+++ b/consensus/message.go
@@ -62,6 +62,9 @@
 	PreVote bool `json:"pre"`
 	// Granted is true if the voter gives its vote.
 	Granted bool `json:"granted"`
+	// Refusal is why the voter does not give its vote; "" if it does, or if it does not
+	// tell.
+	Refusal VoteRefusal `json:"refusal,omitempty"`
 }
 
 // Append sends entries to a member. Without entries it is a heartbeat.
--- a/consensus/replica.go
+++ b/consensus/replica.go
@@ -229,6 +229,7 @@
 // Step returns the replica after an event, with the effects to perform in
 // order.
 func (r Replica) Step(now time.Time, e Event) (Replica, []Effect) {
+	r = r.withRefusal(e)
 	before := r
 	var out []Effect
 	switch e := e.(type) {
@@ -262,6 +263,7 @@
 	r, more := r.answerConfirmations(now)
 	out = append(out, more...)
 	out = append(out, r.refuseConfirmations(before)...)
+	out = append(out, r.endedElection(now, before)...)
 	if r.leaderID != before.leaderID || r.hardState.Term != before.hardState.Term || RoleName(r.role) != RoleName(before.role) {
 		out = append(out, RoleChanged{
 			Role:   RoleName(r.role),
--- a/consensus/role.go
+++ b/consensus/role.go
@@ -21,12 +21,14 @@
 // PreCandidate asks the voters whether they would vote for it, without starting
 // a new term.
 type PreCandidate struct {
-	votes map[string]bool
+	votes  map[string]bool
+	ballot ballot
 }
 
 // Candidate has started a new term and asks for votes.
 type Candidate struct {
-	votes map[string]bool
+	votes  map[string]bool
+	ballot ballot
 }
 
 // Leader appends entries and replicates them to the members.
--- a/control/core.go
+++ b/control/core.go
@@ -215,6 +215,10 @@
 		return c.replyRefused(f)
 	case consensus.RoleChanged:
 		return c.roleChanged(now, f)
+	case consensus.ElectionFailed:
+		return c, []Effect{
+			c.logElection(f),
+		}
 	case consensus.InstallSnapshot:
 		return c.installSnapshot()
 	}
@@ -358,9 +362,7 @@
 // leadership have an unknown outcome: the next leader may commit their entries.
 func (c Core) roleChanged(now time.Time, f consensus.RoleChanged) (Core, []Effect) {
 	out := []Effect{
-		LogMessage{
-			Text: "Replica role is now " + f.Role + ".",
-		},
+		c.logRole(f),
 	}
 	if c.replica.IsLeader() {
 		if c.leadership == nil || c.leadership.term != f.Term {
--- /dev/null
+++ b/controller/node/election_test.go
@@ -0,0 +1,81 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
+	"github.com/rs/zerolog"
+
+	"github.com/plantainladder/plantainladder/consensus"
+	"github.com/plantainladder/plantainladder/control"
+)
+
+var _ = Describe("The log of a controller", func() {
+	var (
+		ctx   context.Context
+		n     *Node
+		lines *gbytes.Buffer
+	)
+
+	BeforeEach(func() {
+		lines = gbytes.NewBuffer()
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(context.Background())
+		var err error
+		n, err = New(ctx, Config{
+			Listen:        "127.0.0.1:0",
+			DataDir:       GinkgoT().TempDir(),
+			SnapshotEvery: 100,
+			Logger:        zerolog.New(lines),
+		})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() {
+			cancel()
+			// Each controller registers its metrics with the process.
+			metrics.UnregisterAllMetrics()
+		})
+	})
+
+	It("has a line on a vote that waited for the disk, and none on other messages", func() {
+		for _, body := range []consensus.Body{consensus.VoteReply{}, consensus.AppendReply{}} {
+			n.perform(control.SendMessage{
+				Message: consensus.Message{
+					Term: 9,
+					Body: body,
+				},
+				Address:   "127.0.0.1:1",
+				AfterSync: true,
+			})
+		}
+		time.Sleep(maxVoteWait + 10*time.Millisecond)
+		go func() { _ = n.writer.Run(ctx) }()
+		Eventually(lines).WithTimeout(5 * time.Second).
+			Should(gbytes.Say(`"waited":\d{3,}.*"term":9,"to":"127.0.0.1:1".*"A vote was sent late`))
+		Consistently(lines).WithTimeout(200 * time.Millisecond).ShouldNot(gbytes.Say("sent late"))
+	})
+
+	It("has the answers of the voters to a failed election", func() {
+		n.perform(control.LogElection{
+			Election: consensus.ElectionFailed{
+				Kind:     consensus.ElectionVote,
+				End:      consensus.EndedTimeout,
+				Term:     3,
+				Duration: time.Second,
+				Granted:  []string{"a"},
+				Refused: []consensus.RefusedVote{
+					{
+						Voter:  "b",
+						Reason: consensus.RefusedVoted,
+					},
+				},
+				Silent: []string{"c"},
+			},
+		})
+		Eventually(lines).Should(gbytes.Say(`"round":"vote","cause":"timeout","term":3,"took":1000,` +
+			`"granted":\["a"\],"refused":\["b voted"\],"silent":\["c"\].*"Election failed."`))
+	})
+})
--- a/controller/node/meters.go
+++ b/controller/node/meters.go
@@ -15,10 +15,13 @@
 
 // meters holds the controller's metrics. docs/METRICS.md lists them.
 type meters struct {
-	bytesWritten    *metrics.Counter
-	bytesRead       *metrics.Counter
-	entriesSynced   *metrics.Counter
-	syncSeconds     *metrics.Histogram
+	bytesWritten  *metrics.Counter
+	bytesRead     *metrics.Counter
+	entriesSynced *metrics.Counter
+	syncSeconds   *metrics.Histogram
+	// voteSyncSeconds is exported from the start, unlike histograms without fixed
+	// buckets: a group may run for long without an election.
+	voteSyncSeconds *metrics.PrometheusHistogram
 	snapshotSeconds *metrics.Histogram
 	snapshotBytes   *metrics.Counter
 	diskFull        *metrics.Counter
@@ -30,6 +33,7 @@
 		bytesRead:       metrics.NewCounter("controller_bytes_read_total"),
 		entriesSynced:   metrics.NewCounter("controller_entries_synced_total"),
 		syncSeconds:     metrics.NewHistogram("controller_sync_seconds"),
+		voteSyncSeconds: metrics.NewPrometheusHistogram("controller_vote_sync_seconds"),
 		snapshotSeconds: metrics.NewHistogram("controller_snapshot_encode_seconds"),
 		snapshotBytes:   metrics.NewCounter("controller_snapshot_bytes_total"),
 		diskFull:        metrics.NewCounter("controller_disk_full_total"),
--- a/controller/node/perform.go
+++ b/controller/node/perform.go
@@ -62,6 +62,10 @@
 	case control.LogGroupHealth:
 		n.logger.Info().Int("tolerated", f.Tolerated).Int("missing", f.Missing).Strs("silent", f.Silent).
 			Msg("The number of controllers that the group can lose was assessed anew.")
+	case control.LogRole:
+		n.logRole(f)
+	case control.LogElection:
+		n.logElection(f.Election)
 	case control.LogStandstill:
 		n.logger.Warn().Dur("steady", f.Steady).Dur("time-of-day", f.TimeOfDay).Bool("leader", f.IsLeader).
 			Msg("Controller stood still, or a clock was set.")
@@ -144,9 +148,13 @@
 		n.peers.QueueMessage(f.Address, f.SenderAddress, f.Message)
 		return
 	}
+	queuedAt := time.Now()
 	n.writer.Enqueue(n.ctx, disk.After{
 		Run: func() {
 			n.peers.QueueMessage(f.Address, f.SenderAddress, f.Message)
+			if isVote(f.Message) {
+				n.reportVoteSent(f, time.Since(queuedAt))
+			}
 		},
 	})
 }
