Log the version and the revision at the start of each process

util.Version had stayed at 0.1.0 through all landings, so logs did not tell which code wrote them. Each process logs "Process is starting." with `version`, and with `revision` and `modified` if the build recorded them; builds with -buildvcs=false record none. The build ID is left out: the Go standard library offers no reading of it to the process itself.

--- a/controller/main.go
+++ b/controller/main.go
@@ -76,6 +76,7 @@
 	cfg := loadSettings()
 	util.LimitMemory(cfg.memoryMB)
 	logger := util.NewLogger(os.Stderr, cfg.logLevel)
+	logger.Info().Str("part", "controller").EmbedObject(util.ReadBuild()).Msg("Process is starting.")
 	if cfg.insecure {
 		logger.Warn().Str("part", "controller").Msg("Empty tokens are accepted (--insecure-no-tokens).")
 	}
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -185,6 +185,7 @@
 	cfg := loadSettings()
 	util.LimitMemory(cfg.memoryMB)
 	logger := util.NewLogger(os.Stderr, cfg.logLevel)
+	logger.Info().Str("part", "gateway").EmbedObject(util.ReadBuild()).Msg("Process is starting.")
 	if cfg.insecure {
 		logger.Warn().Str("part", "gateway").Msg("Empty tokens are accepted (--insecure-no-tokens).")
 	}
