--- a/consensus/role.go
+++ b/consensus/role.go
@@ -21,7 +21,8 @@
 // PreCandidate asks the voters whether they would vote for it, without starting
 // a new term.
 type PreCandidate struct {
-	votes map[string]bool
+	votes  map[string]bool
+	ballot ballot
 	// candidacy is the election that the replica started in its present term; it can
 	// still be won. Its votes are nil if there is none.
 	candidacy Candidate
@@ -30,7 +31,8 @@
 // Candidate has started a new term and asks for votes. Its own vote counts once it is
 // durable.
 type Candidate struct {
-	votes map[string]bool
+	votes  map[string]bool
+	ballot ballot
 }
 
 // Leader appends entries and replicates them to the members.
