Fill the log of the tests of a full disk beyond the log of go test

A run of the suite failed once with "can't write testlog.txt: file too large". The tests simulate a full disk by a limit on the size of files, which applies to the record that go test writes of opened files as well. That is 335 KB by now, as much as the log of 2,000 entries; whether a test with the limit runs before the record reaches it depends on the random order. The code before had the same record (334 to 345 KB). What the tests check stays.

--- a/controller/disk/disk_suite_test.go
+++ b/controller/disk/disk_suite_test.go
@@ -218,7 +218,7 @@
 		term = 3
 		// filled entries take more space than the log that go test itself writes,
 		// which the limit applies to as well.
-		filled = 2000
+		filled = 6000
 	)
 
 	startWriter := func(path string, timeout time.Duration) (failed chan error, synced chan uint64, full chan error) {
