Start a core with two syncs in a row instead of four

Callers saw no leader for longer after a stop of all cores, by two syncs of the slowest disk that the group needs. A start synced the log and its folder, and then wrote the log anew and synced both again, since an earlier sync may have failed. The copy holds what was read, and the sync of the folder after it covers all names, so the first two are needed only if nothing was copied.

--- a/controller/disk/log.go
+++ b/controller/disk/log.go
@@ -90,8 +90,8 @@
 		return nil, content, err
 	}
 	l.size = info.Size()
-	if err = errors.Join(l.file.Sync(), cfg.Files.SyncFolder(folder)); err == nil {
-		content.IsRewritten, err = l.rewrite()
+	if content.IsRewritten, err = l.rewrite(); err == nil && !content.IsRewritten {
+		err = errors.Join(l.file.Sync(), cfg.Files.SyncFolder(folder))
 	}
 	if err != nil {
 		return nil, content, errors.Join(err, l.file.Close())
