--- a/consensus/ballot.go
+++ b/consensus/ballot.go
@@ -229,8 +229,8 @@
 	}
 	slices.Sort(granted)
 	slices.Sort(silent)
-	slices.SortFunc(refused, func(a, b RefusedVote) int {
-		return strings.Compare(a.Voter, b.Voter)
+	slices.SortFunc(refused, func(v, w RefusedVote) int {
+		return strings.Compare(v.Voter, w.Voter)
 	})
 	return granted, refused, silent
 }
--- a/control/election.go
+++ b/control/election.go
@@ -71,9 +71,11 @@
 	return id
 }
 
+// addressesOrIDs returns addressOrID of each member, sorted.
 func (c Core) addressesOrIDs(ids []string) (addresses []string) {
 	for _, id := range ids {
 		addresses = append(addresses, c.addressOrID(id))
 	}
+	slices.Sort(addresses)
 	return addresses
 }
