--- a/controller/node/election.go
+++ b/controller/node/election.go
@@ -30,18 +30,8 @@
 		Strs("granted", f.Granted).Strs("refused", refused).Strs("silent", f.Silent).Msg("Election failed.")
 }
 
-// isVote reports whether a message asks for a vote or answers such a request.
-func isVote(msg consensus.Message) bool {
-	switch msg.Body.(type) {
-	case consensus.Vote, consensus.VoteReply:
-		return true
-	case consensus.Append, consensus.AppendReply, consensus.TimeoutNow:
-	}
-	return false
-}
-
-// reportVoteSent records how long a vote or the request for one has waited for the disk,
-// and logs it if that was too long.
+// reportVoteSent records how long a vote has waited for the disk, and logs it if that was
+// too long.
 func (n *Node) reportVoteSent(f control.SendMessage, waited time.Duration) {
 	n.meters.voteSyncSeconds.Update(waited.Seconds())
 	if waited > maxVoteWait {
--- a/controller/node/perform.go
+++ b/controller/node/perform.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/plantainladder/plantainladder/consensus"
 	"github.com/plantainladder/plantainladder/control"
 	"github.com/plantainladder/plantainladder/controller/disk"
 	"github.com/plantainladder/plantainladder/dispatch"
@@ -152,7 +153,7 @@
 	n.writer.Enqueue(n.ctx, disk.After{
 		Run: func() {
 			n.peers.QueueMessage(f.Address, f.SenderAddress, f.Message)
-			if isVote(f.Message) {
+			if _, isVote := f.Message.Body.(consensus.VoteReply); isVote {
 				n.reportVoteSent(f, time.Since(queuedAt))
 			}
 		},
