Form the first group although the disks are slow

With syncs of 300 and of 500 ms, five new cores formed no group in 20 s: a run of real processes at the deployment's size, in which no configuration was accepted. A founder stored its state again for each message that was sent again, every 300 ms and with two syncs each, so the queue of its disk grew without end. And founders outbid each other after 500 ms to 1 s, while an attempt takes six syncs.

--- a/controller/disk/folder.go
+++ b/controller/disk/folder.go
@@ -43,6 +43,8 @@
 	files FileSystem
 	id    string
 	lock  *os.File
+	// savedFormation is what SaveFormation has stored last; nil if it has not.
+	savedFormation []byte
 }
 
 // OpenFolder opens and locks a data folder, and creates it if it does not exist.
--- a/formation/formation.go
+++ b/formation/formation.go
@@ -85,7 +85,9 @@
 	// highestRound is the highest round that another founder has reported.
 	highestRound uint64
 	// isOver is true once this controller belongs to a group.
-	isOver      bool
+	isOver bool
+	// yields is the number of times that the founder left the others time.
+	yields      int
 	jitter      time.Duration
 	introduceAt time.Time
 	resendAt    time.Time
@@ -184,7 +186,8 @@
 // time for theirs.
 func (f Formation) withoutAttempt(now time.Time) Formation {
 	f.attempt = None{}
-	f.attemptAt = now.Add(attemptBackoff + f.jitter)
+	f.attemptAt = now.Add((attemptBackoff + f.jitter) << min(f.yields, maxBackoffDoublings))
+	f.yields++
 	return f
 }
 
--- a/formation/formation_suite_test.go
+++ b/formation/formation_suite_test.go
@@ -135,6 +135,30 @@
 		}))
 	})
 
+	// An attempt takes longer than the first backoff if the disks are slow.
+	It("leaves the others more time with each attempt of theirs", func() {
+		c := newController("a", storedAt(0))
+		var waits []time.Duration
+		for round := range uint64(6) {
+			c.receive(1, formation.Prepare{
+				Ballot: formation.Ballot{
+					Round:   10 * (round + 1),
+					Founder: 1,
+				},
+			})
+			yieldedAt := c.now
+			for attempts := 0; attempts == 0; {
+				c.now = c.now.Add(50 * time.Millisecond)
+				for i, address := range []string{"b", "c", "d", "e"} {
+					c.introduce(i+1, address)
+				}
+				attempts = len(only[formation.Save](c.step(formation.Tick{})))
+			}
+			waits = append(waits, c.now.Sub(yieldedAt))
+		}
+		Expect(waits).To(HaveExactElements(500*time.Millisecond, time.Second, 2*time.Second, 4*time.Second, 8*time.Second, 8*time.Second))
+	})
+
 	It("proposes the group that another founder has accepted already", func() {
 		c := newController("a", storedAt(0))
 		for i, address := range []string{"b", "c", "d", "e"} {
--- a/formation/step.go
+++ b/formation/step.go
@@ -20,8 +20,11 @@
 	completionTimeout = 2 * time.Second
 	// resendInterval is the time after which unanswered messages are sent again.
 	resendInterval = 300 * time.Millisecond
-	// attemptBackoff is the time after a failed attempt before the next.
-	attemptBackoff = 500 * time.Millisecond
+	// attemptBackoff is the time after the first failed attempt before the next. It doubles
+	// with each further one, maxBackoffDoublings times at most: an attempt takes as long
+	// as the disks of the founders need.
+	attemptBackoff      = 500 * time.Millisecond
+	maxBackoffDoublings = 4
 	// logInterval is the time between two log lines on why there is no group yet.
 	logInterval = 5 * time.Second
 )
