Wait for all calls of the burst of refusals before any is answered

The test failed once in a run of the module at a load average of 64, and in 1 of 25 runs at 75 (32 messages instead of 8 at most): it gave 200 calls 300 ms to arrive, and those that came later needed rounds of their own. A call between two of its steps could also see the simulated clock move on by more than the lease (an empty kind of result); the calls that were left then failed in the next spec, which closes their connection. Now the messages are held until all 200 calls have asked for a confirmation. The bounds are the same.

--- a/controller/gateway/gateway_suite_test.go
+++ b/controller/gateway/gateway_suite_test.go
@@ -48,6 +48,8 @@
 	// sent counts the messages between the hosts, syncs the writes of log entries.
 	sent  int
 	syncs int
+	// confirmations counts the requests to confirm a leadership that servers have posted.
+	confirmations int
 	// isHeld is true while messages between the hosts stay on their way.
 	isHeld bool
 }
@@ -217,6 +219,9 @@
 		Post: func(_ context.Context, e control.Event) error {
 			g.mu.Lock()
 			defer g.mu.Unlock()
+			if _, ok := e.(control.ConfirmLeadership); ok {
+				g.confirmations++
+			}
 			g.step(h, e)
 			return nil
 		},
--- a/controller/gateway/old_leader_test.go
+++ b/controller/gateway/old_leader_test.go
@@ -151,7 +151,7 @@
 		g.submit(document(1, []string{"t1"}, "q"))
 		l := g.leader()
 		c := g.serve(l)
-		sent, syncs := g.sent, g.syncs
+		sent, syncs, before := g.sent, g.syncs, g.confirmations
 		g.isHeld = true
 		replies := make(chan wire.LeaderReply[wire.Result], calls)
 		for range calls {
@@ -160,6 +160,11 @@
 				replies <- call[wire.WorkflowRequest, wire.Result](c, wire.MethodLookup, request("/q/j", "wrong"))
 			}()
 		}
+		Eventually(func() int {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return g.confirmations - before
+		}).WithTimeout(5 * time.Second).Should(Equal(calls))
 		Consistently(replies).WithTimeout(300 * time.Millisecond).ShouldNot(Receive())
 		g.mu.Lock()
 		g.isHeld = false
