Give each voter one successor at most

A machine that had lost its disk and stayed away for longer than the dead-member timeout lost its place to the successor of another machine, which was gone for good. When it came back at its address it was added as a second successor of its own old identity. The first of the two removed the old voter, the second became a voter as well: six voters, one of them the machine that was gone. Later exchanges replaced one for one, so that the group kept six voters and bore the loss of one disk, not of two, for good.

A voter with a successor is not replaced again, whatever the address of the one that asks; it waits for another voter that is dead.

--- a/control/replaced_machine_test.go
+++ b/control/replaced_machine_test.go
@@ -78,6 +78,26 @@
 	})
 })
 
+var _ = Describe("A machine that comes back without its disk after another one's successor took its place", func() {
+	// Guards against a voter with two successors: one of them removed it, and the group
+	// kept a dead voter beside five live ones for good.
+	It("takes the place of the machine that is gone", func() {
+		for seed := range uint64(replacementSeeds) {
+			s := newFirstStart(5, 2, shortestCatchUp, seed)
+			s.advanceFor(8 * time.Second)
+			wiped, gone := s.machines[seed%5], s.machines[(seed+1)%5]
+			s.wipe(wiped)
+			s.advanceFor(time.Duration(seed) * 15 * time.Millisecond)
+			s.crash(gone)
+			s.addMachine()
+			s.advanceFor(1500*time.Millisecond + time.Duration(seed)*20*time.Millisecond)
+			s.boot(wiped)
+			s.advanceFor(shortestCatchUp)
+			Expect(s.hasOnlyLiveVoters()).To(BeTrue(), "seed %d", seed)
+		}
+	})
+})
+
 var _ = Describe("A machine that loses its disk again as soon as it is a voter", func() {
 	It("does not stop a group that bears the loss of one machine", func() {
 		for seed := range uint64(replacementSeeds) {
--- a/member/join.go
+++ b/member/join.go
@@ -31,18 +31,15 @@
 }
 
 // replaceableVoter returns the voter that a controller at the given address may
-// replace: the voter with this address, or else a dead one that has no successor
-// yet. If several voters have the address, since a disk was lost again before the
-// first one was removed, it returns one that has no successor.
+// replace: the voter with this address, or else a dead one. A voter that has a successor
+// is not replaced again: only one of two successors could remove it, and the other would
+// be a voter more, which nobody ever removes.
 func (s Set) replaceableVoter(address string, isDead func(id string) bool) (old Member, ok bool) {
 	for _, m := range s.Members {
-		if m.Voter && m.Address == address && (!ok || !s.hasSuccessor(m.ID)) {
-			old, ok = m, true
+		if m.Voter && m.Address == address && !s.hasSuccessor(m.ID) {
+			return m, true
 		}
 	}
-	if ok {
-		return old, true
-	}
 	for _, m := range s.Members {
 		if m.Voter && isDead(m.ID) && !s.hasSuccessor(m.ID) {
 			return m, true
