Admit a controller without waiting for its next request to join

A leader refused a request to join while another change of the group was under way, or before the voter that is gone counted as dead, and then waited for the next request, up to half a second later, for each of two successors. With an election before, a successor was not yet a voter when it had had the time to catch up, and the next loss was one too many.

The leader remembers the requests of the last second and goes on with them at each tick.

What is left are long elections, after which the silence of the voters that are gone is counted anew. The new test failed before.

--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -127,6 +127,12 @@
 	}
 }
 
+// MayChangeMembers reports whether the replica leads and may change the members now.
+func (r Replica) MayChangeMembers() bool {
+	l, ok := r.role.(Leader)
+	return ok && l.transferee == "" && !r.isChangePending() && r.commitIndex >= l.termStartIndex
+}
+
 // isChangePending reports whether the latest set of members is not yet
 // committed.
 func (r Replica) isChangePending() bool {
--- a/control/core.go
+++ b/control/core.go
@@ -90,7 +90,9 @@
 		c, out := c.stepReplica(now, consensus.Tick{
 			Jitter: e.Jitter,
 		})
-		c, more := c.reconcile(now)
+		c, more := c.admit(now)
+		out = append(out, more...)
+		c, more = c.reconcile(now)
 		out = append(out, more...)
 		c, more = c.tickFormation(now, e.Jitter)
 		out = append(out, more...)
--- a/control/join.go
+++ b/control/join.go
@@ -20,19 +20,69 @@
 // accepts commands with fewer voters.
 const groupCompletionTimeout = 6 * time.Second
 
+// joinRequestRetention is how long the leader remembers a request to join. It is longer
+// than the interval at which a controller repeats its request.
+const joinRequestRetention = time.Second
+
+// joinRequest is a controller's request to join that the leader remembers.
+type joinRequest struct {
+	member member.Member
+	at     time.Time
+}
+
+// withJoinRequest returns l with the request as the last one from its address, and
+// without those that are too old. A controller that asks again keeps its place.
+func (l *leadership) withJoinRequest(r joinRequest) *leadership {
+	next := *l
+	next.joinRequests = nil
+	isRepeated := false
+	for _, old := range l.joinRequests {
+		switch {
+		case old.member.Address == r.member.Address:
+			isRepeated = true
+			next.joinRequests = append(next.joinRequests, r)
+		case r.at.Sub(old.at) <= joinRequestRetention:
+			next.joinRequests = append(next.joinRequests, old)
+		}
+	}
+	if !isRepeated {
+		next.joinRequests = append(next.joinRequests, r)
+	}
+	return &next
+}
+
 func (c Core) stepJoin(now time.Time, e Join) (Core, []Effect) {
 	if c.leadership == nil || c.cfg.Voters == 0 {
 		return c, nil
 	}
-	change, ok := c.replica.Members().JoinChange(e.Member, c.cfg.Voters, func(id string) bool {
-		return c.replica.IsSilent(now, id, c.cfg.deadMemberTimeout())
+	c.leadership = c.leadership.withJoinRequest(joinRequest{
+		member: e.Member,
+		at:     now,
 	})
-	if !ok {
+	return c.admit(now)
+}
+
+// admit makes the next change of the group that a remembered request to join asks for.
+// A request may come while another change is under way, or shortly before a voter counts
+// as dead; waiting for the next one would take a part of the time to catch up.
+func (c Core) admit(now time.Time) (Core, []Effect) {
+	if c.leadership == nil || !c.replica.MayChangeMembers() {
 		return c, nil
 	}
-	return c.stepReplica(now, consensus.ChangeMembers{
-		Change: change,
-	})
+	isDead := func(id string) bool {
+		return c.replica.IsSilent(now, id, c.cfg.deadMemberTimeout())
+	}
+	for _, r := range c.leadership.joinRequests {
+		if now.Sub(r.at) > joinRequestRetention {
+			continue
+		}
+		if change, ok := c.replica.Members().JoinChange(r.member, c.cfg.Voters, isDead); ok {
+			return c.stepReplica(now, consensus.ChangeMembers{
+				Change: change,
+			})
+		}
+	}
+	return c, nil
 }
 
 // acceptsCommands reports whether the group has enough voters to accept
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -39,6 +39,8 @@
 	isTimerRunning bool
 	// loggedHealth is the last health of the group that was logged; nil for none.
 	loggedHealth *GroupHealth
+	// joinRequests holds the requests to join of the last moments, the oldest first.
+	joinRequests []joinRequest
 }
 
 // gateway is the log index of the view that a gateway last reported and the end
--- a/control/replaced_machine_test.go
+++ b/control/replaced_machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -78,6 +79,30 @@
 	})
 })
 
+var _ = Describe("A machine that asks to join shortly before the one that is gone counts as dead", func() {
+	// Guards against a successor that is not a voter when it has had the time to catch
+	// up: it was admitted at its next request only, and a second one only after that.
+	It("is admitted without another request, and a second one right after it", func() {
+		for seed := range uint64(replacementSeeds) {
+			s := newFirstStart(5, 2, shortestCatchUp, seed)
+			s.advanceFor(8 * time.Second)
+			leader, ok := s.completeLeader()
+			Expect(ok).To(BeTrue(), "seed %d", seed)
+			others := slices.DeleteFunc(slices.Clone(s.machines), func(m *machine) bool { return m == leader })
+			s.crash(others[0])
+			s.crash(others[1])
+			s.advanceFor(1200 * time.Millisecond)
+			for range 2 {
+				m := s.addMachine()
+				s.requestJoinAt(m, leader.address)
+				m.joinAt = s.now.Add(time.Hour)
+			}
+			s.advanceFor(2 * time.Second)
+			Expect(s.hasOnlyLiveVoters()).To(BeTrue(), "seed %d", seed)
+		}
+	})
+})
+
 var _ = Describe("A machine that comes back without its disk after another one's successor took its place", func() {
 	// Guards against a voter with two successors: one of them removed it, and the group
 	// kept a dead voter beside five live ones for good.
