Count the silence of a voter from the first request for its vote

A new leader counted the silence of each member from its election. A voter that was gone for good thus stayed for the whole timeout after each change of leaders, and after an election that took two or three seconds its successor was not a voter yet when it had had the time to catch up. The next loss left no majority.

A replica that knows no leader notes when it first asked the voters and from whom it has heard since. As leader it counts the silence from then on, and gives each member an election timeout to answer it.

--- a/consensus/election.go
+++ b/consensus/election.go
@@ -18,6 +18,7 @@
 
 func (r Replica) startPreVote(now time.Time) (Replica, []Effect) {
 	r.leaderID = ""
+	r.search = r.search.started(now)
 	r.role = PreCandidate{
 		votes: map[string]bool{
 			r.cfg.ID: true,
@@ -82,6 +83,7 @@
 	if r.Group() == "" {
 		r.joiningGroup = msg.Group
 	}
+	r.search = r.search.withContact(now, msg.From)
 	if request, ok := msg.Body.(Vote); ok {
 		return r.stepVote(now, msg, request)
 	}
@@ -225,8 +227,11 @@
 		progress:       map[string]Progress{},
 	}
 	for _, m := range r.Members().Members {
-		l.progress[m.ID] = r.newProgress()
+		p := r.newProgress()
+		p.TrackedAt = r.search.lastContact(now, m)
+		l.progress[m.ID] = p
 	}
+	r.search = search{}
 	r.role = l
 	r.leaderID = r.cfg.ID
 	r, out := r.appendPayloads([]Payload{
--- a/consensus/replacement_test.go
+++ b/consensus/replacement_test.go
@@ -87,3 +87,59 @@
 		Expect(ok).To(BeTrue(), "%v", g.leader().replica.Members().Members)
 	})
 })
+
+var _ = Describe("A leader after a long election", func() {
+	// Guards against a successor that is admitted too late: each new leader waited for
+	// the whole timeout, although nobody had answered its requests for votes.
+	It("counts the time in which a voter did not answer the election", func() {
+		g := newGroup(4)
+		old := g.leader().id
+		others := slices.DeleteFunc(g.ids(), func(id string) bool { return id == old })
+		gone, cut := others[0], others[1]
+		g.removeForGood(gone)
+		g.removeForGood(old)
+		g.cutOff(cut, true, true)
+		g.run(deadTimeout)
+		Expect(g.leader()).To(BeNil())
+		g.heal(cut)
+		for range 20 {
+			if g.leader() == nil {
+				g.run(joinInterval)
+			}
+		}
+		electedAt := g.now
+		l := g.leader()
+		Expect(l.replica.IsSilent(electedAt, cut, electionTimeout)).To(BeFalse())
+		g.run(2 * electionTimeout)
+		Expect(g.leader().id).To(Equal(l.id))
+		for _, id := range []string{gone, old} {
+			Expect(g.leader().replica.IsSilent(g.now, id, deadTimeout)).To(BeTrue(), id)
+		}
+		for _, id := range others[1:] {
+			Expect(g.leader().replica.IsSilent(g.now, id, electionTimeout)).To(BeFalse(), id)
+		}
+	})
+
+	It("gives each member an election timeout to answer", func() {
+		g := newGroup(4)
+		old := g.leader().id
+		others := slices.DeleteFunc(g.ids(), func(id string) bool { return id == old })
+		g.crash(g.hosts[old])
+		g.crash(g.hosts[others[0]])
+		g.cutOff(others[1], true, true)
+		g.run(deadTimeout)
+		g.heal(others[1])
+		for range 200 {
+			if g.leader() == nil {
+				g.runWithoutFaults(20 * time.Millisecond)
+			}
+		}
+		Expect(g.leader().replica.IsSilent(g.now, old, deadTimeout)).To(BeFalse())
+		g.start(g.hosts[old])
+		g.start(g.hosts[others[0]])
+		g.run(2 * electionTimeout)
+		for _, id := range g.ids() {
+			Expect(g.leader().replica.IsSilent(g.now, id, electionTimeout)).To(BeFalse(), id)
+		}
+	})
+})
--- a/consensus/replica.go
+++ b/consensus/replica.go
@@ -64,6 +64,7 @@
 	leaderID     string
 	// leaderContactAt is when the replica last heard from a leader.
 	leaderContactAt  time.Time
+	search           search
 	electionDeadline time.Time
 	electionJitter   time.Duration
 	heartbeatDue     time.Time
@@ -148,23 +149,6 @@
 	return ok && hearsLeader
 }
 
-// IsSilent reports whether a member other than this leader has not answered for longer
-// than the timeout in the leader's term. It returns false if the replica does not lead.
-func (r Replica) IsSilent(now time.Time, id string, timeout time.Duration) bool {
-	l, ok := r.role.(Leader)
-	if !ok || id == r.cfg.ID {
-		return false
-	}
-	p, known := l.progress[id]
-	lastContact := p.LastContact
-	for _, at := range []time.Time{l.electedAt, p.AddedAt} {
-		if lastContact.Before(at) {
-			lastContact = at
-		}
-	}
-	return known && now.Sub(lastContact) > timeout
-}
-
 // Hard returns the replica's term and vote.
 func (r Replica) Hard() HardState {
 	return r.hardState
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -108,7 +108,7 @@
 		p, known := l.progress[m.ID]
 		if !known {
 			p = r.newProgress()
-			p.AddedAt = now
+			p.TrackedAt = now
 		}
 		var more []Effect
 		p, more = r.replicateTo(now, l, m.ID, p)
@@ -179,6 +179,7 @@
 	r.role = Follower{}
 	r.leaderID = msg.From
 	r.leaderContactAt = now
+	r.search = search{}
 	r = r.withElectionTimer(now)
 	if term, ok := r.log.Term(request.PrevIndex); !ok || term != request.PrevTerm {
 		if request.PrevIndex >= r.log.BaseIndex() {
@@ -330,6 +331,7 @@
 	r.role = Follower{}
 	r.leaderID = e.Message.From
 	r.leaderContactAt = now
+	r.search = search{}
 	r = r.withElectionTimer(now)
 	if !r.holds(e.Meta) {
 		r = r.withSnapshot(e.Meta)
--- a/consensus/role.go
+++ b/consensus/role.go
@@ -79,9 +79,9 @@
 	// LastContact is when the leader sent the latest message that the member
 	// has answered.
 	LastContact time.Time
-	// AddedAt is when the leader began to track a member that was added; zero for those
-	// that it knew from the start.
-	AddedAt time.Time
+	// TrackedAt is when the leader began to track a member that was added, or had last
+	// heard from one that it knew at its election.
+	TrackedAt time.Time
 	// AnsweredNS is the highest SentNS that the member has answered.
 	AnsweredNS int64
 	// SnapshotRetryAt is when the leader may send the snapshot again. Until
