Let a controller without a group join where its messages come from

A controller that is back without its disk knew only its seeds. If these name only machines that are gone or empty as well, nobody told it where the group is, although the leader still sent messages to its address; and fronts that asked it got no redirect.

The core names the sender of the last message among the controllers that it knows, and refers callers to it as long as it belongs to no group. In the model it joins within the time to catch up; the new test failed before. The check of live voters compares identities now, so that a former self at the same address does not pass.

--- a/control/first_start_suite_test.go
+++ b/control/first_start_suite_test.go
@@ -52,6 +52,9 @@
 	catchUp   time.Duration
 	founders  []string
 	machines  []*machine
+	// seeds returns the addresses that a machine's settings name; nil if those are the
+	// founders' for good.
+	seeds func(m *machine) []string
 	// cut holds the addresses of the machines that are cut off from the others.
 	cut       map[string]bool
 	inFlight  []delivery
@@ -286,18 +289,31 @@
 	}
 }
 
-// requestJoin does what a Joiner does: it asks the founders, and the leaders that they
-// name.
+// requestJoin does what a Joiner does: it asks the seeds and the controllers that the core
+// knows, and the leaders that they name.
 func (s *firstStart) requestJoin(m *machine) {
 	if !m.isUp || s.now.Before(m.joinAt) || m.core.Replica().IsMember(s.now, silenceBeforeJoin) {
 		return
 	}
 	m.joinAt = s.now.Add(250*time.Millisecond + time.Duration(s.random.IntN(250))*time.Millisecond)
-	for _, address := range s.founders {
+	for _, address := range s.knownAddresses(m) {
 		s.requestJoinAt(m, address)
 	}
 }
 
+// knownAddresses returns the addresses that a machine asks to join.
+func (s *firstStart) knownAddresses(m *machine) (list []string) {
+	seeds := s.founders
+	if s.seeds != nil {
+		seeds = s.seeds(m)
+	}
+	list = slices.Concat(seeds, m.core.PeerAddresses())
+	slices.Sort(list)
+	return slices.DeleteFunc(slices.Compact(list), func(address string) bool {
+		return address == m.address
+	})
+}
+
 // requestJoinAt asks one controller, and the leader that it names.
 func (s *firstStart) requestJoinAt(m *machine, address string) {
 	for range 2 {
--- a/control/replaced_machine_test.go
+++ b/control/replaced_machine_test.go
@@ -36,14 +36,14 @@
 }
 
 // hasOnlyLiveVoters reports whether a leader has a complete group without the machines
-// that are gone.
+// that are gone, and without the former selves of those that have lost their disks.
 func (s *firstStart) hasOnlyLiveVoters() bool {
 	leader, ok := s.completeLeader()
 	if !ok {
 		return false
 	}
 	for _, m := range leader.core.Replica().Members().Members {
-		if !m.Voter || !s.machineAt(m.Address).isUp {
+		if known := s.machineAt(m.Address); !m.Voter || !known.isUp || known.id != m.ID {
 			return false
 		}
 	}
@@ -103,6 +103,31 @@
 	})
 })
 
+var _ = Describe("A machine whose seeds name only machines that are gone or empty", func() {
+	// Guards against a machine that is back without its disk and does not join: nobody
+	// that it asked knew the group, although the group still sent messages to its address.
+	It("joins the group that sends messages to its address, and refers others to it", func() {
+		for seed := range uint64(replacementSeeds) {
+			s := newFirstStart(5, 2, shortestCatchUp, seed)
+			s.advanceFor(8 * time.Second)
+			wiped := s.machines[seed%5]
+			empty := s.machines[(seed+1)%5]
+			s.seeds = func(*machine) []string {
+				return []string{
+					wiped.address,
+					empty.address,
+				}
+			}
+			s.wipe(wiped)
+			s.wipe(empty)
+			s.boot(wiped)
+			s.boot(empty)
+			s.advanceFor(shortestCatchUp)
+			Expect(s.hasOnlyLiveVoters()).To(BeTrue(), "seed %d", seed)
+		}
+	})
+})
+
 var _ = Describe("A machine that comes back without its disk after another one's successor took its place", func() {
 	// Guards against a voter with two successors: one of them removed it, and the group
 	// kept a dead voter beside five live ones for good.
--- a/controller/replica/join.go
+++ b/controller/replica/join.go
@@ -31,7 +31,7 @@
 	// FormGroup is true if this controller forms a new group when it belongs to
 	// none.
 	FormGroup bool
-	// Seeds returns addresses of controllers to ask, besides the known members.
+	// Seeds returns addresses of controllers to ask, besides those that the core knows.
 	Seeds func() []string
 	// Post queues an event for the event loop.
 	Post func(ctx context.Context, e control.Event) error
@@ -96,10 +96,7 @@
 }
 
 func (j *Joiner) addresses() []string {
-	list := slices.Clone(j.cfg.Seeds())
-	for _, m := range j.cfg.Core().Replica().Members().Members {
-		list = append(list, m.Address)
-	}
+	list := slices.Concat(j.cfg.Seeds(), j.cfg.Core().PeerAddresses())
 	slices.Sort(list)
 	list = slices.Compact(list)
 	return slices.DeleteFunc(list, func(a string) bool {
