Count no vote for a log that the candidate has lost

A committed entry could be lost. A candidate asks for votes before its log and its vote are durable. If it restarts before that, it may start an election in the same term again, with a shorter log, and a vote for the longer one that comes late then counts. A voter whose disk takes longer than the restart and the election timeout sends such a vote.

An answer to a request for a vote now repeats the end of the log that it was asked for, and a candidate ignores one for another log than its own. The table of answers to requests compares the two new fields as well.

--- a/consensus/ballot_test.go
+++ b/consensus/ballot_test.go
@@ -87,9 +87,11 @@
 			}
 		}
 		Expect(replies).To(HaveExactElements(consensus.VoteReply{
-			PreVote: request.PreVote,
-			Granted: reason == "",
-			Refusal: reason,
+			PreVote:   request.PreVote,
+			Granted:   reason == "",
+			Refusal:   reason,
+			LastIndex: request.LastIndex,
+			LastTerm:  request.LastTerm,
 		}))
 	},
 		Entry("that a lease may hold", time.Duration(0), uint64(6), upToDate, consensus.RefusedLease),
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -86,7 +86,7 @@
 		return r.stepVote(now, msg, request)
 	}
 	if reply, ok := msg.Body.(VoteReply); ok && reply.PreVote && reply.Granted {
-		return r.stepPreVoteReply(now, msg)
+		return r.stepPreVoteReply(now, msg, reply)
 	}
 	var out []Effect
 	if msg.Term > r.hardState.Term {
@@ -149,19 +149,12 @@
 	leaseMayHold := now.Before(r.leaderContactAt.Add(r.cfg.ElectionTimeout)) || r.IsLeader()
 	if leaseMayHold && !request.LeadershipTransfer {
 		return r, []Effect{
-			r.send(msg.From, VoteReply{
-				PreVote: request.PreVote,
-				Refusal: RefusedLease,
-			}),
+			r.send(msg.From, request.reply(RefusedLease)),
 		}
 	}
 	if request.PreVote {
 		refusal := r.voteRefusal(msg, request)
-		reply := r.newMessage(msg.From, VoteReply{
-			PreVote: true,
-			Granted: refusal == "",
-			Refusal: refusal,
-		})
+		reply := r.newMessage(msg.From, request.reply(refusal))
 		if refusal == "" {
 			reply.Term = msg.Term
 		}
@@ -186,15 +179,12 @@
 		r = r.withElectionTimer(now)
 		out = append(out, r.persistHardState())
 	}
-	return r, append(out, r.sendAfterSync(msg.From, VoteReply{
-		Granted: refusal == "",
-		Refusal: refusal,
-	}))
+	return r, append(out, r.sendAfterSync(msg.From, request.reply(refusal)))
 }
 
-func (r Replica) stepPreVoteReply(now time.Time, msg Message) (Replica, []Effect) {
+func (r Replica) stepPreVoteReply(now time.Time, msg Message, reply VoteReply) (Replica, []Effect) {
 	c, ok := r.role.(PreCandidate)
-	if !ok || msg.Term != r.hardState.Term+1 {
+	if !ok || msg.Term != r.hardState.Term+1 || !r.isForThisLog(reply) {
 		return r, nil
 	}
 	c.votes = withVote(c.votes, msg.From)
@@ -206,12 +196,20 @@
 }
 
 func (r Replica) stepVoteReply(now time.Time, from string, reply VoteReply) (Replica, []Effect) {
-	if reply.PreVote || !reply.Granted {
+	if reply.PreVote || !reply.Granted || !r.isForThisLog(reply) {
 		return r, nil
 	}
 	return r.countVote(now, from)
 }
 
+// isForThisLog reports whether a vote was asked for with the log that the replica holds. A
+// replica that restarted before its log was durable may start an election in the same term
+// again, with a shorter log, and get votes for the longer one.
+func (r Replica) isForThisLog(reply VoteReply) bool {
+	isUnknown := reply.LastIndex == 0
+	return isUnknown || reply.LastIndex == r.log.LastIndex() && reply.LastTerm == r.log.LastTerm()
+}
+
 // countVote counts a durable vote for this replica in its present term. The replica does
 // not lead before its own vote is durable: after a restart it could lead the same term
 // again, with other entries.
--- a/consensus/message.go
+++ b/consensus/message.go
@@ -65,6 +65,20 @@
 	// Refusal is why the voter does not give its vote; "" if it does, or if it does not
 	// tell.
 	Refusal VoteRefusal `json:"refusal,omitempty"`
+	// LastIndex and LastTerm are copied from the request; 0 if the voter does not tell.
+	LastIndex uint64 `json:"last-index,omitempty"`
+	LastTerm  uint64 `json:"last-term,omitempty"`
+}
+
+// reply returns the answer of a voter with its reason to refuse, "" if it gives its vote.
+func (v Vote) reply(refusal VoteRefusal) VoteReply {
+	return VoteReply{
+		PreVote:   v.PreVote,
+		Granted:   refusal == "",
+		Refusal:   refusal,
+		LastIndex: v.LastIndex,
+		LastTerm:  v.LastTerm,
+	}
 }
 
 // Append sends entries to a member. Without entries it is a heartbeat.
