Let the only voter of a group lead once its vote is durable

The only voter led at once. If it lost its vote in a restart, it led the same term again with other entries, and a learner that had got the first ones kept them: in the test it applied another command than the voter. It now waits for its own vote, as candidates of larger groups do.

--- a/consensus/election.go
+++ b/consensus/election.go
@@ -50,10 +50,6 @@
 	out := []Effect{
 		r.persistHardState(),
 	}
-	if r.Members().Quorum() == 1 {
-		next, more := r.becomeLeader(now)
-		return next, append(out, more...)
-	}
 	msg := r.newMessage("", Vote{
 		LastIndex:          r.log.LastIndex(),
 		LastTerm:           r.log.LastTerm(),
