Promote a learner although the disks are slow and commands come

A learner became a voter only if it lacked at most 64 entries of the leader's log. Entries that every disk is still syncing counted, so a group with 200 commands a second and syncs of 300 ms promoted none in 30 s, nor did one with 100 a second and syncs of 800 ms: it stayed one voter short for as long as the load held.

Another test shows that five voters elect a leader in time although the disk of one of them stands still.

--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -6,8 +6,9 @@
 	"github.com/plantainladder/plantainladder/member"
 )
 
-// maxPromotionLag is the largest number of entries that a learner may lack to
-// be promoted to a voter.
+// maxPromotionLag is the largest number of committed entries that a learner may lack to
+// be promoted to a voter. Entries that the voters' disks are still syncing do not count: a
+// learner with an equal disk lacks them too.
 const maxPromotionLag = 64
 
 func (r Replica) stepFormGroup(now time.Time, e FormGroup) (Replica, []Effect) {
@@ -177,7 +178,7 @@
 		p := l.progress[m.ID]
 		isReachable := now.Sub(p.LastContact) < r.cfg.ElectionTimeout
 		replaced, isReplacementPending := r.Members().Get(m.Replaces)
-		isReady := !m.Voter && isReachable && p.Match+maxPromotionLag >= r.log.LastIndex() && p.Match > 0
+		isReady := !m.Voter && isReachable && p.Match+maxPromotionLag >= r.commitIndex && p.Match > 0
 		switch {
 		case isReady && isReplacementPending && replaced.Address == m.Address, m.Voter && isReplacementPending:
 			// The member that had the learner's address is gone for good. With both as
--- a/consensus/slow_disk_test.go
+++ b/consensus/slow_disk_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainladder/plantainladder/consensus"
+	"github.com/plantainladder/plantainladder/member"
 )
 
 // A slowSync is the sync of a host's disk that is under way. What is written meanwhile
@@ -203,3 +204,58 @@
 		}
 	})
 })
+
+var _ = Describe("A learner whose disk is slow", func() {
+	It("is promoted while commands come faster than its disk syncs them one by one", func() {
+		for _, syncTime := range slowSyncTimes {
+			c := newSlowDiskCluster(1, slowSyncTimes[0])
+			c.run(recoveryBound, func() {})
+			leader := c.leaseHolder()
+			Expect(leader).NotTo(BeNil())
+			c.syncTime = syncTime
+			c.addHost("c6")
+			c.step(leader, consensus.ChangeMembers{
+				Change: member.Add{
+					Member: member.Member{
+						ID:       "c6",
+						Address:  "c6",
+						Replaces: "c4",
+					},
+				},
+			})
+			n := 0
+			c.run(recoveryBound, func() {
+				n++
+				c.propose(leader, fmt.Sprint(n))
+			})
+			Expect(leader.replica.Members().IsVoter("c6")).To(BeTrue(), "syncs of %v", syncTime)
+			Expect(c.violations).To(BeEmpty())
+		}
+	})
+})
+
+var _ = Describe("Five voters, one of which has a disk that stands still", func() {
+	It("elect a leader in time when theirs is gone", func() {
+		for seed := range uint64(20) {
+			c := &slowDiskCluster{
+				cluster:  newFormedCluster(5),
+				syncTime: slowSyncTimes[0],
+				syncs:    map[string]*slowSync{},
+				rng:      rand.New(rand.NewPCG(seed, 0)),
+			}
+			old := c.leader()
+			stalled := c.hosts["c2"]
+			Expect(stalled).NotTo(Equal(old))
+			c.syncs[stalled.id] = &slowSync{
+				endsAt: c.now.Add(time.Hour),
+				state:  stalled.written,
+			}
+			c.crash(old)
+			for end := c.now.Add(recoveryBound); c.leaseHolder() == nil && c.now.Before(end); {
+				c.run(tickInterval, func() {})
+			}
+			Expect(c.leaseHolder()).NotTo(BeNil(), "seed %d", seed)
+			Expect(c.violations).To(BeEmpty())
+		}
+	})
+})
