Save the state of the first group once

Founders send their requests again each 300 ms, and each one that arrived saved the unchanged state again, with two syncs, in the queue of the disk writer.

--- a/controller/disk/folder.go
+++ b/controller/disk/folder.go
@@ -43,6 +43,9 @@
 	files FileSystem
 	id    string
 	lock  *os.File
+	// savedFormation is the last saved state of the agreement on the first group, as it
+	// is encoded; nil if this process has saved none.
+	savedFormation []byte
 }
 
 // OpenFolder opens and locks a data folder, and creates it if it does not exist.
--- a/controller/disk/formation.go
+++ b/controller/disk/formation.go
@@ -1,6 +1,7 @@
 package disk
 
 import (
+	"bytes"
 	"errors"
 	"os"
 	"path/filepath"
@@ -12,17 +13,27 @@
 
 const formationFile = "formation"
 
-// SaveFormation durably replaces the state of the agreement on the first group.
+// SaveFormation durably replaces the state of the agreement on the first group. It writes
+// nothing if it has saved the same state last: requests that are sent again ask for that
+// faster than a slow disk syncs.
 func (f *Folder) SaveFormation(s formation.Stored) (err error) {
 	defer util.Annotate(&err, "disk: save formation")
 	body, err := codec.Marshal(s)
 	if err != nil {
 		return err
 	}
+	if f.savedFormation != nil && bytes.Equal(body, f.savedFormation) {
+		return nil
+	}
+	f.savedFormation = nil
 	if err = f.files.ReplaceFile(f.path, f.formationPath(), appendFrame(nil, body)); err != nil {
 		return asFullError(err, nil)
 	}
-	return f.files.SyncFolder(f.path)
+	if err = f.files.SyncFolder(f.path); err != nil {
+		return err
+	}
+	f.savedFormation = body
+	return nil
 }
 
 // LoadFormation returns the state of the agreement on the first group, or false if
--- a/controller/disk/formation_test.go
+++ b/controller/disk/formation_test.go
@@ -12,6 +12,17 @@
 	"github.com/plantainladder/plantainladder/member"
 )
 
+// A replacementCounter counts the files that are replaced.
+type replacementCounter struct {
+	disk.OperatingSystem
+	replaced int
+}
+
+func (c *replacementCounter) ReplaceFile(folder, path string, content []byte) error {
+	c.replaced++
+	return c.OperatingSystem.ReplaceFile(folder, path, content)
+}
+
 var _ = Describe("The stored agreement on the first group", func() {
 	open := func(path string) *disk.Folder {
 		f, err := disk.OpenFolder(disk.FolderConfig{
@@ -50,6 +61,27 @@
 		Expect(loaded).To(Equal(stored))
 	})
 
+	It("is written once although it is saved again and again", func() {
+		files := &replacementCounter{}
+		f, err := disk.OpenFolder(disk.FolderConfig{
+			Path:  GinkgoT().TempDir(),
+			Files: files,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = f.Close() })
+		stored := formation.Stored{
+			Founder: 1,
+		}
+		before := files.replaced
+		for range 3 {
+			Expect(f.SaveFormation(stored)).To(Succeed())
+		}
+		Expect(files.replaced - before).To(Equal(1))
+		stored.Promised.Round++
+		Expect(f.SaveFormation(stored)).To(Succeed())
+		Expect(files.replaced - before).To(Equal(2))
+	})
+
 	It("is refused if a bit of it is flipped, since a promise could be forgotten", func() {
 		path := GinkgoT().TempDir()
 		f := open(path)
