--- a/formation/formation.go
+++ b/formation/formation.go
@@ -84,6 +84,8 @@
 	lostFounders map[int]time.Time
 	// highestRound is the highest round that another founder has reported.
 	highestRound uint64
+	// failedAttempts is how many attempts of this founder another one's has ended.
+	failedAttempts int
 	// isOver is true once this controller belongs to a group.
 	isOver      bool
 	jitter      time.Duration
@@ -183,8 +185,12 @@
 // withoutAttempt returns f without an attempt of its own, until the others have had
 // time for theirs.
 func (f Formation) withoutAttempt(now time.Time) Formation {
+	if _, isNone := f.attempt.(None); !isNone {
+		f.failedAttempts = min(f.failedAttempts+1, maxBackoffDoublings)
+	}
 	f.attempt = None{}
-	f.attemptAt = now.Add(attemptBackoff + f.jitter)
+	backoff := attemptBackoff << f.failedAttempts
+	f.attemptAt = now.Add(backoff*time.Duration(f.stored.Founder+1) + f.jitter)
 	return f
 }
 
--- a/formation/step.go
+++ b/formation/step.go
@@ -20,8 +20,11 @@
 	completionTimeout = 2 * time.Second
 	// resendInterval is the time after which unanswered messages are sent again.
 	resendInterval = 300 * time.Millisecond
-	// attemptBackoff is the time after a failed attempt before the next.
-	attemptBackoff = 500 * time.Millisecond
+	// attemptBackoff is the time after an attempt before the next. Each failure doubles
+	// it, and it is longer for later founders: an attempt takes several syncs, and one of
+	// another founder in between ends it.
+	attemptBackoff      = 500 * time.Millisecond
+	maxBackoffDoublings = 3
 	// logInterval is the time between two log lines on why there is no group yet.
 	logInterval = 5 * time.Second
 )
