--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -54,6 +54,8 @@
 	inFlight []consensus.Message
 	// leaderOfTerm holds the leader seen in each term.
 	leaderOfTerm map[uint64]string
+	// entryAt holds the first entry that a replica wrote with each index and term.
+	entryAt map[[2]uint64]string
 	// committed holds the entries that were applied first at each index.
 	committed []string
 	// violations describes each breach of a safety invariant.
@@ -83,6 +85,7 @@
 		now:             time.Unix(1_700_000_000, 0),
 		hosts:           map[string]*host{},
 		leaderOfTerm:    map[uint64]string{},
+		entryAt:         map[[2]uint64]string{},
 		acknowledged:    map[string]uint64{},
 		pendingCommands: map[uint64]string{},
 		appendedByToken: map[uint64]consensus.Appended{},
@@ -161,6 +164,7 @@
 func (c *cluster) perform(h *host, f consensus.Effect) {
 	switch f := f.(type) {
 	case consensus.Persist:
+		c.checkEntries(h, f.Entries)
 		h.persist(f)
 	case consensus.Send:
 		if f.AfterSync {
@@ -189,6 +193,21 @@
 	}
 }
 
+// checkEntries checks that entries with the same index and term are the same everywhere.
+func (c *cluster) checkEntries(h *host, entries []consensus.Entry) {
+	for _, e := range entries {
+		key := [2]uint64{
+			e.Index,
+			e.Term,
+		}
+		text := fmt.Sprint(e.Payload)
+		if first, ok := c.entryAt[key]; ok && first != text {
+			c.reportViolation("%s wrote %q at index %d of term %d, where others wrote %q", h.id, text, e.Index, e.Term, first)
+		}
+		c.entryAt[key] = text
+	}
+}
+
 // apply records committed entries and checks that every host applies the same
 // ones in the same order.
 func (c *cluster) apply(h *host, entries []consensus.Entry) {
