--- a/controller/disk/formation.go
+++ b/controller/disk/formation.go
@@ -21,9 +21,10 @@
 	if err != nil {
 		return err
 	}
-	if bytes.Equal(body, f.savedFormation) {
+	if f.savedFormation != nil && bytes.Equal(body, f.savedFormation) {
 		return nil
 	}
+	f.savedFormation = nil
 	if err = f.files.ReplaceFile(f.path, f.formationPath(), appendFrame(nil, body)); err != nil {
 		return asFullError(err, nil)
 	}
