Look at a message's body before its sender in the record of refused votes

Every message of a replica passed the check of its sender and group twice, though only an answer to a request for a vote can hold a refusal. The method that begins a search is named withStart, as other methods that return a changed value.

--- a/consensus/ballot.go
+++ b/consensus/ballot.go
@@ -130,12 +130,12 @@
 // an election that is under way.
 func (r Replica) withRefusal(e Event) Replica {
 	received, ok := e.(MessageReceived)
-	if !ok || !r.accepts(received.Message) {
+	if !ok {
 		return r
 	}
 	msg := received.Message
 	reply, ok := msg.Body.(VoteReply)
-	if !ok || reply.Granted {
+	if !ok || reply.Granted || !r.accepts(msg) {
 		return r
 	}
 	switch c := r.role.(type) {
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -18,7 +18,7 @@
 
 func (r Replica) startPreVote(now time.Time) (Replica, []Effect) {
 	r.leaderID = ""
-	r.search = r.search.started(now)
+	r.search = r.search.withStart(now)
 	r.role = PreCandidate{
 		votes: map[string]bool{
 			r.cfg.ID: true,
--- a/consensus/silence.go
+++ b/consensus/silence.go
@@ -15,8 +15,8 @@
 	heardAt map[string]time.Time
 }
 
-// started returns s as begun now, unless it has begun before.
-func (s search) started(now time.Time) search {
+// withStart returns s as begun now, unless it has begun before.
+func (s search) withStart(now time.Time) search {
 	if s.startedAt.IsZero() {
 		s.startedAt = now
 	}
