Show that a late event loop costs leaders their term, one after the other

A tick that is late judges the silence of others although their messages wait in the replica's own queue.

--- /dev/null
+++ b/consensus/event_loop_test.go
@@ -0,0 +1,272 @@
+package consensus_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainladder/plantainladder/consensus"
+)
+
+// An eventLoop handles the events of a host one after the other. Those that come
+// meanwhile wait in its queue.
+type eventLoop struct {
+	queue []consensus.Event
+	// freeAt is when the event under way ends. Its effects are performed then.
+	freeAt  time.Time
+	effects func()
+	// wasHeldUp is true once the loop was held up as that of a new leader.
+	wasHeldUp bool
+}
+
+// A loopCluster is a cluster whose hosts need time to handle an event.
+type loopCluster struct {
+	*cluster
+	rng   *rand.Rand
+	loops map[string]*eventLoop
+	// applyTime is the time that a host needs to apply an entry.
+	applyTime time.Duration
+	// holdUp is how long the loop of each host is held up when it becomes a leader for
+	// the first time.
+	holdUp time.Duration
+	// leaders counts the leaders since the cluster began.
+	leaders map[uint64]bool
+}
+
+// newLoopCluster returns a cluster of five voters with a log of the given length, which
+// were all stopped at the same moment. Two of them are lost for good; the others have
+// started again.
+func newLoopCluster(seed uint64, entries int) *loopCluster {
+	c := newFormedCluster(5)
+	for n := range entries {
+		c.propose(c.leader(), fmt.Sprint(n))
+		if n%8 == 0 {
+			c.deliverAll()
+		}
+	}
+	c.runWithoutFaults(time.Second)
+	for _, id := range c.ids() {
+		c.crash(c.hosts[id])
+	}
+	c.inFlight = nil
+	l := &loopCluster{
+		cluster: c,
+		rng:     rand.New(rand.NewPCG(seed, 0)),
+		loops:   map[string]*eventLoop{},
+		leaders: map[uint64]bool{},
+	}
+	for _, id := range c.ids() {
+		l.loops[id] = &eventLoop{}
+	}
+	for _, id := range c.ids()[:3] {
+		c.start(c.hosts[id])
+	}
+	return l
+}
+
+// run lets time pass until isDone holds, for at most d.
+func (c *loopCluster) run(d time.Duration, isDone func() bool) {
+	lastTick := c.now
+	for end := c.now.Add(d); !isDone() && c.now.Before(end); {
+		c.now = c.now.Add(messageDelay)
+		inFlight := c.inFlight
+		c.inFlight = nil
+		for _, msg := range inFlight {
+			c.enqueue(msg.To, consensus.MessageReceived{
+				Message: msg,
+			})
+		}
+		isTickDue := c.now.Sub(lastTick) >= tickInterval
+		if isTickDue {
+			lastTick = c.now
+		}
+		for _, id := range c.ids() {
+			if isTickDue {
+				c.enqueue(id, consensus.Tick{
+					Jitter: time.Duration(c.rng.Int64N(int64(electionTimeout))),
+				})
+			}
+			c.runLoop(c.hosts[id])
+		}
+	}
+}
+
+func (c *loopCluster) enqueue(id string, e consensus.Event) {
+	if c.hosts[id].alive {
+		c.loops[id].queue = append(c.loops[id].queue, e)
+	}
+}
+
+// runLoop handles the events of a host until its queue is empty or an event needs time.
+func (c *loopCluster) runLoop(h *host) {
+	l := c.loops[h.id]
+	for h.alive && !c.now.Before(l.freeAt) {
+		if f := l.effects; f != nil {
+			l.effects = nil
+			f()
+			continue
+		}
+		if len(l.queue) == 0 {
+			return
+		}
+		e := l.queue[0]
+		l.queue = l.queue[1:]
+		c.begin(h, l, e)
+	}
+}
+
+// begin applies an event to a host. Its new state is published, and its effects are
+// performed, when the time that it needs has passed.
+func (c *loopCluster) begin(h *host, l *eventLoop, e consensus.Event) {
+	wasLeader := h.replica.IsLeader()
+	next, effects := h.replica.Step(c.now, e)
+	for _, f := range effects {
+		if applied, ok := f.(consensus.Apply); ok {
+			l.freeAt = c.now.Add(time.Duration(len(applied.Entries)) * c.applyTime)
+		}
+	}
+	l.effects = func() {
+		h.replica = next
+		for _, f := range effects {
+			c.perform(h, f)
+		}
+		c.checkInvariants(h)
+		c.syncAndReport(h)
+		if wasLeader || !next.IsLeader() {
+			return
+		}
+		c.leaders[next.Hard().Term] = true
+		if !l.wasHeldUp {
+			l.wasHeldUp = true
+			l.freeAt = c.now.Add(c.holdUp)
+		}
+	}
+}
+
+// syncAndReport makes durable what a host has written, and queues the reports.
+func (c *loopCluster) syncAndReport(h *host) {
+	if !h.isDirty && len(h.awaitingSync) == 0 {
+		return
+	}
+	h.isDirty = false
+	h.disk = h.written
+	c.inFlight = append(c.inFlight, h.awaitingSync...)
+	h.awaitingSync = nil
+	c.enqueue(h.id, consensus.HardStateSynced{
+		Hard: h.disk.Hard,
+	})
+	if n := len(h.disk.Entries); n > 0 {
+		c.enqueue(h.id, consensus.EntriesSynced{
+			Index: h.disk.Entries[n-1].Index,
+			Term:  h.disk.Entries[n-1].Term,
+		})
+	}
+}
+
+// hasLease reports whether a host holds a lease.
+func (c *loopCluster) hasLease() bool {
+	for _, id := range c.ids() {
+		if h := c.hosts[id]; h.alive && h.replica.HasLease(c.now) {
+			return true
+		}
+	}
+	return false
+}
+
+// contactBound is the time after a disturbance in which the users expect service again.
+const contactBound = 3 * time.Second
+
+var _ = Describe("Three voters of five that restart", func() {
+	// A controller does not know after a start which of its entries are committed, and
+	// hears of all of them at once.
+	It("keep their first leader although each needs longer than a lease to apply the log", func() {
+		const entries = 1200
+		for seed := range uint64(8) {
+			c := newLoopCluster(seed, entries)
+			c.applyTime = time.Millisecond
+			c.run(contactBound+entries*c.applyTime, c.hasLease)
+			Expect(c.hasLease()).To(BeTrue(), "seed %d, %d leaders", seed, len(c.leaders))
+			Expect(c.leaders).To(HaveLen(1), "seed %d", seed)
+			Expect(c.violations).To(BeEmpty())
+		}
+	})
+
+	// Elections that follow each other cost every controller the time for which its loop
+	// is held up as that of a new leader.
+	It("keep their first leader although the loop of each new one is held up for longer than a lease", func() {
+		for seed := range uint64(8) {
+			c := newLoopCluster(seed, 0)
+			c.holdUp = 1350 * time.Millisecond
+			c.run(contactBound, c.hasLease)
+			Expect(c.hasLease()).To(BeTrue(), "seed %d, %d leaders", seed, len(c.leaders))
+			Expect(c.leaders).To(HaveLen(1), "seed %d", seed)
+			Expect(c.violations).To(BeEmpty())
+		}
+	})
+})
+
+// A replica whose event loop is late has not read what others have sent it meanwhile.
+var _ = Describe("A late tick", func() {
+	// lateBy is longer than the silence after which a leader gives up.
+	const lateBy = 3 * electionTimeout
+
+	It("lets a follower read what waits for it before it asks for votes", func() {
+		c := newFormedCluster(3)
+		late := c.hosts["c2"]
+		late.replica, _ = late.replica.Step(c.now, consensus.Tick{})
+		waiting := c.receivedMeanwhile(late, lateBy)
+		next, effects := late.replica.Step(c.now, consensus.Tick{})
+		Expect(effects).NotTo(ContainElement(HaveField("Message.Body", BeAssignableToTypeOf(consensus.Vote{}))))
+		for _, msg := range waiting {
+			next, _ = next.Step(c.now, consensus.MessageReceived{
+				Message: msg,
+			})
+		}
+		Expect(next.Leader()).To(Equal("c1"))
+	})
+
+	It("lets a leader ask its members before it gives up", func() {
+		c := newFormedCluster(3)
+		late := c.leader()
+		c.step(late, consensus.Tick{})
+		c.now = c.now.Add(lateBy)
+		c.step(late, consensus.Tick{})
+		Expect(late.replica.IsLeader()).To(BeTrue())
+		c.deliverAll()
+		Expect(late.replica.HasLease(c.now)).To(BeTrue())
+	})
+
+	It("does not keep a leader in office that nobody answers", func() {
+		c := newFormedCluster(3)
+		late := c.leader()
+		c.step(late, consensus.Tick{})
+		c.now = c.now.Add(lateBy)
+		for end := c.now.Add(2*electionTimeout + 2*tickInterval); c.now.Before(end); c.now = c.now.Add(tickInterval) {
+			c.step(late, consensus.Tick{})
+			c.inFlight = nil
+		}
+		Expect(late.replica.IsLeader()).To(BeFalse())
+	})
+})
+
+// receivedMeanwhile lets time pass for all hosts but one, and returns what they sent it.
+func (c *cluster) receivedMeanwhile(late *host, d time.Duration) (waiting []consensus.Message) {
+	late.alive = false
+	defer func() { late.alive = true }()
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.now = c.now.Add(tickInterval)
+		for _, id := range c.ids() {
+			c.step(c.hosts[id], consensus.Tick{})
+		}
+		for _, msg := range c.inFlight {
+			if msg.To == late.id {
+				waiting = append(waiting, msg)
+			}
+		}
+		c.deliverAll()
+	}
+	return waiting
+}
