Do not take a late event loop for a clock that was set

Operators saw `Controller stood still, or a clock was set.` with 1,406 ms by the steady clock and 63 ms by the time of day, and the counter's label set-back, although no clock was set. Cause: a tick had the time of day at which it was queued, but the steady time at which it was applied, so a tick that waited in the queue showed two different times. Both clocks are now read when the tick is queued. The new test fails on the code before: the line is logged, and requests count as late after it.

--- a/control/event.go
+++ b/control/event.go
@@ -18,9 +18,11 @@
 type Tick struct {
 	// Jitter is a random duration from zero to the election timeout.
 	Jitter time.Duration
-	// TimeOfDay is the time of day without a reading of the steady clock; zero if it is
-	// not to be compared with that.
+	// TimeOfDay is the time of day, without a reading of the steady clock, at which the
+	// tick was queued; zero if it is not to be compared with that.
 	TimeOfDay time.Time
+	// QueuedAt is the same moment by the steady clock.
+	QueuedAt time.Time
 }
 
 // PeerMessageReceived delivers a message of another replica.
--- a/control/standstill.go
+++ b/control/standstill.go
@@ -23,8 +23,9 @@
 
 func (LogStandstill) effect() {}
 
-// A Standstill is the time between two ticks by both clocks. A suspended machine's steady
-// clock stands still; that of a stopped process goes on.
+// A Standstill is the time between two ticks by both clocks, which were read when the ticks
+// were queued: an event loop that is late does not count. A suspended machine's steady clock
+// stands still; that of a stopped process goes on.
 type Standstill struct {
 	// Steady is the time by the steady clock, TimeOfDay that by the time of day.
 	Steady, TimeOfDay time.Duration
@@ -43,7 +44,7 @@
 
 // pulse is the time of a controller's last tick by both clocks.
 type pulse struct {
-	now       time.Time
+	queuedAt  time.Time
 	timeOfDay time.Time
 	// resumedAt is when the controller last ran again after a long standstill; zero if
 	// it never stood still.
@@ -53,7 +54,7 @@
 // since returns the time from p to a later moment.
 func (p pulse) since(now, timeOfDay time.Time) Standstill {
 	return Standstill{
-		Steady:    now.Sub(p.now),
+		Steady:    now.Sub(p.queuedAt),
 		TimeOfDay: timeOfDay.Sub(p.timeOfDay),
 	}
 }
@@ -66,15 +67,15 @@
 	}
 	last := c.lastPulse
 	c.lastPulse = pulse{
-		now:       now,
+		queuedAt:  e.QueuedAt,
 		timeOfDay: e.TimeOfDay,
 		resumedAt: last.resumedAt,
 	}
-	s := last.since(now, e.TimeOfDay)
-	if !last.now.IsZero() && s.isLong() {
+	s := last.since(e.QueuedAt, e.TimeOfDay)
+	if !last.queuedAt.IsZero() && s.isLong() {
 		c.lastPulse.resumedAt = now
 	}
-	if last.now.IsZero() || !s.isNoteworthy() {
+	if last.queuedAt.IsZero() || !s.isNoteworthy() {
 		return c, nil
 	}
 	return c, []Effect{
@@ -97,7 +98,7 @@
 // before, since the controller stood still meanwhile. Its sender may have turned to
 // another controller, and have changed its mind since.
 func (c Core) MayReadLateRequests(now, timeOfDay time.Time) bool {
-	if c.lastPulse.now.IsZero() {
+	if c.lastPulse.queuedAt.IsZero() {
 		return false
 	}
 	resumedAt := c.lastPulse.resumedAt
--- a/control/standstill_test.go
+++ b/control/standstill_test.go
@@ -19,6 +19,7 @@
 			l.now, at = l.now.Add(steady), at.Add(timeOfDay)
 			for _, f := range l.step(control.Tick{
 				TimeOfDay: at,
+				QueuedAt:  l.now,
 			}) {
 				switch f := f.(type) {
 				case control.LogStandstill:
@@ -56,6 +57,23 @@
 	)
 })
 
+// A tick that waited in the queue of the event loop was taken for a clock that was set back.
+var _ = Describe("A late event loop", func() {
+	It("is not logged as a standstill", func() {
+		l := newLeader()
+		queuedAt := l.now
+		for _, lateBy := range []time.Duration{0, 0, 1400 * time.Millisecond, 1350 * time.Millisecond, 0} {
+			queuedAt = queuedAt.Add(50 * time.Millisecond)
+			l.now = queuedAt.Add(lateBy)
+			Expect(l.step(control.Tick{
+				TimeOfDay: queuedAt.Round(0),
+				QueuedAt:  queuedAt,
+			})).NotTo(ContainElement(BeAssignableToTypeOf(control.LogStandstill{})))
+			Expect(l.core.MayReadLateRequests(queuedAt, queuedAt.Round(0))).To(BeFalse())
+		}
+	})
+})
+
 // A process that stood still reads requests that waited in its sockets. Their senders may
 // have turned to another process and changed their minds.
 var _ = Describe("Requests to a controller that stood still", func() {
@@ -66,6 +84,7 @@
 			l.now, at = l.now.Add(steady), at.Add(timeOfDay)
 			l.step(control.Tick{
 				TimeOfDay: at,
+				QueuedAt:  l.now,
 			})
 		}
 		tick(0, 0)
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -293,9 +293,11 @@
 	go n.peers.Run(ctx)
 	go n.loop.Run(ctx)
 	go n.loop.Tick(ctx, tickInterval, func() control.Event {
+		now := time.Now()
 		return control.Tick{
 			Jitter:    rand.N(electionTimeout),
-			TimeOfDay: time.Now().Round(0),
+			TimeOfDay: now.Round(0),
+			QueuedAt:  now,
 		}
 	})
 	if n.cfg.Voters > 0 {
