Log what holds up the event loop, and why a leadership was lost

No log or metric told whether events waited in the queue, or deciding or performing took long, and for which event, or what the process used meanwhile (processor, collector, page faults). Nor did a leader say why it did not lead any more.

--- a/consensus/replica.go
+++ b/consensus/replica.go
@@ -255,6 +255,7 @@
 	out = append(out, more...)
 	out = append(out, r.refuseConfirmations(before)...)
 	out = append(out, r.endedElection(now, before)...)
+	out = append(out, r.leadershipLost(now, before, e)...)
 	if r.leaderID != before.leaderID || r.hardState.Term != before.hardState.Term || RoleName(r.role) != RoleName(before.role) {
 		out = append(out, RoleChanged{
 			Role:   RoleName(r.role),
--- a/control/core.go
+++ b/control/core.go
@@ -209,6 +209,8 @@
 		return c, []Effect{
 			c.logElection(f),
 		}
+	case consensus.LeadershipLost:
+		return c, c.logLeadershipLost(f)
 	case consensus.InstallSnapshot:
 		return c.installSnapshot()
 	}
--- a/control/effect.go
+++ b/control/effect.go
@@ -114,6 +114,8 @@
 	CounterRunCrashes   CounterName = "run_crashes_total"
 	CounterLossVerdicts CounterName = "loss_verdicts_total"
 	CounterStandstills  CounterName = "standstills_total"
+
+	CounterLeadershipsLost CounterName = "leaderships_lost_total"
 )
 
 // Labels of CounterRunCrashes: whether other workflows had runs on the worker.
--- a/control/election.go
+++ b/control/election.go
@@ -29,8 +29,29 @@
 	Election consensus.ElectionFailed
 }
 
-func (LogRole) effect()     {}
-func (LogElection) effect() {}
+// LogLeadershipLost logs that this controller does not lead any more.
+type LogLeadershipLost struct {
+	// Loss describes it, with the address of the member in place of its identity.
+	Loss consensus.LeadershipLost
+}
+
+func (LogRole) effect()           {}
+func (LogElection) effect()       {}
+func (LogLeadershipLost) effect() {}
+
+// logLeadershipLost returns the log line and the counter for a lost leadership.
+func (c Core) logLeadershipLost(f consensus.LeadershipLost) []Effect {
+	f.By = c.addressOrID(f.By)
+	return []Effect{
+		LogLeadershipLost{
+			Loss: f,
+		},
+		IncrementCounter{
+			Name:  CounterLeadershipsLost,
+			Label: string(f.Cause),
+		},
+	}
+}
 
 // logRole returns the log line for a change of the replica's role.
 func (c Core) logRole(f consensus.RoleChanged) Effect {
--- a/controller/node/election.go
+++ b/controller/node/election.go
@@ -30,6 +30,12 @@
 		Strs("granted", f.Granted).Strs("refused", refused).Strs("silent", f.Silent).Msg("Election failed.")
 }
 
+// logLeadershipLost logs why this controller does not lead any more.
+func (n *Node) logLeadershipLost(l consensus.LeadershipLost) {
+	n.logger.Warn().Uint64("term", l.Term).Str("cause", string(l.Cause)).Str("by", l.By).Dur("led", l.Duration).
+		Dur("contact-age", l.ContactAge).Bool("established", l.IsEstablished).Msg("Leadership was lost.")
+}
+
 // reportVoteSent records how long a vote has waited for the disk, and logs it if that was
 // too long.
 func (n *Node) reportVoteSent(f control.SendMessage, waited time.Duration) {
--- a/controller/node/meters.go
+++ b/controller/node/meters.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	plantainladder "github.com/plantainladder/plantainladder"
+	"github.com/plantainladder/plantainladder/consensus"
 	"github.com/plantainladder/plantainladder/control"
 	"github.com/plantainladder/plantainladder/job"
 	"github.com/plantainladder/plantainladder/worker"
@@ -22,21 +23,28 @@
 	// voteSyncSeconds is exported from the start, unlike histograms without fixed
 	// buckets: a group may run for long without an election.
 	voteSyncSeconds *metrics.PrometheusHistogram
-	snapshotSeconds *metrics.Histogram
-	snapshotBytes   *metrics.Counter
-	diskFull        *metrics.Counter
+	// The times of events are exported from the start as well.
+	eventWaitSeconds    *metrics.PrometheusHistogram
+	eventStepSeconds    *metrics.PrometheusHistogram
+	eventPerformSeconds *metrics.PrometheusHistogram
+	snapshotSeconds     *metrics.Histogram
+	snapshotBytes       *metrics.Counter
+	diskFull            *metrics.Counter
 }
 
 func newMeters() *meters {
 	m := &meters{
-		bytesWritten:    metrics.NewCounter("controller_bytes_written_total"),
-		bytesRead:       metrics.NewCounter("controller_bytes_read_total"),
-		entriesSynced:   metrics.NewCounter("controller_entries_synced_total"),
-		syncSeconds:     metrics.NewHistogram("controller_sync_seconds"),
-		voteSyncSeconds: metrics.NewPrometheusHistogram("controller_vote_sync_seconds"),
-		snapshotSeconds: metrics.NewHistogram("controller_snapshot_encode_seconds"),
-		snapshotBytes:   metrics.NewCounter("controller_snapshot_bytes_total"),
-		diskFull:        metrics.NewCounter("controller_disk_full_total"),
+		bytesWritten:        metrics.NewCounter("controller_bytes_written_total"),
+		bytesRead:           metrics.NewCounter("controller_bytes_read_total"),
+		entriesSynced:       metrics.NewCounter("controller_entries_synced_total"),
+		syncSeconds:         metrics.NewHistogram("controller_sync_seconds"),
+		voteSyncSeconds:     metrics.NewPrometheusHistogram("controller_vote_sync_seconds"),
+		eventWaitSeconds:    metrics.NewPrometheusHistogram("controller_event_wait_seconds"),
+		eventStepSeconds:    metrics.NewPrometheusHistogram("controller_event_step_seconds"),
+		eventPerformSeconds: metrics.NewPrometheusHistogram("controller_event_perform_seconds"),
+		snapshotSeconds:     metrics.NewHistogram("controller_snapshot_encode_seconds"),
+		snapshotBytes:       metrics.NewCounter("controller_snapshot_bytes_total"),
+		diskFull:            metrics.NewCounter("controller_disk_full_total"),
 	}
 	createCounters()
 	return m
@@ -45,6 +53,7 @@
 // createCounters creates the counter for each known label, so that all of them are
 // exported from the start.
 func createCounters() {
+	metrics.GetOrCreateCounter(fmt.Sprintf("controller_loop_held_up_total{event=%q}", eventName(control.Tick{})))
 	counter(control.CounterCommands, "accepted")
 	for _, r := range plantainladder.Reasons() {
 		counter(control.CounterRefusals, string(r))
@@ -57,6 +66,9 @@
 	for _, label := range []string{control.LabelStopped, control.LabelSuspended, control.LabelSetBack} {
 		counter(control.CounterStandstills, label)
 	}
+	for _, cause := range consensus.LossCauses() {
+		counter(control.CounterLeadershipsLost, string(cause))
+	}
 	for _, f := range workflow.WorkerFates() {
 		counter(control.CounterLossVerdicts, string(f))
 	}
@@ -85,6 +97,17 @@
 	m.snapshotSeconds.Update(duration.Seconds())
 }
 
+func (m *meters) observeEvent(t timing) {
+	m.eventWaitSeconds.Update(t.Waited.Seconds())
+	m.eventStepSeconds.Update(t.Step.Seconds())
+	m.eventPerformSeconds.Update(t.Perform.Seconds())
+}
+
+// countHeldUp counts an event that held up the event loop.
+func (m *meters) countHeldUp(event string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("controller_loop_held_up_total{event=%q}", event)).Inc()
+}
+
 func (m *meters) increment(f control.IncrementCounter) {
 	counter(f.Name, f.Label).Inc()
 }
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -113,6 +113,7 @@
 		Perform:     n.perform,
 		Clock:       time.Now,
 		QueueLength: eventQueueLength,
+		Observe:     newLoopObserver(n.logger, n.meters).observe,
 	})
 	n.createComponents(cfg.Logger)
 	n.logger.Info().Str("id", folder.ID()).Int("entries", len(recovered.StoredState.Entries)).
--- a/controller/node/perform.go
+++ b/controller/node/perform.go
@@ -67,6 +67,8 @@
 		n.logRole(f)
 	case control.LogElection:
 		n.logElection(f.Election)
+	case control.LogLeadershipLost:
+		n.logLeadershipLost(f.Loss)
 	case control.LogStandstill:
 		n.logger.Warn().Dur("steady", f.Steady).Dur("time-of-day", f.TimeOfDay).Bool("leader", f.IsLeader).
 			Msg("Controller stood still, or a clock was set.")
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -23,12 +23,39 @@
 	Clock func() time.Time
 	// QueueLength is the number of events that can be queued.
 	QueueLength int
+	// Observe is called after each event with the time that it took; nil for none. It
+	// must not block.
+	Observe func(t Timing[E, F])
+}
+
+// A Timing is the time that an event took.
+type Timing[E, F any] struct {
+	// Event is the event.
+	Event E
+	// EndedAt is when its last effect was performed.
+	EndedAt time.Time
+	// Waited is how long it waited in the queue, Step how long the step function took,
+	// and Perform how long all effects took.
+	Waited, Step, Perform time.Duration
+	// Effects is the number of effects. Slowest is the one that took the longest, for
+	// SlowestTook; there is none if Effects is zero.
+	Effects     int
+	Slowest     F
+	SlowestTook time.Duration
+	// Queued is the number of events that wait after it.
+	Queued int
+}
+
+// queuedEvent is an event with the time at which it was queued.
+type queuedEvent[E any] struct {
+	event    E
+	queuedAt time.Time
 }
 
 // A Loop is an event loop that owns the state of a process.
 type Loop[S, E, F any] struct {
 	cfg    Config[S, E, F]
-	events chan E
+	events chan queuedEvent[E]
 	state  atomic.Pointer[S]
 }
 
@@ -36,7 +63,7 @@
 func New[S, E, F any](cfg Config[S, E, F]) *Loop[S, E, F] {
 	l := &Loop[S, E, F]{
 		cfg:    cfg,
-		events: make(chan E, cfg.QueueLength),
+		events: make(chan queuedEvent[E], cfg.QueueLength),
 	}
 	l.state.Store(&cfg.Initial)
 	return l
@@ -51,7 +78,7 @@
 // ctx ends, and then returns the context's error.
 func (l *Loop[S, E, F]) Post(ctx context.Context, e E) error {
 	select {
-	case l.events <- e:
+	case l.events <- l.queued(e):
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
@@ -62,13 +89,20 @@
 // room.
 func (l *Loop[S, E, F]) TryPost(e E) bool {
 	select {
-	case l.events <- e:
+	case l.events <- l.queued(e):
 		return true
 	default:
 		return false
 	}
 }
 
+func (l *Loop[S, E, F]) queued(e E) queuedEvent[E] {
+	return queuedEvent[E]{
+		event:    e,
+		queuedAt: l.cfg.Clock(),
+	}
+}
+
 // Run applies queued events in order until ctx ends.
 func (l *Loop[S, E, F]) Run(ctx context.Context) {
 	for {
@@ -81,12 +115,40 @@
 	}
 }
 
-func (l *Loop[S, E, F]) apply(e E) {
-	next, effects := l.cfg.Step(l.State(), l.cfg.Clock(), e)
+func (l *Loop[S, E, F]) apply(e queuedEvent[E]) {
+	startedAt := l.cfg.Clock()
+	next, effects := l.cfg.Step(l.State(), startedAt, e.event)
 	l.state.Store(&next)
+	if l.cfg.Observe == nil {
+		for _, f := range effects {
+			l.cfg.Perform(f)
+		}
+		return
+	}
+	performedAt := l.cfg.Clock()
+	t := Timing[E, F]{
+		Event:   e.event,
+		EndedAt: performedAt,
+		Waited:  startedAt.Sub(e.queuedAt),
+		Step:    performedAt.Sub(startedAt),
+		Effects: len(effects),
+	}
 	for _, f := range effects {
 		l.cfg.Perform(f)
+		t = t.withEffect(f, l.cfg.Clock())
+	}
+	t.Perform = t.EndedAt.Sub(performedAt)
+	t.Queued = len(l.events)
+	l.cfg.Observe(t)
+}
+
+// withEffect returns t with an effect that was performed until now.
+func (t Timing[E, F]) withEffect(f F, now time.Time) Timing[E, F] {
+	if took := now.Sub(t.EndedAt); took >= t.SlowestTook {
+		t.Slowest, t.SlowestTook = f, took
 	}
+	t.EndedAt = now
+	return t
 }
 
 // Tick calls event once each period and posts the result, until ctx ends.
