Apply the log in portions after a start

Cause: a controller does not know after a start which of its entries are committed. A new leader does so as soon as the first entry of its term is committed, and sends no heartbeat meanwhile. The others elect another one, which has not heard of the commit and does the same.

A step now applies at most 64 entries or 64 KiB, and asks for the rest behind the events that wait. A leader is established only when it has applied an entry of its own term, so that nothing reads a state that lacks acknowledged entries; acknowledgements followed the application before.

--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -115,6 +115,8 @@
 		MaxBatchEntries: 8,
 		MaxBatchBytes:   1 << 16,
 		MaxUncommitted:  1 << 10,
+		MaxApplyEntries: 8,
+		MaxApplyBytes:   1 << 16,
 	}
 }
 
--- a/consensus/disk_test.go
+++ b/consensus/disk_test.go
@@ -25,6 +25,7 @@
 	if !h.alive || h.isFull {
 		return
 	}
+	c.step(h, consensus.ApplyDue{})
 	h.disk = h.written
 	h.disk.Entries = slices.Clone(h.written.Entries)
 	h.snapshot = h.writtenSnapshot
--- a/consensus/event.go
+++ b/consensus/event.go
@@ -123,6 +123,11 @@
 func (SnapshotSent) event()       {}
 func (TransferLeadership) event() {}
 
+// ApplyDue wakes the replica to apply further entries that are committed.
+type ApplyDue struct{}
+
+func (ApplyDue) event() {}
+
 // SnapshotMeta describes a snapshot without its state.
 type SnapshotMeta struct {
 	// Index and Term identify the last entry that the snapshot covers.
--- a/consensus/event_loop_test.go
+++ b/consensus/event_loop_test.go
@@ -32,8 +32,10 @@
 	// holdUp is how long the loop of each host is held up when it becomes a leader for
 	// the first time.
 	holdUp time.Duration
-	// leaders counts the leaders since the cluster began.
+	// leaders holds the terms that had a leader.
 	leaders map[uint64]bool
+	// longestApply is the largest number of entries that a step has applied.
+	longestApply int
 }
 
 // newLoopCluster returns a cluster of five voters with a log of the given length, which
@@ -125,6 +127,7 @@
 	next, effects := h.replica.Step(c.now, e)
 	for _, f := range effects {
 		if applied, ok := f.(consensus.Apply); ok {
+			c.longestApply = max(c.longestApply, len(applied.Entries))
 			l.freeAt = c.now.Add(time.Duration(len(applied.Entries)) * c.applyTime)
 		}
 	}
@@ -135,6 +138,9 @@
 		}
 		c.checkInvariants(h)
 		c.syncAndReport(h)
+		if next.HasUnapplied() {
+			c.enqueue(h.id, consensus.ApplyDue{})
+		}
 		if wasLeader || !next.IsLeader() {
 			return
 		}
@@ -208,6 +214,20 @@
 	})
 })
 
+// A state that lacks committed entries must not be read, and must not grow by more than one
+// portion in a step.
+var _ = Describe("A replica that has started with a long log", func() {
+	It("applies it in portions, and leads only once it has applied all of it", func() {
+		const entries = 100
+		c := newLoopCluster(1, entries)
+		c.run(contactBound, func() bool { return c.leader() != nil })
+		Expect(c.leader()).NotTo(BeNil())
+		Expect(len(c.leader().applied)).To(BeNumerically(">", entries))
+		Expect(c.longestApply).To(Equal(config("").MaxApplyEntries))
+		Expect(c.violations).To(BeEmpty())
+	})
+})
+
 // A replica whose event loop is late has not read what others have sent it meanwhile.
 var _ = Describe("A late tick", func() {
 	// lateBy is longer than the silence after which a leader gives up.
--- a/consensus/replica.go
+++ b/consensus/replica.go
@@ -27,6 +27,11 @@
 	// MaxUncommitted bounds the number of entries that are appended but not yet
 	// committed; further proposals are refused.
 	MaxUncommitted uint64
+	// MaxApplyEntries and MaxApplyBytes bound the number of committed entries, and the
+	// size of their commands in bytes, that one step applies. At least one entry is
+	// applied.
+	MaxApplyEntries int
+	MaxApplyBytes   int
 }
 
 // A StoredState is what the disk held when the process started.
@@ -170,11 +175,17 @@
 }
 
 // IsEstablishedLeader reports whether the replica is a leader that has
-// committed an entry of its own term. Only then does its commit index cover
+// committed and applied an entry of its own term. Only then does its state hold
 // every entry that earlier leaders committed.
 func (r Replica) IsEstablishedLeader() bool {
 	l, ok := r.role.(Leader)
-	return ok && r.commitIndex >= l.termStartIndex
+	return ok && r.appliedIndex >= l.termStartIndex
+}
+
+// HasUnapplied reports whether entries are committed that no step has applied yet. The
+// caller then sends ApplyDue.
+func (r Replica) HasUnapplied() bool {
+	return r.appliedIndex < r.commitIndex
 }
 
 // LeaseExpiry returns when the leader's lease ends. Until then no other leader
@@ -249,6 +260,7 @@
 		r, out = r.stepTransferLeadership(now)
 	case ConfirmLeadership:
 		r, out = r.stepConfirmLeadership(e)
+	case RoundDue, ApplyDue:
 	}
 	r, out = r.applyCommitted(out)
 	r, more := r.answerConfirmations(now)
@@ -266,20 +278,21 @@
 	return r, out
 }
 
-// applyCommitted adds an Apply effect for the entries committed since the last.
+// applyCommitted adds an Apply effect for the next entries that are committed. A replica
+// that has started hears of all entries since its snapshot at once, and must go on sending
+// and answering heartbeats while it applies them.
 func (r Replica) applyCommitted(out []Effect) (Replica, []Effect) {
-	if r.commitIndex <= r.appliedIndex {
+	if !r.HasUnapplied() {
 		return r, out
 	}
-	entries := r.log.Slice(r.appliedIndex+1, int(r.commitIndex-r.appliedIndex), maxInt)
-	r.appliedIndex = r.commitIndex
+	n := min(int(r.commitIndex-r.appliedIndex), max(1, r.cfg.MaxApplyEntries))
+	entries := r.log.Slice(r.appliedIndex+1, n, r.cfg.MaxApplyBytes)
+	r.appliedIndex += uint64(len(entries))
 	return r, append(out, Apply{
 		Entries: entries,
 	})
 }
 
-const maxInt = int(^uint(0) >> 1)
-
 func (r Replica) stepCompacted(e Compacted) Replica {
 	if e.Index <= r.log.BaseIndex() || e.Index > r.appliedIndex {
 		return r
--- a/control/control_suite_test.go
+++ b/control/control_suite_test.go
@@ -55,6 +55,8 @@
 			ElectionTimeout: time.Second,
 			Heartbeat:       100 * time.Millisecond,
 			MaxUncommitted:  100,
+			MaxApplyEntries: 64,
+			MaxApplyBytes:   1 << 16,
 		}, consensus.StoredState{}), plantainladder.NewState()),
 	}
 	l.step(control.FormGroup{
@@ -74,12 +76,16 @@
 	l.core, out = l.core.Step(l.now, e)
 	l.effects = append(l.effects, out...)
 	for _, f := range out {
-		if w, ok := f.(control.WriteLog); ok && len(w.Persist.Entries) > 0 {
-			last := w.Persist.Entries[len(w.Persist.Entries)-1]
-			out = append(out, l.step(control.EntriesSynced{
-				Index: last.Index,
-				Term:  last.Term,
-			})...)
+		switch f := f.(type) {
+		case control.WriteLog:
+			if n := len(f.Persist.Entries); n > 0 {
+				out = append(out, l.step(control.EntriesSynced{
+					Index: f.Persist.Entries[n-1].Index,
+					Term:  f.Persist.Entries[n-1].Term,
+				})...)
+			}
+		case control.ContinueApplying:
+			out = append(out, l.step(control.ApplyDue{})...)
 		}
 	}
 	return out
--- a/control/core.go
+++ b/control/core.go
@@ -29,6 +29,8 @@
 	formation         formation.Formation
 	// isRoundTimerRunning is true while a RoundDue event is pending.
 	isRoundTimerRunning bool
+	// isApplyPending is true while an ApplyDue event is pending.
+	isApplyPending bool
 }
 
 // NewCore returns a core with the replica and the state recovered from disk.
@@ -67,9 +69,19 @@
 func (c Core) Step(now time.Time, e Event) (Core, []Effect) {
 	c, out := c.step(now, e)
 	c, out = c.startRoundTimer(now, out)
+	c, out = c.continueApplying(out)
 	return c.runDispatch(now, e, out)
 }
 
+// continueApplying requests an ApplyDue event if committed entries are left to apply.
+func (c Core) continueApplying(out []Effect) (Core, []Effect) {
+	if c.isApplyPending || !c.replica.HasUnapplied() {
+		return c, out
+	}
+	c.isApplyPending = true
+	return c, append(out, ContinueApplying{})
+}
+
 func (c Core) step(now time.Time, e Event) (Core, []Effect) {
 	switch e := e.(type) {
 	case Tick:
@@ -134,6 +146,9 @@
 	case RoundDue:
 		c.isRoundTimerRunning = false
 		return c.stepReplica(now, consensus.RoundDue{})
+	case ApplyDue:
+		c.isApplyPending = false
+		return c.stepReplica(now, consensus.ApplyDue{})
 	case StepDown:
 		return c.stepReplica(now, consensus.TransferLeadership{})
 	case PushAnswered:
--- a/control/dispatch_test.go
+++ b/control/dispatch_test.go
@@ -37,6 +37,8 @@
 		MaxBatchEntries: 10,
 		MaxBatchBytes:   1 << 20,
 		MaxUncommitted:  100,
+		MaxApplyEntries: 64,
+		MaxApplyBytes:   1 << 16,
 	}, consensus.StoredState{}), plantainladder.NewState())
 	c, out := c.Step(now, control.FormGroup{
 		Group: "g",
--- a/control/effect.go
+++ b/control/effect.go
@@ -77,6 +77,9 @@
 	Orders []worker.Order
 }
 
+// ContinueApplying requests an ApplyDue event behind all events that are queued.
+type ContinueApplying struct{}
+
 // LogMessage writes a line to the process log.
 type LogMessage struct {
 	// Text is the message, a short sentence.
@@ -98,6 +101,7 @@
 func (InstallSnapshot) effect()  {}
 func (Reply) effect()            {}
 func (Push) effect()             {}
+func (ContinueApplying) effect() {}
 func (LogMessage) effect()       {}
 func (IncrementCounter) effect() {}
 
--- a/control/event.go
+++ b/control/event.go
@@ -114,6 +114,9 @@
 	Token uint64
 }
 
+// ApplyDue is the event that a ContinueApplying requested.
+type ApplyDue struct{}
+
 // StepDown requests a transfer of the leadership before a planned stop.
 type StepDown struct{}
 
@@ -142,5 +145,6 @@
 func (FormGroup) event()           {}
 func (ChangeMembers) event()       {}
 func (ConfirmLeadership) event()   {}
+func (ApplyDue) event()            {}
 func (StepDown) event()            {}
 func (PushAnswered) event()        {}
--- a/control/first_start_suite_test.go
+++ b/control/first_start_suite_test.go
@@ -123,6 +123,8 @@
 		MaxBatchEntries: 512,
 		MaxBatchBytes:   1 << 20,
 		MaxUncommitted:  8192,
+		MaxApplyEntries: 64,
+		MaxApplyBytes:   1 << 16,
 	}, stored), plantainladder.NewState()).WithFormation(formation.New(s.now, formation.Config{
 		Self:   m.self(),
 		Voters: 2*s.tolerated + 1,
@@ -189,6 +191,8 @@
 			return
 		}
 		send()
+	case control.ContinueApplying:
+		s.step(m, control.ApplyDue{})
 	case control.SaveFormation:
 		m.unsynced = append(m.unsynced, func() {
 			m.formation = f.Save.Stored
--- a/controller/disk/powerloss/group_test.go
+++ b/controller/disk/powerloss/group_test.go
@@ -134,6 +134,8 @@
 		MaxBatchEntries: 8,
 		MaxBatchBytes:   1 << 16,
 		MaxUncommitted:  1 << 10,
+		MaxApplyEntries: 8,
+		MaxApplyBytes:   1 << 16,
 	}, r.StoredState)
 }
 
--- a/controller/gateway/gateway_suite_test.go
+++ b/controller/gateway/gateway_suite_test.go
@@ -78,6 +78,8 @@
 				MaxBatchEntries: 100,
 				MaxBatchBytes:   1 << 20,
 				MaxUncommitted:  1000,
+				MaxApplyEntries: 64,
+				MaxApplyBytes:   1 << 16,
 			}, consensus.StoredState{}), plantainladder.NewState()),
 		})
 	}
@@ -146,6 +148,8 @@
 		case control.SendMessage:
 			g.sent++
 			g.inFlight = append(g.inFlight, f)
+		case control.ContinueApplying:
+			g.stepOne(h, control.ApplyDue{})
 		case control.StartRoundTimer:
 			h.now = h.now.Add(f.Delay)
 			g.stepOne(h, control.RoundDue{})
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -38,6 +38,8 @@
 	maxBatchEntries    = 512
 	maxBatchBytes      = 1 << 20
 	maxUncommitted     = 8192
+	maxApplyEntries    = 64
+	maxApplyBytes      = 64 << 10
 	trailingEntries    = 1000
 	eventQueueLength   = 4096
 	diskQueueLength    = 4096
@@ -137,6 +139,8 @@
 		MaxBatchEntries: maxBatchEntries,
 		MaxBatchBytes:   maxBatchBytes,
 		MaxUncommitted:  maxUncommitted,
+		MaxApplyEntries: maxApplyEntries,
+		MaxApplyBytes:   maxApplyBytes,
 	}, r.StoredState)
 	return control.NewCore(control.Config{
 		Codec: control.Codec{
--- a/controller/node/perform.go
+++ b/controller/node/perform.go
@@ -56,6 +56,9 @@
 		time.AfterFunc(f.Delay, func() {
 			_ = n.loop.Post(n.ctx, control.RoundDue{})
 		})
+	case control.ContinueApplying:
+		// The event loop must not wait for room in its own queue.
+		go func() { _ = n.loop.Post(n.ctx, control.ApplyDue{}) }()
 	case control.LogDecision:
 		n.logDecision(f.Record)
 	case control.LogMembers:
