Let a late replica read its messages before it judges others

Cause: a tick compares the clock with the last message that was read. A replica whose loop was held up has read nothing meanwhile, so its own delay looked like the silence of the others. A tick that comes more than half an election timeout after the one before now gives the messages that wait a heartbeat interval, and a leader the usual time to be answered. Both only put elections off; leases do not depend on it.

--- a/consensus/election.go
+++ b/consensus/election.go
@@ -3,6 +3,7 @@
 import "time"
 
 func (r Replica) stepTick(now time.Time) (Replica, []Effect) {
+	r = r.withTick(now)
 	if l, ok := r.role.(Leader); ok {
 		return r.tickLeader(now, l)
 	}
@@ -16,6 +17,23 @@
 	return r.startPreVote(now)
 }
 
+// withTick returns r after a tick. Before one that is late, the replica has read no messages
+// for some time: they may wait behind the tick, so the silence of others tells nothing yet.
+func (r Replica) withTick(now time.Time) Replica {
+	isLate := !r.tickedAt.IsZero() && now.Sub(r.tickedAt) > r.cfg.ElectionTimeout/2
+	r.tickedAt = now
+	if !isLate {
+		return r
+	}
+	r.resumedAt = now
+	// A part of the jitter keeps replicas that resume together from splitting the votes.
+	deadline := now.Add(r.cfg.Heartbeat + r.electionJitter/4)
+	if deadline.After(r.electionDeadline) {
+		r.electionDeadline = deadline
+	}
+	return r
+}
+
 func (r Replica) startPreVote(now time.Time) (Replica, []Effect) {
 	r.leaderID = ""
 	r.search = r.search.withStart(now)
--- a/consensus/replica.go
+++ b/consensus/replica.go
@@ -77,6 +77,9 @@
 	electionDeadline time.Time
 	electionJitter   time.Duration
 	heartbeatDue     time.Time
+	// tickedAt is the time of the last tick, and resumedAt that of the last one that was
+	// late; zero for none.
+	tickedAt, resumedAt time.Time
 }
 
 // NewReplica returns a replica with the given stored state. It counts as having
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -14,7 +14,8 @@
 func (r Replica) tickLeader(now time.Time, l Leader) (Replica, []Effect) {
 	contact := l.quorumContact(now, r.cfg.ID, r.Members())
 	isEstablished := now.Sub(l.electedAt) > 2*r.cfg.ElectionTimeout
-	isIsolated := isEstablished && now.Sub(contact) > 2*r.cfg.ElectionTimeout
+	hasAsked := now.Sub(r.resumedAt) > 2*r.cfg.ElectionTimeout
+	isIsolated := isEstablished && hasAsked && now.Sub(contact) > 2*r.cfg.ElectionTimeout
 	isTransferOverdue := l.transferee != "" && now.After(l.transferDeadline)
 	if isIsolated || isTransferOverdue {
 		// A leader without a majority must stop accepting commands. After a
