Keep the office of a leader whose event loop is late

Cause: only the event loop of a leader tells the others that it runs. One that is held up for longer than the lease loses its office, although its process runs and would go on, and the next leader, whose loop is held up in turn, loses it as well.

A KeepAlive only puts elections off by an election timeout, like a repeated heartbeat: it carries no entries, is not answered and renews no lease, and a member in a later term ignores it.

--- a/consensus/election.go
+++ b/consensus/election.go
@@ -154,6 +154,11 @@
 			return r, nil
 		}
 		return r.withElectionTimer(now).startElection(now, true)
+	case KeepAlive:
+		if isStale {
+			return r, nil
+		}
+		return r.withLeader(now, msg.From), nil
 	case Vote:
 		return r, nil
 	}
--- a/consensus/message.go
+++ b/consensus/message.go
@@ -37,8 +37,8 @@
 	Payload Payload
 }
 
-// A Body is the content of a Message: Vote, VoteReply, Append, AppendReply or
-// TimeoutNow.
+// A Body is the content of a Message: Vote, VoteReply, Append, AppendReply,
+// TimeoutNow or KeepAlive.
 type Body interface {
 	body()
 }
@@ -111,11 +111,16 @@
 // leadership.
 type TimeoutNow struct{}
 
+// KeepAlive tells a member that its leader runs although it is late. It is not
+// answered and renews no lease.
+type KeepAlive struct{}
+
 func (Vote) body()        {}
 func (VoteReply) body()   {}
 func (Append) body()      {}
 func (AppendReply) body() {}
 func (TimeoutNow) body()  {}
+func (KeepAlive) body()   {}
 
 // A Message is what one replica sends to another.
 type Message struct {
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -176,12 +176,33 @@
 	return r
 }
 
-func (r Replica) stepAppend(now time.Time, msg Message, request Append) (Replica, []Effect) {
+// KeepAlives returns messages that keep the members from electing another leader while this
+// one is late. They may be sent beside the steps of the replica, and by a value of it that
+// does not lead any more: they only put elections off, by an election timeout, and a member
+// in a later term ignores them. It returns nil if the replica does not lead.
+func (r Replica) KeepAlives() (list []Message) {
+	if !r.IsLeader() {
+		return nil
+	}
+	for _, m := range r.Members().Members {
+		if m.ID != r.cfg.ID {
+			list = append(list, r.newMessage(m.ID, KeepAlive{}))
+		}
+	}
+	return list
+}
+
+// withLeader returns r as a follower that has just heard from the leader of its term.
+func (r Replica) withLeader(now time.Time, id string) Replica {
 	r.role = Follower{}
-	r.leaderID = msg.From
+	r.leaderID = id
 	r.leaderContactAt = now
 	r.search = search{}
-	r = r.withElectionTimer(now)
+	return r.withElectionTimer(now)
+}
+
+func (r Replica) stepAppend(now time.Time, msg Message, request Append) (Replica, []Effect) {
+	r = r.withLeader(now, msg.From)
 	if term, ok := r.log.Term(request.PrevIndex); !ok || term != request.PrevTerm {
 		if request.PrevIndex >= r.log.BaseIndex() {
 			return r, []Effect{
@@ -341,11 +362,7 @@
 		r = r.withTerm(e.Message.Term)
 		out = append(out, r.persistHardState())
 	}
-	r.role = Follower{}
-	r.leaderID = e.Message.From
-	r.leaderContactAt = now
-	r.search = search{}
-	r = r.withElectionTimer(now)
+	r = r.withLeader(now, e.Message.From)
 	if !r.holds(e.Meta) {
 		r = r.withSnapshot(e.Meta)
 		out = append(out, InstallSnapshot{
--- a/control/core.go
+++ b/control/core.go
@@ -191,12 +191,7 @@
 		}
 	case consensus.Send:
 		return c, []Effect{
-			SendMessage{
-				Message:       f.Message,
-				Address:       c.addressOf(f.Message.To),
-				SenderAddress: c.addressOf(f.Message.From),
-				AfterSync:     f.AfterSync,
-			},
+			c.sendMessage(f.Message, f.AfterSync),
 		}
 	case consensus.SendSnapshot:
 		return c, []Effect{
@@ -232,6 +227,24 @@
 	return c, nil
 }
 
+func (c Core) sendMessage(m consensus.Message, afterSync bool) SendMessage {
+	return SendMessage{
+		Message:       m,
+		Address:       c.addressOf(m.To),
+		SenderAddress: c.addressOf(m.From),
+		AfterSync:     afterSync,
+	}
+}
+
+// KeepAlives returns the messages to send while the event loop of a leader is late; see
+// consensus.Replica.KeepAlives.
+func (c Core) KeepAlives() (list []SendMessage) {
+	for _, m := range c.replica.KeepAlives() {
+		list = append(list, c.sendMessage(m, false))
+	}
+	return list
+}
+
 // replyOnceCommitted replies to a request whose entry is committed, and otherwise
 // makes the reply wait for that.
 func (c Core) replyOnceCommitted(f consensus.Appended) (Core, []Effect) {
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -53,19 +53,21 @@
 
 // A Node is one running controller.
 type Node struct {
-	cfg     Config
-	logger  zerolog.Logger
-	folder  *disk.Folder
-	log     *disk.Log
-	writer  *disk.Writer
-	synced  syncReporter[consensus.Entry]
-	hard    syncReporter[consensus.HardState]
-	peers   *replica.Peers
-	pusher  *worker.Pusher
-	pending *gateway.PendingRequests
-	loop    *loop.Loop[control.Core, control.Event, control.Effect]
-	meters  *meters
-	ctx     context.Context
+	cfg      Config
+	logger   zerolog.Logger
+	folder   *disk.Folder
+	log      *disk.Log
+	writer   *disk.Writer
+	synced   syncReporter[consensus.Entry]
+	hard     syncReporter[consensus.HardState]
+	peers    *replica.Peers
+	pusher   *worker.Pusher
+	pending  *gateway.PendingRequests
+	loop     *loop.Loop[control.Core, control.Event, control.Effect]
+	meters   *meters
+	observer *loopObserver
+	keeper   *keeper
+	ctx      context.Context
 }
 
 // New opens the data folder and returns a controller with the state stored there.
@@ -115,9 +117,13 @@
 		Perform:     n.perform,
 		Clock:       time.Now,
 		QueueLength: eventQueueLength,
-		Observe:     newLoopObserver(n.logger, n.meters).observe,
+		Observe:     n.observeEvent,
 	})
 	n.createComponents(cfg.Logger)
+	n.observer = newLoopObserver(n.logger, n.meters)
+	n.keeper = newKeeper(time.Now(), n.loop.State, func(m control.SendMessage) {
+		n.peers.QueueMessage(m.Address, m.SenderAddress, m.Message)
+	})
 	n.logger.Info().Str("id", folder.ID()).Int("entries", len(recovered.StoredState.Entries)).
 		Uint64("snapshot", recovered.StoredState.Snapshot.Index).Int64("torn-bytes", recovered.TornBytes).
 		Uint64("term", recovered.StoredState.Hard.Term).Bool("rewritten", recovered.IsRewritten).
@@ -192,6 +198,14 @@
 	})
 }
 
+// observeEvent records the time that an event took. Only the event loop calls it.
+func (n *Node) observeEvent(t timing) {
+	n.observer.observe(t)
+	if _, isTick := t.Event.(control.Tick); isTick {
+		n.keeper.recordTick(t.EndedAt)
+	}
+}
+
 // reportDiskFull logs and counts that the disk is full, or logs that it has room
 // again if err is nil.
 func (n *Node) reportDiskFull(err *disk.FullError, waited time.Duration) {
@@ -297,6 +311,7 @@
 	go n.hard.run(ctx, n.loop.Post, hardStateSynced)
 	go n.peers.Run(ctx)
 	go n.loop.Run(ctx)
+	go n.keeper.run(ctx, time.Now)
 	go n.loop.Tick(ctx, tickInterval, func() control.Event {
 		now := time.Now()
 		return control.Tick{
--- a/wire/message.go
+++ b/wire/message.go
@@ -82,6 +82,7 @@
 	Append        *appendMessage         `json:"append,omitempty"`
 	AppendReply   *consensus.AppendReply `json:"append-reply,omitempty"`
 	TimeoutNow    bool                   `json:"timeout-now,omitempty"`
+	KeepAlive     bool                   `json:"keep-alive,omitempty"`
 }
 
 // FromMessage returns the form of a message that is encoded, with the sender's
@@ -105,6 +106,8 @@
 		out.AppendReply = &body
 	case consensus.TimeoutNow:
 		out.TimeoutNow = true
+	case consensus.KeepAlive:
+		out.KeepAlive = true
 	}
 	return out
 }
@@ -157,6 +160,8 @@
 		out.Body = *m.AppendReply
 	case m.TimeoutNow:
 		out.Body = consensus.TimeoutNow{}
+	case m.KeepAlive:
+		out.Body = consensus.KeepAlive{}
 	}
 	return out, out.Body != nil
 }
