Let replicas that start together not ask for votes at once

With two voters of five lost, all three others must vote for the same one. Cause: the first election deadline of a replica had no jitter. It now gets that of the first tick. The test fails on the code before: the first leader comes in a later term.

--- a/consensus/election.go
+++ b/consensus/election.go
@@ -20,6 +20,10 @@
 // withTick returns r after a tick. Before one that is late, the replica has read no messages
 // for some time: they may wait behind the tick, so the silence of others tells nothing yet.
 func (r Replica) withTick(now time.Time) Replica {
+	if r.tickedAt.IsZero() {
+		// Replicas that start together would otherwise all ask for votes at once.
+		r.electionDeadline = r.electionDeadline.Add(r.electionJitter)
+	}
 	isLate := !r.tickedAt.IsZero() && now.Sub(r.tickedAt) > r.cfg.ElectionTimeout/2
 	r.tickedAt = now
 	if !isLate {
--- a/consensus/event_loop_test.go
+++ b/consensus/event_loop_test.go
@@ -241,6 +241,32 @@
 	})
 })
 
+var _ = Describe("Replicas that start together", func() {
+	It("do not split their first votes", func() {
+		c := newFormedCluster(5)
+		term := c.leader().replica.Hard().Term
+		voters := c.ids()[:3]
+		for _, id := range voters {
+			c.crash(c.hosts[id])
+			c.start(c.hosts[id])
+		}
+		c.crash(c.hosts["c4"])
+		c.crash(c.hosts["c5"])
+		c.inFlight = nil
+		for end := c.now.Add(2 * electionTimeout); c.leader() == nil && c.now.Before(end); {
+			c.now = c.now.Add(tickInterval)
+			for i, id := range voters {
+				c.step(c.hosts[id], consensus.Tick{
+					Jitter: time.Duration(i) * 2 * tickInterval,
+				})
+			}
+			c.deliverAll()
+		}
+		Expect(c.leader()).NotTo(BeNil())
+		Expect(c.leader().replica.Hard().Term).To(Equal(term + 1))
+	})
+})
+
 var _ = Describe("A leader whose event loop stays held up", func() {
 	It("is replaced", func() {
 		for seed := range uint64(8) {
