Do not put off an election for as long as ticks are late

While every tick of a replica, or every other one, came more than half an election timeout after the one before, it never asked for votes: each late tick put its election deadline off again by up to 225 ms (a heartbeat and a quarter of the jitter), and the next one came after more than that. A group whose loops are all that slow stayed without a leader. Late ticks now put an election off for four election timeouts at most, as long as KeepAlive messages keep the office of a leader.

The new test fails on the code before: with ticks 300 ms apart, and with 300 and 50 ms by turns, there is no request for a vote in ten election timeouts. Elections are as safe as before, since the deadline decides only when a replica asks.

--- a/consensus/election.go
+++ b/consensus/election.go
@@ -17,6 +17,9 @@
 	return r.startPreVote(now)
 }
 
+// maxLateTimeouts is for how many election timeouts late ticks may put off an election.
+const maxLateTimeouts = 4
+
 // withTick returns r after a tick. Before one that is late, the replica has read no messages
 // for some time: they may wait behind the tick, so the silence of others tells nothing yet.
 func (r Replica) withTick(now time.Time) Replica {
@@ -30,8 +33,15 @@
 		return r
 	}
 	r.resumedAt = now
+	if r.lateSince.IsZero() {
+		r.lateSince = now
+	}
 	// A part of the jitter keeps replicas that resume together from splitting the votes.
 	deadline := now.Add(r.cfg.Heartbeat + r.electionJitter/4)
+	// If all ticks are late, nobody would ever ask for votes without a limit.
+	if limit := r.lateSince.Add(maxLateTimeouts * r.cfg.ElectionTimeout); deadline.After(limit) {
+		deadline = limit
+	}
 	if deadline.After(r.electionDeadline) {
 		r.electionDeadline = deadline
 	}
--- a/consensus/event_loop_test.go
+++ b/consensus/event_loop_test.go
@@ -341,6 +341,39 @@
 	})
 })
 
+// Ticks that all come late must not put off an election for as long as they do.
+var _ = Describe("A replica whose ticks are all late", func() {
+	const gap = electionTimeout/2 + tickInterval
+
+	DescribeTable("asks for votes if it hears from no leader", func(gaps ...time.Duration) {
+		c := newFormedCluster(3)
+		h := c.hosts["c2"]
+		h.replica, _ = h.replica.Step(c.now, consensus.Tick{})
+		silentSince := c.now
+		hasAsked := false
+		for i := 0; !hasAsked && c.now.Sub(silentSince) < 10*electionTimeout; i++ {
+			c.now = c.now.Add(gaps[i%len(gaps)])
+			var effects []consensus.Effect
+			h.replica, effects = h.replica.Step(c.now, consensus.Tick{
+				Jitter: electionTimeout - 1,
+			})
+			for _, f := range effects {
+				send, isSend := f.(consensus.Send)
+				if !isSend {
+					continue
+				}
+				_, isVote := send.Message.Body.(consensus.Vote)
+				hasAsked = hasAsked || isVote
+			}
+		}
+		Expect(hasAsked).To(BeTrue())
+		Expect(c.now.Sub(silentSince)).To(BeNumerically("<=", 6*electionTimeout+2*gap))
+	},
+		Entry("with each tick late", gap),
+		Entry("with every other tick late", gap, tickInterval),
+	)
+})
+
 // receivedMeanwhile lets time pass for all hosts but one, and returns what they sent it.
 func (c *cluster) receivedMeanwhile(late *host, d time.Duration) (waiting []consensus.Message) {
 	late.alive = false
--- a/consensus/replica.go
+++ b/consensus/replica.go
@@ -78,8 +78,9 @@
 	electionJitter   time.Duration
 	heartbeatDue     time.Time
 	// tickedAt is the time of the last tick, and resumedAt that of the last one that was
-	// late; zero for none.
-	tickedAt, resumedAt time.Time
+	// late. lateSince is that of the first late one since the election timer was set. They
+	// are zero for none.
+	tickedAt, resumedAt, lateSince time.Time
 }
 
 // NewReplica returns a replica with the given stored state. It counts as having
@@ -346,6 +347,7 @@
 // elections together and split the votes.
 func (r Replica) withElectionTimer(now time.Time) Replica {
 	r.electionDeadline = now.Add(r.cfg.ElectionTimeout + r.electionJitter)
+	r.lateSince = time.Time{}
 	return r
 }
 
