Do not keep a leader that nobody answers for as long as its ticks are late

A leader gets two election timeouts after a late tick to be answered. Each further late tick began that time anew, so a leader whose ticks, or every other one, came more than half an election timeout after the one before never gave up. If it is cut off in one direction only, its heartbeats still arrive, nobody replaces it, and callers get 503 no-leader until its loop or the network recovers. Late ticks now keep it for four election timeouts at most, counted from the first late one since a majority answered.

The new test fails on the code before: with ticks 300 ms apart, and with 300 and 50 ms by turns, a leader without any answer still leads after 10 s. A single hold-up, however long, leaves the usual time to be answered.

--- a/consensus/election.go
+++ b/consensus/election.go
@@ -17,7 +17,8 @@
 	return r.startPreVote(now)
 }
 
-// maxLateTimeouts is for how many election timeouts late ticks may put off an election.
+// maxLateTimeouts is for how many election timeouts late ticks may put off an election, or
+// keep a leader in office that nobody answers.
 const maxLateTimeouts = 4
 
 // withTick returns r after a tick. Before one that is late, the replica has read no messages
@@ -33,7 +34,9 @@
 		return r
 	}
 	r.resumedAt = now
-	if r.lateSince.IsZero() {
+	l, isLeader := r.role.(Leader)
+	isAnswered := isLeader && l.quorumContact(now, r.cfg.ID, r.Members()).After(r.lateSince)
+	if r.lateSince.IsZero() || isAnswered {
 		r.lateSince = now
 	}
 	// A part of the jitter keeps replicas that resume together from splitting the votes.
@@ -315,6 +318,7 @@
 	}
 	r.search = search{}
 	r.role = l
+	r.lateSince = time.Time{}
 	r.leaderID = r.cfg.ID
 	r, out := r.appendPayloads([]Payload{
 		Noop{},
--- a/consensus/event_loop_test.go
+++ b/consensus/event_loop_test.go
@@ -374,6 +374,25 @@
 	)
 })
 
+// A leader to which nothing gets through still sends heartbeats, so nobody replaces it.
+var _ = Describe("A leader whose ticks are all late", func() {
+	DescribeTable("gives up if nobody answers", func(gaps ...time.Duration) {
+		c := newFormedCluster(3)
+		h := c.leader()
+		silentSince := c.now
+		for i := 0; h.replica.IsLeader() && c.now.Sub(silentSince) < 20*electionTimeout; i++ {
+			c.now = c.now.Add(gaps[i%len(gaps)])
+			c.step(h, consensus.Tick{})
+			c.inFlight = nil
+		}
+		Expect(h.replica.IsLeader()).To(BeFalse())
+		Expect(c.now.Sub(silentSince)).To(BeNumerically("<=", 6*electionTimeout))
+	},
+		Entry("with each tick late", electionTimeout/2+tickInterval),
+		Entry("with every other tick late", electionTimeout/2+tickInterval, tickInterval),
+	)
+})
+
 // receivedMeanwhile lets time pass for all hosts but one, and returns what they sent it.
 func (c *cluster) receivedMeanwhile(late *host, d time.Duration) (waiting []consensus.Message) {
 	late.alive = false
--- a/consensus/replica.go
+++ b/consensus/replica.go
@@ -78,8 +78,8 @@
 	electionJitter   time.Duration
 	heartbeatDue     time.Time
 	// tickedAt is the time of the last tick, and resumedAt that of the last one that was
-	// late. lateSince is that of the first late one since the election timer was set. They
-	// are zero for none.
+	// late. lateSince is that of the first late one since the election timer was set, or
+	// since a majority answered this leader. They are zero for none.
 	tickedAt, resumedAt, lateSince time.Time
 }
 
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -14,7 +14,9 @@
 func (r Replica) tickLeader(now time.Time, l Leader) (Replica, []Effect) {
 	contact := l.quorumContact(now, r.cfg.ID, r.Members())
 	isEstablished := now.Sub(l.electedAt) > 2*r.cfg.ElectionTimeout
-	hasAsked := now.Sub(r.resumedAt) > 2*r.cfg.ElectionTimeout
+	// If all ticks are late, a leader would never give up without a limit.
+	isLateForLong := now.Sub(r.lateSince) > maxLateTimeouts*r.cfg.ElectionTimeout
+	hasAsked := now.Sub(r.resumedAt) > 2*r.cfg.ElectionTimeout || isLateForLong
 	isIsolated := isEstablished && hasAsked && now.Sub(contact) > 2*r.cfg.ElectionTimeout
 	isTransferOverdue := l.transferee != "" && now.After(l.transferDeadline)
 	if isIsolated || isTransferOverdue {
