--- a/controller/node/keep_alive_test.go
+++ b/controller/node/keep_alive_test.go
@@ -71,6 +71,27 @@
 		}))
 	})
 
+	// The members would keep a leader for good that is too slow to hold a lease.
+	It("sends nothing any more if each tick comes late for too long", func() {
+		core := newLeadingCore(now)
+		sent := 0
+		k := newKeeper(now, func() control.Core { return core }, func(control.SendMessage) { sent++ })
+		at := now
+		for at.Sub(now) < maxLateness {
+			at = at.Add(electionTimeout)
+			k.sendDue(at)
+			k.recordTick(at)
+		}
+		Expect(sent).To(BeNumerically(">", 0))
+		sent = 0
+		k.sendDue(at.Add(electionTimeout))
+		Expect(sent).To(BeZero())
+		k.recordTick(at.Add(electionTimeout))
+		k.recordTick(at.Add(electionTimeout + tickInterval))
+		k.sendDue(at.Add(2*electionTimeout + tickInterval))
+		Expect(sent).To(Equal(1), "once ticks came in time again")
+	})
+
 	It("sends nothing once it does not lead", func() {
 		core, _ := newLeadingCore(now).Step(now, control.PeerMessageReceived{
 			Message: consensus.Message{
