Count where a gang fits instead of searching after each release

Cause: to reserve nodes for a gang, earliestFit searched and sorted all nodes again after the end of each run, so the time grew with runs times nodes. The end of a run changes only its own node, so the number of members that fit is now counted there, as the search for preemptions does, and the assignments are searched once enough fit. They exist exactly if the sum of what fits on the nodes reaches the members of the gang.

--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -112,11 +112,26 @@
 		}
 		return capacity[n]
 	}
+	// total is the sum of fitCounts, which holds how many members fit on each node.
+	total := 0
+	fitCounts := make(map[*node]int, len(nodes))
+	count := func(n *node) {
+		fit := g.fitCount(n, free(n), g.step.Tasks)
+		total += fit - fitCounts[n]
+		fitCounts[n] = fit
+	}
+	for _, n := range nodes {
+		count(n)
+	}
 	for _, r := range releases {
 		capacity[r.node] = capacity[r.node].Plus(r.capacity)
 		if r.isSuspect {
 			suspects[r.node]--
 		}
+		count(r.node)
+		if total < g.step.Tasks {
+			continue
+		}
 		if list := assignments(nodes, g, g.step.Tasks, free); list != nil {
 			return list, r.at
 		}
