Count the accelerators of urgent runs once in each pass

Cause: withinHeadroom counted the accelerators of all workers and of all urgent runs again for each task group that waits, so a pass grew with task groups times runs. Its placements and preemptions change what is free, but neither the workers nor the runs: these two counts are now made once, when the fleet of the pass is built.

--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -56,6 +56,9 @@
 	// isMostlyFree is true if more than half of the accelerators were free when the
 	// pass began.
 	isMostlyFree bool
+	// accelerators is how many the nodes have, and urgent how many of them runs of the
+	// highest priority held when the pass began.
+	accelerators, urgent int
 }
 
 // A rack is the schedulable nodes of one rack.
@@ -70,7 +73,7 @@
 	if x.version != state.Version {
 		x = newStateIndex(state)
 	}
-	m := map[string]*fleet{}
+	nodes := map[string][]*node{}
 	for _, w := range state.Workers {
 		v, ok := s.dispatcher.workerView(w.ID)
 		if !ok || !s.isSchedulable(w, v) {
@@ -90,23 +93,47 @@
 			}
 		}
 		n.excess = max(-n.free.Accelerators, 0)
-		if m[w.Pool] == nil {
-			m[w.Pool] = &fleet{}
-		}
-		m[w.Pool].nodes = append(m[w.Pool].nodes, n)
+		nodes[w.Pool] = append(nodes[w.Pool], n)
 	}
-	for _, f := range m {
-		f.racks = racksOf(f.nodes)
-		all, free := 0, 0
-		for _, n := range f.nodes {
-			all += n.worker.Capacity.Accelerators
-			free += n.free.Accelerators + n.excess
-		}
-		f.isMostlyFree = 2*free > all
+	m := map[string]*fleet{}
+	for name, list := range nodes {
+		m[name] = newFleet(list)
 	}
 	return m
 }
 
+// newFleet returns the fleet of a pool when a pass begins.
+func newFleet(nodes []*node) *fleet {
+	f := &fleet{
+		nodes: nodes,
+		racks: racksOf(nodes),
+	}
+	for _, n := range nodes {
+		f.accelerators += n.worker.Capacity.Accelerators
+		f.urgent += n.urgentAccelerators()
+	}
+	f.isMostlyFree = 2*f.freeAccelerators() > f.accelerators
+	return f
+}
+
+// urgentAccelerators returns how many accelerators runs of the highest priority hold.
+func (n *node) urgentAccelerators() (urgent int) {
+	for _, alloc := range n.allocations {
+		if alloc.priority == 0 {
+			urgent += alloc.task.StepSpec.PerTask.Accelerators
+		}
+	}
+	return urgent
+}
+
+// freeAccelerators returns how many accelerators are free now.
+func (f *fleet) freeAccelerators() (free int) {
+	for _, n := range f.nodes {
+		free += n.free.Accelerators + n.excess
+	}
+	return free
+}
+
 // maxMissedAnnouncements is the number of announcement intervals without an
 // announcement after which a worker gets no new tasks, and without contact after
 // which it is not probed.
@@ -238,22 +265,13 @@
 	if each == 0 {
 		return g
 	}
-	all, free, urgent := 0, 0, 0
-	for _, n := range f.nodes {
-		all += n.worker.Capacity.Accelerators
-		free += n.free.Accelerators + n.excess
-		for _, alloc := range n.allocations {
-			if alloc.priority == 0 {
-				urgent += alloc.task.StepSpec.PerTask.Accelerators
-			}
-		}
-	}
+	free := f.freeAccelerators()
 	most := 0
-	if 2*free > all {
+	if 2*free > f.accelerators {
 		most = free / 2 / each
 	}
 	switch {
-	case len(g.waiting) <= max(most, (free-urgent)/each):
+	case len(g.waiting) <= max(most, (free-f.urgent)/each):
 		return g
 	case g.step.IsGang:
 		most = 0
