Build the index of a state without copying tasks again and again

Cause: for each new version of the state, and again for the state after a proposed round, newStateIndex copied each placed task into lists that grew one by one, once by worker and once by gang, and compared each member of a gang with all others.

The tasks of a worker are now counted first, the members of a gang are the part of the workflow's list in which they follow each other, and a gang is examined once in each run. PlacedTasks counts before it allocates.

--- a/dispatch/index.go
+++ b/dispatch/index.go
@@ -46,21 +46,34 @@
 }
 
 func newStateIndex(state ClusterState) *stateIndex {
+	placed := make([][]workflow.PlacedTask, len(state.Workflows))
+	total := 0
+	perWorker := make(map[string]int, len(state.Workers))
+	for i, w := range state.Workflows {
+		placed[i] = w.PlacedTasks()
+		total += len(placed[i])
+		for _, t := range placed[i] {
+			perWorker[t.Worker]++
+		}
+	}
 	x := &stateIndex{
 		version:        state.Version,
 		workers:        make(map[string]pool.Worker, len(state.Workers)),
 		workflows:      make(map[string]workflow.Workflow, len(state.Workflows)),
 		withSuspects:   map[string]workflow.Workflow{},
-		placedByWorker: make(map[string][]workflow.PlacedTask, len(state.Workers)),
+		placedByWorker: make(map[string][]workflow.PlacedTask, len(perWorker)),
 		lossesByWorker: map[string][]workflow.UnresolvedLoss{},
-		placedRuns:     map[workflow.RunKey]bool{},
+		placedRuns:     make(map[workflow.RunKey]bool, total),
 		isGangBroken:   map[workflow.RunKey]bool{},
 		gangMembers:    map[gangRun][]workflow.PlacedTask{},
 	}
+	for id, n := range perWorker {
+		x.placedByWorker[id] = make([]workflow.PlacedTask, 0, n)
+	}
 	for _, w := range state.Workers {
 		x.workers[w.ID] = w
 	}
-	for _, w := range state.Workflows {
+	for i, w := range state.Workflows {
 		x.workflows[w.Spec.ID] = w
 		if w.HasSuspect() {
 			x.withSuspects[w.Spec.ID] = w
@@ -68,16 +81,11 @@
 		if w.IsOpen() {
 			x.unresolvedLosses = append(x.unresolvedLosses, w.UnresolvedLosses()...)
 		}
-		for _, t := range w.PlacedTasks() {
+		for _, t := range placed[i] {
 			x.placedByWorker[t.Worker] = append(x.placedByWorker[t.Worker], t)
 			x.placedRuns[t.RunKey] = true
-			if t.StepSpec.IsGang {
-				x.gangMembers[gangRunOf(t)] = append(x.gangMembers[gangRunOf(t)], t)
-			}
-			if t.StepSpec.IsGang && w.IsOpen() && isGangBroken(w, t) {
-				x.isGangBroken[t.RunKey] = true
-			}
 		}
+		x.addGangs(w, placed[i])
 	}
 	for _, l := range x.unresolvedLosses {
 		x.lossesByWorker[l.Worker] = append(x.lossesByWorker[l.Worker], l)
@@ -85,6 +93,29 @@
 	return x
 }
 
+// addGangs adds the gangs among the placed tasks of a workflow, in which the members
+// of a run follow each other.
+func (x *stateIndex) addGangs(w workflow.Workflow, placed []workflow.PlacedTask) {
+	for len(placed) > 0 {
+		first, n := placed[0], 1
+		if !first.StepSpec.IsGang {
+			placed = placed[1:]
+			continue
+		}
+		k := gangRunOf(first)
+		for n < len(placed) && gangRunOf(placed[n]) == k {
+			n++
+		}
+		x.gangMembers[k] = placed[:n:n]
+		if w.IsOpen() && isGangBroken(w, first) {
+			for _, t := range placed[:n] {
+				x.isGangBroken[t.RunKey] = true
+			}
+		}
+		placed = placed[n:]
+	}
+}
+
 // isGangBroken reports whether some member of the gang of t is no longer placed
 // in the run of t, although the step is not done.
 func isGangBroken(w workflow.Workflow, t workflow.PlacedTask) bool {
--- a/workflow/workflow.go
+++ b/workflow/workflow.go
@@ -209,7 +209,11 @@
 
 // PlacedTasks returns all placed tasks of the workflow.
 func (w Workflow) PlacedTasks() []PlacedTask {
-	var list []PlacedTask
+	n := w.countPlacedTasks()
+	if n == 0 {
+		return nil
+	}
+	list := make([]PlacedTask, 0, n)
 	for k, o := range w.Occurrences {
 		for s, r := range o.Steps {
 			for i, t := range r.Tasks {
@@ -237,6 +241,20 @@
 	return list
 }
 
+func (w Workflow) countPlacedTasks() int {
+	n := 0
+	for _, o := range w.Occurrences {
+		for _, r := range o.Steps {
+			for _, t := range r.Tasks {
+				if _, ok := t.CurrentPlacement(); ok {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
+
 // ResumeCheckpoint returns the checkpoint from which the next run of a task
 // resumes. It is empty if there is none.
 func (w Workflow) ResumeCheckpoint(k TaskKey) string {
