Count a vote in the power-loss model when it counts for the replica

It took a candidate's request for votes as its own vote. The model now records a replica's own vote when it is durable, and when the replica leads, besides each vote that it grants, so two votes that both count are found as before.

--- a/controller/disk/powerloss/group_test.go
+++ b/controller/disk/powerloss/group_test.go
@@ -120,6 +120,9 @@
 			})
 		},
 		HardStateSynced: func(hard consensus.HardState) {
+			if hard.Vote == m.folder.ID() {
+				g.recordVote(hard.Vote, hard.Term, hard.Vote)
+			}
 			m.events = append(m.events, consensus.HardStateSynced{
 				Hard: hard,
 			})
@@ -202,28 +205,26 @@
 		g.appended[[2]uint64{f.Index, f.Term}] = true
 	case consensus.SendSnapshot:
 		g.sendSnapshot(m, f)
-	case consensus.InstallSnapshot, consensus.Refused, consensus.RoleChanged:
+	case consensus.RoleChanged:
+		if m.replica.IsLeader() {
+			g.recordVote(m.folder.ID(), f.Term, m.folder.ID())
+		}
+	case consensus.InstallSnapshot, consensus.Refused:
 	}
 }
 
-// send puts a message on the network and records the vote that it gives.
+// send puts a message on the network and records the vote that it gives. A request for
+// votes gives none: the candidate's own vote counts once it is durable.
 func (g *group) send(msg consensus.Message) {
 	g.inFlight = append(g.inFlight, msg)
-	candidate := ""
-	switch body := msg.Body.(type) {
-	case consensus.Vote:
-		if !body.PreVote {
-			candidate = msg.From
-		}
-	case consensus.VoteReply:
-		if body.Granted && !body.PreVote {
-			candidate = msg.To
-		}
+	if reply, ok := msg.Body.(consensus.VoteReply); ok && reply.Granted && !reply.PreVote {
+		g.recordVote(msg.From, msg.Term, msg.To)
 	}
-	if candidate == "" {
-		return
-	}
-	key := fmt.Sprintf("%s in term %d", msg.From, msg.Term)
+}
+
+// recordVote records a vote that was given, or that counts for the voter itself.
+func (g *group) recordVote(voter string, term uint64, candidate string) {
+	key := fmt.Sprintf("%s in term %d", voter, term)
 	if before, ok := g.votes[key]; ok && before != candidate {
 		g.report("%s voted for %s and %s", key, before, candidate)
 	}
