Apply one portion of the log for each turn of the event queue

Each event applied a portion while committed entries were left, so all events that were queued before the next tick took a portion each, and the loop was late again. Only ApplyDue, which waits behind the other events, now applies further portions; the new test fails on the code before.

A confirmation of the leadership waits until what was committed before is applied, as its contract says. The drivers of the models send ApplyDue as a controller does.

--- a/consensus/confirm.go
+++ b/consensus/confirm.go
@@ -28,6 +28,9 @@
 	token uint64
 	// sentNS is the SentNS of the last message before.
 	sentNS int64
+	// index is the last entry that was committed before. The state holds it once it is
+	// applied.
+	index uint64
 }
 
 // RoundDue wakes the replica when a round of messages may begin that requests wait for.
@@ -53,6 +56,7 @@
 	l.confirmations = append(l.confirmations[:len(l.confirmations):len(l.confirmations)], confirmation{
 		token:  e.Token,
 		sentNS: l.sentNS,
+		index:  r.commitIndex,
 	})
 	r.role = l
 	return r, nil
@@ -68,8 +72,8 @@
 	return l.roundAt.Add(r.cfg.Heartbeat / roundsPerHeartbeat), true
 }
 
-// answerConfirmations answers the requests that a majority has confirmed, and begins the
-// round for those that came since the last one, if it is due.
+// answerConfirmations answers the requests that a majority has confirmed and whose entries
+// are applied, and begins the round for those that came since the last one, if it is due.
 func (r Replica) answerConfirmations(now time.Time) (Replica, []Effect) {
 	l, ok := r.role.(Leader)
 	if !ok || len(l.confirmations) == 0 {
@@ -77,7 +81,7 @@
 	}
 	answered := l.quorumAnsweredNS(r.cfg.ID, r.Members())
 	var out []Effect
-	for len(l.confirmations) > 0 && l.confirmations[0].sentNS < answered {
+	for len(l.confirmations) > 0 && l.confirmations[0].sentNS < answered && l.confirmations[0].index <= r.appliedIndex {
 		out = append(out, LeadershipConfirmed{
 			Token: l.confirmations[0].token,
 		})
--- a/consensus/confirm_test.go
+++ b/consensus/confirm_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/plantainladder/plantainladder/consensus"
+	"github.com/plantainladder/plantainladder/member"
 )
 
 // confirm asks a host whether it still leads.
@@ -34,6 +35,31 @@
 }
 
 var _ = Describe("The confirmation of a leadership", func() {
+	// A state that lacks committed entries must not be read as the present one.
+	It("waits until the entries that were committed before are applied", func() {
+		c := newCluster(1)
+		h := c.hosts["c1"]
+		c.step(h, consensus.FormGroup{
+			Group: "g",
+			Self: member.Member{
+				ID:      h.id,
+				Address: h.id,
+			},
+		})
+		c.runWithoutFaults(time.Second)
+		for n := range 2 * config("").MaxApplyEntries {
+			c.propose(h, fmt.Sprint(n))
+		}
+		c.sync(h)
+		Expect(h.replica.HasUnapplied()).To(BeTrue())
+		c.confirm(h)
+		Expect(c.confirmed).To(BeZero())
+		c.step(h, consensus.ApplyDue{})
+		Expect(h.replica.HasUnapplied()).To(BeFalse())
+		Expect(c.confirmed).To(Equal(1))
+		Expect(c.violations).To(BeEmpty())
+	})
+
 	It("is given with no time passing and no entry written", func() {
 		c := newFormedCluster(3)
 		last := c.leader().replica.Log().LastIndex()
--- a/consensus/event_loop_test.go
+++ b/consensus/event_loop_test.go
@@ -20,6 +20,8 @@
 	effects func()
 	// wasHeldUp is true once the loop was held up as that of a new leader.
 	wasHeldUp bool
+	// isApplyPending is true while an ApplyDue event is queued.
+	isApplyPending bool
 	// tickedAt is when the loop last applied a tick, and keptAliveAt when messages were
 	// last sent in its place.
 	tickedAt, keptAliveAt time.Time
@@ -165,7 +167,11 @@
 		if _, isTick := e.(consensus.Tick); isTick {
 			l.tickedAt = c.now
 		}
-		if next.HasUnapplied() {
+		if _, isDue := e.(consensus.ApplyDue); isDue {
+			l.isApplyPending = false
+		}
+		if next.HasUnapplied() && !l.isApplyPending {
+			l.isApplyPending = true
 			c.enqueue(h.id, consensus.ApplyDue{})
 		}
 		if wasLeader || !next.IsLeader() {
@@ -227,6 +233,27 @@
 		}
 	})
 
+	// With a portion in each event, the events between two ticks took as long as the log.
+	It("tick in time although many events come while they apply the log", func() {
+		const eventsPerTick = 100
+		c := newLoopCluster(1, 1200)
+		c.applyTime = time.Millisecond
+		longest := time.Duration(0)
+		eventsDue := c.now
+		c.run(contactBound, func() bool {
+			if !c.now.Before(eventsDue) {
+				eventsDue = c.now.Add(tickInterval)
+				for range eventsPerTick {
+					c.enqueue("c1", consensus.RoundDue{})
+				}
+			}
+			longest = max(longest, c.now.Sub(c.loops["c1"].tickedAt))
+			return c.hasLease()
+		})
+		Expect(c.hasLease()).To(BeTrue())
+		Expect(longest).To(BeNumerically("<=", maxTickAge))
+	})
+
 	// Elections that follow each other cost every controller the time for which its loop
 	// is held up as that of a new leader.
 	It("keep their first leader although the loop of each new one is held up for longer than a lease", func() {
--- a/consensus/replica.go
+++ b/consensus/replica.go
@@ -266,7 +266,10 @@
 		r, out = r.stepConfirmLeadership(e)
 	case RoundDue, ApplyDue:
 	}
-	r, out = r.applyCommitted(out)
+	if _, isDue := e.(ApplyDue); isDue || !before.HasUnapplied() {
+		// Otherwise all events that are queued before the ApplyDue would take that long.
+		r, out = r.applyCommitted(out)
+	}
 	r, more := r.answerConfirmations(now)
 	out = append(out, more...)
 	out = append(out, r.refuseConfirmations(before)...)
--- a/consensus/slow_disk_faults_test.go
+++ b/consensus/slow_disk_faults_test.go
@@ -90,6 +90,7 @@
 					Jitter: c.randomTime(electionTimeout),
 				})
 			}
+			c.step(h, consensus.ApplyDue{})
 			c.report(h)
 			c.stepDisk(h)
 		}
--- a/consensus/slow_disk_test.go
+++ b/consensus/slow_disk_test.go
@@ -73,6 +73,7 @@
 					Jitter: time.Duration(c.rng.Int64N(int64(electionTimeout))),
 				})
 			}
+			c.step(h, consensus.ApplyDue{})
 			c.stepDisk(h)
 		}
 		if isTickDue {
--- a/controller/disk/powerloss/power_loss_test.go
+++ b/controller/disk/powerloss/power_loss_test.go
@@ -54,6 +54,7 @@
 			}
 		}
 		for _, m := range g.machines {
+			g.step(m, consensus.ApplyDue{})
 			if !isLossy || !g.happens(3) && g.now.After(m.hangsUntil) {
 				g.runWriter(m)
 			}
@@ -68,6 +69,7 @@
 	g.now = g.now.Add(tickInterval)
 	for _, m := range machines {
 		g.step(m, consensus.Tick{})
+		g.step(m, consensus.ApplyDue{})
 		g.runWriter(m)
 	}
 	inFlight := g.inFlight
