Give a machine that lost its disk the time to ask for its own place

After a long election a dead voter counted as silent as soon as the new leader could judge it. The machine was back at the voter's address without its disk, but the successor of another machine asked the leader first and got the place. While both were members the group had six voters, and the loss of that successor left three of them.

Cause: a controller repeats its request to join up to half a second after the leader has its lease, but a leader judged silence half a second after its election. Only one controller can be at the voter's address, so its own request needs no silence, but it came too late.

A leader now admits nobody in the place of a dead voter for the first 750 ms: by then every controller that asks has asked. Requests from a voter's own address, and for free places, are admitted at once as before.

--- a/control/join.go
+++ b/control/join.go
@@ -24,6 +24,11 @@
 // than the interval at which a controller repeats its request.
 const joinRequestRetention = time.Second
 
+// firstRequestsTimeout is how long after its election a leader has heard from all
+// controllers that ask to join: it can take requests once it has a lease, and each
+// controller asks again within half a second.
+const firstRequestsTimeout = 750 * time.Millisecond
+
 // joinRequest is a controller's request to join that the leader remembers.
 type joinRequest struct {
 	member member.Member
@@ -69,8 +74,11 @@
 	if c.leadership == nil || !c.replica.MayChangeMembers() {
 		return c, nil
 	}
+	// A dead voter may be back at its address without its disk. It takes its own place, and
+	// no other controller may have taken that before it could ask this leader.
+	hasHeardAll := now.Sub(c.leadership.since) > firstRequestsTimeout
 	isDead := func(id string) bool {
-		return c.replica.IsSilent(now, id, c.cfg.deadMemberTimeout())
+		return hasHeardAll && c.replica.IsSilent(now, id, c.cfg.deadMemberTimeout())
 	}
 	for _, r := range c.leadership.joinRequests {
 		if now.Sub(r.at) > joinRequestRetention {
--- a/control/replaced_machine_test.go
+++ b/control/replaced_machine_test.go
@@ -176,3 +176,35 @@
 	}
 	return false
 }
+
+var _ = Describe("A machine that comes back without its disk during a long election", func() {
+	// Guards against a successor of another machine that takes its place because it asks the
+	// new leader first. The group then has a voter more until that successor is one, and
+	// stops if the successor is lost meanwhile.
+	It("takes its own place, although it counts as dead and another one asks first", func() {
+		for seed := range uint64(replacementSeeds) {
+			s := newFirstStart(5, 2, shortestCatchUp, seed)
+			s.advanceFor(8 * time.Second)
+			leader, ok := s.completeLeader()
+			Expect(ok).To(BeTrue(), "seed %d", seed)
+			others := slices.DeleteFunc(slices.Clone(s.machines), func(m *machine) bool { return m == leader })
+			back, cut := others[0], others[1]
+			lostID := back.id
+			s.wipe(back)
+			s.crash(leader)
+			s.cut[cut.address] = true
+			s.advanceFor(3 * time.Second)
+			delete(s.cut, cut.address)
+			s.boot(back)
+			successor := s.addMachine()
+			for end := s.now.Add(shortestCatchUp); s.now.Before(end); {
+				s.advance()
+				for _, m := range s.machines {
+					added, _ := m.core.Replica().Members().Get(successor.id)
+					Expect(added.Replaces).NotTo(Equal(lostID), "seed %d", seed)
+				}
+			}
+			Expect(s.hasOnlyLiveVoters()).To(BeTrue(), "seed %d", seed)
+		}
+	})
+})
