Replace no living voter after the event loop of a leader was held up

A living voter could lose its place in the group to another controller that asked to join. Cause: a leader judged silence by the time since the last answer that it had read. After its event loop had been held up for longer than the 1.5 s of silence, a request to join that waited before the answers of the voters found all of them dead.

A leader now takes no voter for dead while its tick is late, and for an election timeout after that: the voters answer the next heartbeat before. The health of the group is logged as before.

With it the group keeps its voters, and replaces one that is gone later. A first attempt in IsSilent itself was dropped: it delayed the log line on silent voters, whose test failed.

--- a/control/join.go
+++ b/control/join.go
@@ -76,7 +76,7 @@
 	}
 	// A dead voter may be back at its address without its disk. It takes its own place, and
 	// no other controller may have taken that before it could ask this leader.
-	hasHeardAll := now.Sub(c.leadership.since) > firstRequestsTimeout
+	hasHeardAll := now.Sub(c.leadership.since) > firstRequestsTimeout && c.replica.MayJudgeSilence(now)
 	isDead := func(id string) bool {
 		return hasHeardAll && c.replica.IsSilent(now, id, c.cfg.deadMemberTimeout())
 	}
--- a/control/replaced_machine_test.go
+++ b/control/replaced_machine_test.go
@@ -7,6 +7,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/plantainladder/plantainladder/control"
 )
 
 const (
@@ -208,3 +210,33 @@
 		}
 	})
 })
+
+var _ = Describe("A request to join that waits while the event loop of the leader is held up", func() {
+	// Guards against a living voter that is replaced: the request was handled before the
+	// answers of the voters, all of which counted as dead.
+	It("replaces no voter that is alive, but one that is gone", func() {
+		s := newFirstStart(5, 2, shortestCatchUp, 1)
+		s.advanceFor(8 * time.Second)
+		leader, ok := s.completeLeader()
+		Expect(ok).To(BeTrue())
+		voters := leader.core.Replica().Members()
+		s.now = s.now.Add(shortestCatchUp / 2)
+		joiner := s.addMachine()
+		join := control.Join{
+			Member: joiner.self(),
+		}
+		s.step(leader, join)
+		Expect(leader.core.Replica().Members()).To(Equal(voters), "before the tick")
+		s.step(leader, control.Tick{})
+		s.step(leader, join)
+		Expect(leader.core.Replica().Members()).To(Equal(voters), "after the tick")
+		s.advanceFor(shortestCatchUp)
+		leader, ok = s.completeLeader()
+		Expect(ok).To(BeTrue())
+		Expect(leader.core.Replica().Members()).To(Equal(voters), "later")
+		gone := slices.IndexFunc(s.machines, func(m *machine) bool { return m != leader })
+		s.crash(s.machines[gone])
+		s.advanceFor(shortestCatchUp)
+		Expect(s.hasOnlyLiveVoters()).To(BeTrue())
+	})
+})
