Place the tasks of a step with one copy of the step

Cause: WithPlacements copied all tasks of the step for each task placed, created the whole occurrence twice more for each while none of its tasks had been placed, and looked through the gang for each member. What holds for the step is now examined once, the tasks are examined one by one against it, and the step is copied once. All placements of a call are of one step, so the same ones are accepted. A placement on a member beyond the end of a gang is now refused; it panicked before.

--- a/workflow/rules.go
+++ b/workflow/rules.go
@@ -26,6 +26,9 @@
 // NextRun returns the number of the next run of a task. All members of a gang
 // have the same run number.
 func (w Workflow) NextRun(k TaskKey) int {
+	if k.Occurrence >= len(w.Occurrences) {
+		return 1
+	}
 	r := w.Occurrence(k.Occurrence).Steps[k.Step]
 	if w.Spec.Steps[k.Step].IsGang {
 		return r.LatestRun() + 1
@@ -37,25 +40,47 @@
 // unchanged and false if any of the placements is not allowed, or if some
 // members of a gang are missing. The list must not be empty.
 func (w Workflow) WithPlacements(now time.Time, list []Placement) (Workflow, bool) {
-	for _, p := range list {
-		if !w.CanPlace(now, p.TaskKey) || p.Run != w.NextRun(p.TaskKey) {
-			return w, false
-		}
+	first := list[0].TaskKey
+	if !w.CanPlace(now, first) {
+		return w, false
 	}
-	if s := list[0].Step; w.Spec.Steps[s].IsGang && len(list) != w.Spec.Steps[s].Tasks {
+	next := w.withOccurrence(first.Occurrence)
+	if !next.Occurrences[first.Occurrence].Steps[first.Step].accepts(w.Spec.Steps[first.Step], list) {
 		return w, false
 	}
+	next = next.withStep(first, func(r StepState) StepState {
+		return r.withPlacements(now, list)
+	})
+	next.HasStarted = true
+	return next, true
+}
+
+// accepts reports whether the tasks of a list of placements may be placed, all members
+// if the step is a gang, given that one of them may be.
+func (r StepState) accepts(s Step, list []Placement) bool {
+	gangRun := r.LatestRun() + 1
+	for _, p := range list {
+		if p.Index >= len(r.Tasks) || s.IsGang && p.Run != gangRun {
+			return false
+		}
+		if t := r.Tasks[p.Index]; !s.IsGang && (!t.IsWaiting() || p.Run != t.Run+1) {
+			return false
+		}
+	}
+	return !s.IsGang || len(list) == s.Tasks
+}
+
+// withPlacements returns a copy of r with tasks placed.
+func (r StepState) withPlacements(now time.Time, list []Placement) StepState {
+	r.Tasks = slices.Clone(r.Tasks)
 	for _, p := range list {
-		w = w.withTask(p.TaskKey, func(t Task) Task {
-			return t.WithPlacement(p.Run, Placed{
-				Worker:      p.Worker,
-				Incarnation: p.Incarnation,
-				At:          now,
-			})
+		r.Tasks[p.Index] = r.Tasks[p.Index].WithPlacement(p.Run, Placed{
+			Worker:      p.Worker,
+			Incarnation: p.Incarnation,
+			At:          now,
 		})
 	}
-	w.HasStarted = true
-	return w, true
+	return r
 }
 
 func (w Workflow) withTask(k TaskKey, change func(t Task) Task) Workflow {
@@ -65,12 +90,18 @@
 }
 
 func (w Workflow) withStep(k TaskKey, change func(r StepState) StepState) Workflow {
+	w = w.withOccurrence(k.Occurrence)
+	o := w.Occurrences[k.Occurrence]
+	w.Occurrences[k.Occurrence] = o.WithStep(k.Step, change(o.Steps[k.Step]))
+	return w
+}
+
+// withOccurrence returns a copy of w that holds its occurrences up to an index.
+func (w Workflow) withOccurrence(index int) Workflow {
 	w.Occurrences = slices.Clone(w.Occurrences)
-	for len(w.Occurrences) <= k.Occurrence {
+	for len(w.Occurrences) <= index {
 		w.Occurrences = append(w.Occurrences, newOccurrence(w.Spec))
 	}
-	o := w.Occurrences[k.Occurrence]
-	w.Occurrences[k.Occurrence] = o.WithStep(k.Step, change(o.Steps[k.Step]))
 	return w
 }
 
