--- a/consensus/election.go
+++ b/consensus/election.go
@@ -28,7 +28,7 @@
 		// Replicas that start together would otherwise all ask for votes at once.
 		r.electionDeadline = r.electionDeadline.Add(r.electionJitter)
 	}
-	isLate := !r.tickedAt.IsZero() && now.Sub(r.tickedAt) > r.cfg.ElectionTimeout/2
+	isLate := r.isTickLate(now)
 	r.tickedAt = now
 	if !isLate {
 		return r
@@ -51,6 +51,11 @@
 	return r
 }
 
+// isTickLate reports whether a tick that comes now, or later, is late.
+func (r Replica) isTickLate(now time.Time) bool {
+	return !r.tickedAt.IsZero() && now.Sub(r.tickedAt) > r.cfg.ElectionTimeout/2
+}
+
 func (r Replica) startPreVote(now time.Time) (Replica, []Effect) {
 	r.leaderID = ""
 	r.search = r.search.withStart(now)
--- a/consensus/leadership_lost.go
+++ b/consensus/leadership_lost.go
@@ -38,7 +38,7 @@
 	// ContactAge is how long before a majority was last sent a message that it answered;
 	// the same as Duration if a majority has not answered.
 	ContactAge time.Duration
-	// IsEstablished is true if an entry of its term was committed.
+	// IsEstablished is true if it had applied an entry of its term.
 	IsEstablished bool
 }
 
--- a/consensus/silence.go
+++ b/consensus/silence.go
@@ -68,6 +68,5 @@
 // MayJudgeSilence reports whether the replica has had the time to read the answers of the
 // members: its ticks have been in time for an election timeout.
 func (r Replica) MayJudgeSilence(now time.Time) bool {
-	isLate := !r.tickedAt.IsZero() && now.Sub(r.tickedAt) > r.cfg.ElectionTimeout/2
-	return !isLate && now.Sub(r.resumedAt) > r.cfg.ElectionTimeout
+	return !r.isTickLate(now) && now.Sub(r.resumedAt) > r.cfg.ElectionTimeout
 }
