Measure the replicated log in bytes

What could be seen. Five disks filled up in the incident, and no metric told that the log grew: controller_log_entries counts entries, and an entry that holds a configuration has hundreds of kilobytes.

No decision uses it yet.

--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -6,6 +6,12 @@
 	"github.com/plantainladder/plantainladder/consensus"
 )
 
+// LogBytesSinceSnapshot returns the size of the log entries since the last snapshot, in
+// bytes.
+func (c Core) LogBytesSinceSnapshot() uint64 {
+	return c.replica.Log().BytesAfter(c.snapshotIndex)
+}
+
 // snapshotIfDue requests a snapshot once Config.SnapshotEvery entries have been
 // applied since the last one.
 func (c Core) snapshotIfDue() (Core, []Effect) {
--- a/controller/node/meters.go
+++ b/controller/node/meters.go
@@ -124,6 +124,7 @@
 // updateGauges sets the gauges from the controller's published core.
 func (m *meters) updateGauges(now time.Time, c control.Core) {
 	counts := c.State().Counts()
+	log := c.Replica().Log()
 	leader := 0.0
 	if c.Replica().IsLeader() {
 		leader = 1
@@ -133,20 +134,23 @@
 		tolerated = float64(h.Tolerated)
 	}
 	for name, v := range map[string]float64{
-		"controller_is_leader":        leader,
-		"controller_tolerated_losses": tolerated,
-		"controller_term":             float64(c.Replica().Hard().Term),
-		"controller_commit_index":     float64(c.Replica().CommitIndex()),
-		"controller_log_entries":      float64(c.Replica().Log().LastIndex() - c.Replica().Log().BaseIndex()),
-		"controller_contracts":        float64(counts.Contracts),
-		"controller_workers":          float64(counts.Workers),
-		"controller_jobs":             float64(counts.Jobs),
-		"controller_active_jobs":      float64(counts.Active),
-		"controller_claims":           float64(counts.Claims),
-		"controller_outcomes":         float64(counts.Outcomes),
-		"controller_workflows":        float64(counts.Workflows),
-		"controller_unsettled":        float64(counts.ActiveWorkflows),
-		"controller_pool_workers":     float64(counts.PoolWorkers),
+		"controller_is_leader":                leader,
+		"controller_tolerated_losses":         tolerated,
+		"controller_term":                     float64(c.Replica().Hard().Term),
+		"controller_commit_index":             float64(c.Replica().CommitIndex()),
+		"controller_log_entries":              float64(log.LastIndex() - log.BaseIndex()),
+		"controller_log_bytes":                float64(log.Bytes()),
+		"controller_uncommitted_bytes":        float64(log.BytesAfter(c.Replica().CommitIndex())),
+		"controller_log_bytes_since_snapshot": float64(c.LogBytesSinceSnapshot()),
+		"controller_contracts":                float64(counts.Contracts),
+		"controller_workers":                  float64(counts.Workers),
+		"controller_jobs":                     float64(counts.Jobs),
+		"controller_active_jobs":              float64(counts.Active),
+		"controller_claims":                   float64(counts.Claims),
+		"controller_outcomes":                 float64(counts.Outcomes),
+		"controller_workflows":                float64(counts.Workflows),
+		"controller_unsettled":                float64(counts.ActiveWorkflows),
+		"controller_pool_workers":             float64(counts.PoolWorkers),
 	} {
 		metrics.GetOrCreateGauge(name, nil).Set(v)
 	}
