Export the sizes of the files in the data folder and the free space

Operators saw "Disk is full; writes wait." without what filled the disk, and no metric showed it coming. The free space is left out where statfs is refused.

FullChanged takes a FullReport in place of two arguments; the test that sets it was adapted and checks the same. FileSystem has Space, so that a stand-in of a full disk can tell its free space.

Test: "The gauges of a data folder" (controller/node); the gauges did not exist before.

--- a/controller/disk/disk_suite_test.go
+++ b/controller/disk/disk_suite_test.go
@@ -230,9 +230,9 @@
 			Folder:        f,
 			Log:           l,
 			EntriesSynced: func(e consensus.Entry) { synced <- e.Index },
-			FullChanged: func(err *disk.FullError, _ time.Duration) {
-				if err != nil {
-					full <- err
+			FullChanged: func(r disk.FullReport) {
+				if r.Err != nil {
+					full <- r.Err
 					return
 				}
 				full <- nil
--- a/controller/disk/files.go
+++ b/controller/disk/files.go
@@ -25,6 +25,8 @@
 	Remove(path string) error
 	// SyncFolder makes the creation, renaming and removal of files in a folder durable.
 	SyncFolder(path string) error
+	// Space returns the space of the file system that holds a folder.
+	Space(path string) (s Space, err error)
 }
 
 // A File is open for writing.
--- a/controller/disk/folder.go
+++ b/controller/disk/folder.go
@@ -45,6 +45,8 @@
 	lock  *os.File
 	// savedFormation is what SaveFormation has stored last; nil if it has not.
 	savedFormation []byte
+	// snapshotBytes is the length of the last snapshot file.
+	snapshotBytes int64
 }
 
 // OpenFolder opens and locks a data folder, and creates it if it does not exist.
@@ -81,6 +83,7 @@
 	if f.id, err = f.readOrCreateIdentity(); err != nil {
 		return nil, errors.Join(err, lock.Close())
 	}
+	f.snapshotBytes = fileSize(f.snapshotPath())
 	return f, nil
 }
 
@@ -185,9 +188,11 @@
 	if err != nil {
 		return err
 	}
-	if err = f.files.ReplaceFile(f.path, f.snapshotPath(), appendFrame(nil, body)); err != nil {
+	frame := appendFrame(nil, body)
+	if err = f.files.ReplaceFile(f.path, f.snapshotPath(), frame); err != nil {
 		return asFullError(err, nil)
 	}
+	f.snapshotBytes = int64(len(frame))
 	return f.files.SyncFolder(f.path)
 }
 
--- a/controller/disk/full.go
+++ b/controller/disk/full.go
@@ -3,6 +3,9 @@
 import (
 	"errors"
 	"syscall"
+	"time"
+
+	"github.com/plantainladder/plantainladder/consensus"
 )
 
 // A FullError reports a write that failed because the disk is full. The partial
@@ -38,3 +41,25 @@
 		Cause: writeErr,
 	}
 }
+
+// A FullReport says that writes wait for room on the disk, or that they have found it.
+type FullReport struct {
+	// Err is the error of the write that found no room; nil once there is room.
+	Err *FullError
+	// Waited is how long writes have waited.
+	Waited time.Duration
+	// Entries and Bytes are the number of the entries that wait and the length of
+	// their data.
+	Entries int
+	Bytes   int64
+}
+
+// dataBytes returns the length of the data of entries.
+func dataBytes(entries []consensus.Entry) (n int64) {
+	for _, e := range entries {
+		if d, ok := e.Payload.(consensus.Data); ok {
+			n += int64(len(d.Bytes))
+		}
+	}
+	return n
+}
--- a/controller/disk/powerloss/lossy_disk_test.go
+++ b/controller/disk/powerloss/lossy_disk_test.go
@@ -285,6 +285,11 @@
 	return nil
 }
 
+// Space returns an error: the size of the disk is not known.
+func (d *lossyDisk) Space(string) (s disk.Space, err error) {
+	return s, syscall.ENOSYS
+}
+
 // A lossyHandle is an open file of a lossyDisk.
 type lossyHandle struct {
 	*os.File
--- a/controller/disk/writer.go
+++ b/controller/disk/writer.go
@@ -60,9 +60,9 @@
 	// ObserveSync is called after each sync with the number of entries and the time
 	// that writing and syncing took; nil for none.
 	ObserveSync func(entries int, duration time.Duration)
-	// FullChanged is called with an error when a write finds the disk full, and with
-	// nil and the time waited once it succeeds; nil for none. It must not block.
-	FullChanged func(err *FullError, waited time.Duration)
+	// FullChanged is called when a write finds the disk full, and again once it has
+	// succeeded; nil for none. It must not block.
+	FullChanged func(r FullReport)
 	// FullTimeout bounds how long a write is retried on a full disk before Run
 	// fails.
 	FullTimeout time.Duration
@@ -80,14 +80,17 @@
 	operations    chan Operation
 	snapshotIndex uint64
 	syncedHard    consensus.HardState
+	usage         usage
 }
 
 // NewWriter returns a Writer; Run starts it.
 func NewWriter(cfg WriterConfig) *Writer {
-	return &Writer{
+	w := &Writer{
 		cfg:        cfg,
 		operations: make(chan Operation, cfg.QueueLength),
 	}
+	w.updateUsage()
+	return w
 }
 
 // Enqueue queues an operation, and waits while the queue is full. It returns
@@ -191,12 +194,13 @@
 	}
 	startedAt := time.Now()
 	write := func() error { return w.cfg.Log.Append(hard, entries) }
-	if err = w.retryWhileFull(ctx, write); err != nil {
+	if err = w.retryWhileFull(ctx, entries, write); err != nil {
 		return err
 	}
 	if err = w.cfg.Log.Sync(); err != nil {
 		return err
 	}
+	w.updateUsage()
 	if w.cfg.ObserveSync != nil {
 		w.cfg.ObserveSync(len(entries), time.Since(startedAt))
 	}
@@ -213,14 +217,15 @@
 func (w *Writer) saveSnapshot(ctx context.Context, op SaveSnapshot) (err error) {
 	if op.Snapshot.Meta.Index > w.snapshotIndex {
 		save := func() error { return w.cfg.Folder.SaveSnapshot(op.Snapshot) }
-		if err = w.retryWhileFull(ctx, save); err != nil {
+		if err = w.retryWhileFull(ctx, nil, save); err != nil {
 			return err
 		}
 		compact := func() error { return w.cfg.Log.CompactLog(op.KeepAfter) }
-		if err = w.retryWhileFull(ctx, compact); err != nil {
+		if err = w.retryWhileFull(ctx, nil, compact); err != nil {
 			return err
 		}
 		w.snapshotIndex = op.Snapshot.Meta.Index
+		w.updateUsage()
 	}
 	op.Done()
 	return nil
@@ -233,12 +238,16 @@
 
 // retryWhileFull repeats a write that fails because the disk is full, until it
 // succeeds, FullTimeout has passed or ctx ends.
-func (w *Writer) retryWhileFull(ctx context.Context, write func() error) (err error) {
+func (w *Writer) retryWhileFull(ctx context.Context, entries []consensus.Entry, write func() error) (err error) {
 	var full *FullError
 	if err = write(); !errors.As(err, &full) {
 		return err
 	}
-	w.notifyFull(full, 0)
+	w.reportFull(FullReport{
+		Err:     full,
+		Entries: len(entries),
+		Bytes:   dataBytes(entries),
+	})
 	startedAt := time.Now()
 	timeout := time.NewTimer(w.cfg.FullTimeout)
 	defer timeout.Stop()
@@ -255,13 +264,16 @@
 		err = write()
 	}
 	if err == nil {
-		w.notifyFull(nil, time.Since(startedAt))
+		w.reportFull(FullReport{
+			Waited: time.Since(startedAt),
+		})
 	}
 	return err
 }
 
-func (w *Writer) notifyFull(err *FullError, waited time.Duration) {
+func (w *Writer) reportFull(r FullReport) {
+	w.usage.isFull.Store(r.Err != nil)
 	if w.cfg.FullChanged != nil {
-		w.cfg.FullChanged(err, waited)
+		w.cfg.FullChanged(r)
 	}
 }
--- a/controller/node/meters.go
+++ b/controller/node/meters.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -9,6 +10,7 @@
 	plantainladder "github.com/plantainladder/plantainladder"
 	"github.com/plantainladder/plantainladder/consensus"
 	"github.com/plantainladder/plantainladder/control"
+	"github.com/plantainladder/plantainladder/controller/disk"
 	"github.com/plantainladder/plantainladder/job"
 	"github.com/plantainladder/plantainladder/worker"
 	"github.com/plantainladder/plantainladder/workflow"
@@ -121,6 +123,28 @@
 	c.Inc()
 }
 
+// exportDisk exports gauges of a data folder. The free space is left out where the
+// operating system does not tell it.
+func exportDisk(usage func() disk.Usage, space func() (s disk.Space, ok bool)) {
+	metrics.NewGauge("controller_disk_log_bytes", func() float64 { return float64(usage().LogBytes) })
+	metrics.NewGauge("controller_disk_snapshot_bytes", func() float64 { return float64(usage().SnapshotBytes) })
+	metrics.NewGauge("controller_disk_full", func() float64 {
+		if usage().IsFull {
+			return 1
+		}
+		return 0
+	})
+	if _, ok := space(); ok {
+		metrics.NewGauge("controller_disk_free_bytes", func() float64 {
+			s, isKnown := space()
+			if !isKnown {
+				return math.NaN()
+			}
+			return float64(s.Free)
+		})
+	}
+}
+
 // updateGauges sets the gauges from the controller's published core.
 func (m *meters) updateGauges(now time.Time, c control.Core) {
 	counts := c.State().Counts()
--- a/controller/node/meters_test.go
+++ b/controller/node/meters_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainladder/plantainladder/control"
+	"github.com/plantainladder/plantainladder/controller/disk"
 )
 
 var acceptedCommand = control.IncrementCounter{
@@ -49,6 +50,37 @@
 	})
 })
 
+// An operator learns from these that a disk fills up before writes wait.
+var _ = Describe("The gauges of a data folder", func() {
+	export := func(isSpaceKnown bool) string {
+		DeferCleanup(metrics.UnregisterAllMetrics)
+		exportDisk(func() disk.Usage {
+			return disk.Usage{
+				LogBytes:      120,
+				SnapshotBytes: 34,
+				IsFull:        true,
+			}
+		}, func() (s disk.Space, ok bool) {
+			s.Free = 56
+			return s, isSpaceKnown
+		})
+		var b bytes.Buffer
+		metrics.WritePrometheus(&b, false)
+		return b.String()
+	}
+
+	It("hold the bytes of the files, the free space and whether writes wait", func() {
+		Expect(export(true)).To(And(ContainSubstring("controller_disk_log_bytes 120\n"),
+			ContainSubstring("controller_disk_snapshot_bytes 34\n"), ContainSubstring("controller_disk_free_bytes 56\n"),
+			ContainSubstring("controller_disk_full 1\n")))
+	})
+
+	It("leave out the free space where it is not known", func() {
+		Expect(export(false)).To(And(ContainSubstring("controller_disk_full 1\n"),
+			Not(ContainSubstring("controller_disk_free_bytes"))))
+	})
+})
+
 func BenchmarkIncrement(b *testing.B) {
 	m := newMeters()
 	defer metrics.UnregisterAllMetrics()
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -175,6 +175,7 @@
 		FullTimeout:     diskFullTimeout,
 		QueueLength:     diskQueueLength,
 	})
+	exportDisk(n.writer.Usage, n.folder.Space)
 	n.peers = replica.NewPeers(replica.Config{
 		Token:  n.cfg.ClusterToken,
 		Source: n.cfg.Source,
@@ -206,15 +207,20 @@
 	}
 }
 
-// reportDiskFull logs and counts that the disk is full, or logs that it has room
-// again if err is nil.
-func (n *Node) reportDiskFull(err *disk.FullError, waited time.Duration) {
-	if err != nil {
-		n.meters.diskFull.Inc()
-		n.logger.Warn().Err(err).Dur("patience", diskFullTimeout).Msg("Disk is full; writes wait.")
+// reportDiskFull logs and counts that the disk is full, or logs that it has room again.
+func (n *Node) reportDiskFull(r disk.FullReport) {
+	if r.Err == nil {
+		n.logger.Info().Dur("waited", r.Waited).Msg("Disk has room again.")
 		return
 	}
-	n.logger.Info().Dur("waited", waited).Msg("Disk has room again.")
+	n.meters.diskFull.Inc()
+	usage := n.writer.Usage()
+	line := n.logger.Warn().Err(r.Err).Int64("log-bytes", usage.LogBytes).Int64("snapshot-bytes", usage.SnapshotBytes).
+		Int("waiting-entries", r.Entries).Int64("waiting-bytes", r.Bytes)
+	if space, ok := n.folder.Space(); ok {
+		line = line.Int64("free-bytes", space.Free)
+	}
+	line.Msg("Disk is full; writes wait.")
 }
 
 // self returns this controller as a member of the group.
