Log the decisions of a round once it is committed

Cause: runDispatch logged the decisions of a round (ends of runs, placements, verdicts on lost workers) when it proposed the round.

Change: Plan.RoundRecords separates the decisions that are in force only with the round. The leadership keeps them (proposedRound) until the entry of the round is applied, and logs them then, with the round, the index of the entry and the time since the proposal. Of a round that was proposed again both copies may be committed; only decisions that changed their task are logged, so each is logged once. If the leadership ends first, or the log refuses the round, one line says so with the numbers of ends and placements. Decisions that need no round are logged at once as before.

The cluster of the dispatch tests and the replay read both lists, as they read all decisions before.

--- a/control/core.go
+++ b/control/core.go
@@ -201,7 +201,7 @@
 			},
 		}
 	case consensus.Apply:
-		return c.applyCommitted(f.Entries)
+		return c.applyCommitted(now, f.Entries)
 	case consensus.Appended:
 		return c.replyOnceCommitted(f)
 	case consensus.LeadershipConfirmed:
@@ -295,12 +295,12 @@
 
 // applyCommitted applies committed entries and replies to the requests that
 // wait for them.
-func (c Core) applyCommitted(entries []consensus.Entry) (Core, []Effect) {
+func (c Core) applyCommitted(now time.Time, entries []consensus.Entry) (Core, []Effect) {
 	var out []Effect
 	for _, e := range entries {
 		var o plantainladder.Outcome
 		var more []Effect
-		c, o, more = c.applyEntry(e)
+		c, o, more = c.applyEntry(now, e)
 		out = append(out, more...)
 		pending, ok := c.pendingReplies.Get(e.Index)
 		if !ok {
@@ -322,7 +322,7 @@
 	return c, append(out, more...)
 }
 
-func (c Core) applyEntry(e consensus.Entry) (Core, plantainladder.Outcome, []Effect) {
+func (c Core) applyEntry(now time.Time, e consensus.Entry) (Core, plantainladder.Outcome, []Effect) {
 	data, ok := e.Payload.(consensus.Data)
 	if !ok {
 		var out []Effect
@@ -356,11 +356,13 @@
 	out := []Effect{
 		counter,
 	}
-	if e.Term == c.leadership.term {
+	if e.Term != c.leadership.term {
 		// Entries of earlier terms were logged by the leaders of those terms.
-		out = append(out, logCommand(before, next, envelope)...)
+		return c, o, out
 	}
-	return c, o, out
+	c, more := c.logCommittedRound(now, e.Index, envelope.Command, before)
+	out = append(out, more...)
+	return c, o, append(out, logCommand(before, next, envelope)...)
 }
 
 // skipEntry ignores an entry that cannot be decoded. All replicas hold the same
@@ -377,24 +379,3 @@
 		},
 	}
 }
-
-// roleChanged creates or discards the leader state. Pending requests of a lost
-// leadership have an unknown outcome: the next leader may commit their entries.
-func (c Core) roleChanged(now time.Time, f consensus.RoleChanged) (Core, []Effect) {
-	out := []Effect{
-		c.logRole(f),
-	}
-	if c.replica.IsLeader() {
-		if c.leadership == nil || c.leadership.term != f.Term {
-			c.leadership = newLeadership(now, f.Term, c.cfg.Dispatch)
-		}
-		return c, out
-	}
-	c.leadership = nil
-	for itr := c.pendingReplies.Iterator(); !itr.Done(); {
-		_, pending, _ := itr.Next()
-		out = append(out, pending.replies(OutcomeUnknown{})...)
-	}
-	c.pendingReplies = immutable.NewMap[uint64, pendingReply](nil)
-	return c, out
-}
--- a/control/dispatch.go
+++ b/control/dispatch.go
@@ -31,6 +31,9 @@
 type LogDecision struct {
 	// Record is the decision with its reason.
 	Record dispatch.DecisionRecord
+	// Commit tells how the round of the decision was committed; zero for a decision
+	// that belongs to no round.
+	Commit RoundCommit
 }
 
 // StartTimer requests a TimerFired event after a delay.
@@ -116,6 +119,6 @@
 	if plan.Round == nil {
 		return c, out
 	}
-	c, more := c.propose(now, *plan.Round)
+	c, more := c.proposeRound(now, *plan.Round, plan.RoundRecords)
 	return c, append(out, more...)
 }
--- a/control/election.go
+++ b/control/election.go
@@ -2,6 +2,9 @@
 
 import (
 	"slices"
+	"time"
+
+	"github.com/benbjohnson/immutable"
 
 	"github.com/plantainladder/plantainladder/consensus"
 )
@@ -39,6 +42,29 @@
 func (LogElection) effect()       {}
 func (LogLeadershipLost) effect() {}
 
+// roleChanged creates or discards the leader state. Pending requests of a lost
+// leadership have an unknown outcome: the next leader may commit their entries.
+func (c Core) roleChanged(now time.Time, f consensus.RoleChanged) (Core, []Effect) {
+	out := []Effect{
+		c.logRole(f),
+	}
+	if c.replica.IsLeader() {
+		if c.leadership == nil || c.leadership.term != f.Term {
+			out = append(out, c.leadership.logUnseenRounds(now)...)
+			c.leadership = newLeadership(now, f.Term, c.cfg.Dispatch)
+		}
+		return c, out
+	}
+	out = append(out, c.leadership.logUnseenRounds(now)...)
+	c.leadership = nil
+	for itr := c.pendingReplies.Iterator(); !itr.Done(); {
+		_, pending, _ := itr.Next()
+		out = append(out, pending.replies(OutcomeUnknown{})...)
+	}
+	c.pendingReplies = immutable.NewMap[uint64, pendingReply](nil)
+	return c, out
+}
+
 // logLeadershipLost returns the log line and the counter for a lost leadership.
 func (c Core) logLeadershipLost(f consensus.LeadershipLost) []Effect {
 	f.By = c.addressOrID(f.By)
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -37,6 +37,9 @@
 	// while a TimerFired event is pending.
 	lastDispatch   time.Time
 	isTimerRunning bool
+	// proposedRounds holds the rounds that were proposed and are not known to be
+	// committed, the oldest first.
+	proposedRounds []proposedRound
 	// loggedHealth is the last health of the group that was logged; nil for none.
 	loggedHealth *GroupHealth
 	// joinRequests holds the requests to join of the last moments, the oldest first.
--- a/controller/node/election_test.go
+++ b/controller/node/election_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/plantainladder/plantainladder/consensus"
 	"github.com/plantainladder/plantainladder/control"
+	"github.com/plantainladder/plantainladder/dispatch"
 )
 
 var _ = Describe("The log of a controller", func() {
@@ -78,4 +79,25 @@
 		Eventually(lines).Should(gbytes.Say(`"round":"vote","cause":"timeout","term":3,"took":1000,` +
 			`"granted":\["a"\],"refused":\["b voted"\],"silent":\["c"\].*"Election failed."`))
 	})
+
+	It("tells the decisions of a committed round from a round that was only proposed", func() {
+		n.perform(control.LogDecision{
+			Record: dispatch.DecisionRecord{
+				Text: "Run has ended.",
+			},
+			Commit: control.RoundCommit{
+				Round: 7,
+				Index: 9,
+				Took:  time.Second,
+			},
+		})
+		n.perform(control.LogUnseenRound{
+			Reason: control.UnseenLeadershipEnded,
+			Round:  8,
+			Ends:   2,
+			Age:    time.Second,
+		})
+		Eventually(lines).Should(gbytes.Say(`"round":7,"log-index":9,"commit-took":1000,.*"Run has ended."`))
+		Eventually(lines).Should(gbytes.Say(`"reason":"leadership-ended","round":8,"ends":2,"placements":0,"age":1000,`))
+	})
 })
--- a/controller/node/perform.go
+++ b/controller/node/perform.go
@@ -60,7 +60,9 @@
 		// The event loop must not wait for room in its own queue.
 		go func() { _ = n.loop.Post(n.ctx, control.ApplyDue{}) }()
 	case control.LogDecision:
-		n.logDecision(f.Record)
+		n.logDecision(f)
+	case control.LogUnseenRound:
+		n.logUnseenRound(f)
 	case control.LogMembers:
 		n.logMembers(f)
 	case control.LogGroupHealth:
@@ -96,8 +98,16 @@
 	})
 }
 
-// logDecision logs a decision on a workflow or one of its runs.
-func (n *Node) logDecision(d dispatch.DecisionRecord) {
+// logUnseenRound logs that this leader does not know its round to be committed.
+func (n *Node) logUnseenRound(f control.LogUnseenRound) {
+	n.logger.Warn().Str("reason", string(f.Reason)).Uint64("round", f.Round).Int("ends", f.Ends).
+		Int("placements", f.Placements).Dur("age", f.Age).Msg("A proposed round was not seen committed by this leader.")
+}
+
+// logDecision logs a decision on a workflow or one of its runs, with the commit of its
+// round.
+func (n *Node) logDecision(f control.LogDecision) {
+	d := f.Record
 	line := n.logger.Info().Str("reason", d.Reason)
 	if d.RunKey.Workflow != "" {
 		line = line.Str("workflow", d.RunKey.Workflow).Int("occurrence", d.RunKey.Occurrence).
@@ -115,6 +125,9 @@
 	if !d.CompleteBy.IsZero() {
 		line = line.Time("due", d.CompleteBy)
 	}
+	if f.Commit.Round != 0 {
+		line = line.Uint64("round", f.Commit.Round).Uint64("log-index", f.Commit.Index).Dur("commit-took", f.Commit.Took)
+	}
 	line.Dur("age", d.Age).Msg(d.Text)
 }
 
--- a/dispatch/cluster_internal_test.go
+++ b/dispatch/cluster_internal_test.go
@@ -125,6 +125,7 @@
 	var plan Plan
 	c.dispatcher, plan = c.dispatcher.Reconcile(c.now, c.state, c.after)
 	c.records = append(c.records, plan.DecisionRecords...)
+	c.records = append(c.records, plan.RoundRecords...)
 	if plan.Round != nil {
 		c.proposed = plan.Round
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -217,7 +217,7 @@
 // assign places the first waiting tasks of a task group as the assignments say.
 func (p *placer) assign(g taskGroup, list []assignment) {
 	next := 0
-	p.s.record(DecisionRecord{
+	p.s.recordInRound(DecisionRecord{
 		Text: "Tasks were placed.",
 		RunKey: workflow.RunKey{
 			TaskKey: g.key(g.waiting[0]),
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -45,6 +45,9 @@
 	Round *plantainladder.Round
 	// DecisionRecords are to be logged.
 	DecisionRecords []DecisionRecord
+	// RoundRecords holds the decisions that are in force only once the round is
+	// committed. They are to be logged then.
+	RoundRecords []DecisionRecord
 }
 
 // A reconciliation is the mutable working state of one call of Reconcile.
@@ -197,7 +200,7 @@
 	if s.dispatcher.HasPendingRound() {
 		return
 	}
-	s.record(DecisionRecord{
+	s.recordInRound(DecisionRecord{
 		Text:   endText(e),
 		RunKey: t.RunKey,
 		Worker: t.Worker,
@@ -210,6 +213,11 @@
 	s.plan.DecisionRecords = append(s.plan.DecisionRecords, n)
 }
 
+// recordInRound records a decision that is in force once the round is committed.
+func (s *reconciliation) recordInRound(n DecisionRecord) {
+	s.plan.RoundRecords = append(s.plan.RoundRecords, n)
+}
+
 func (s *reconciliation) target(v workerView) Target {
 	return Target{
 		Worker:      v.worker.ID,
@@ -279,7 +287,7 @@
 }
 
 func (s *reconciliation) recordRunEnd(worker string, f EndedRun) {
-	s.record(DecisionRecord{
+	s.recordInRound(DecisionRecord{
 		Text:   "Run has ended.",
 		RunKey: f.RunKey,
 		Worker: worker,
--- a/dispatch/verdict.go
+++ b/dispatch/verdict.go
@@ -20,7 +20,7 @@
 			Incarnation: l.Incarnation,
 			Fate:        fate,
 		})
-		s.record(DecisionRecord{
+		s.recordInRound(DecisionRecord{
 			Text: "It is decided whether the worker of a lost run had crashed.",
 			RunKey: workflow.RunKey{
 				TaskKey: l.TaskKey,
--- a/replay/simulation.go
+++ b/replay/simulation.go
@@ -358,7 +358,7 @@
 	sim.dispatcher = dispatcher
 	sim.reconcilePasses++
 	sim.reconcileTime += time.Since(began)
-	for _, r := range plan.DecisionRecords {
+	for _, r := range slices.Concat(plan.DecisionRecords, plan.RoundRecords) {
 		sim.decisions[decision{
 			text:   r.Text,
 			reason: r.Reason,
