--- a/control/config.go
+++ b/control/config.go
@@ -22,9 +22,15 @@
 	Codec Codec
 	// SnapshotEvery is the number of entries between two snapshots.
 	SnapshotEvery uint64
+	// SnapshotBytes is the size of the entries between two snapshots, in bytes, or that of
+	// the last snapshot if it is larger. A snapshot is due when either bound is reached.
+	// Zero means no bound in bytes.
+	SnapshotBytes uint64
 	// TrailingEntries is the number of entries that the log retains before a
 	// snapshot, so that a follower that lags slightly needs no snapshot.
 	TrailingEntries uint64
+	// TrailingBytes bounds the size of these entries, in bytes.
+	TrailingBytes uint64
 	// Policy is the placement policy of the job scheduler.
 	Policy schedule.Policy
 	// Dispatch configures the dispatch of workflows; its zero value disables it.
--- a/control/control_suite_test.go
+++ b/control/control_suite_test.go
@@ -25,6 +25,11 @@
 	RunSpecs(t, "control")
 }
 
+const (
+	snapshotBytes = 4 << 20
+	trailingBytes = 1 << 20
+)
+
 // leader drives the Core of a group of one controller, whose writes are durable
 // at once.
 type leader struct {
@@ -47,9 +52,12 @@
 				Encode: wire.MarshalEnvelope,
 				Decode: wire.UnmarshalEnvelope,
 			},
-			SnapshotEvery: 1000,
-			Policy:        schedule.Guaranteed{},
-			Voters:        voters,
+			SnapshotEvery:   1000,
+			SnapshotBytes:   snapshotBytes,
+			TrailingEntries: 100,
+			TrailingBytes:   trailingBytes,
+			Policy:          schedule.Guaranteed{},
+			Voters:          voters,
 		}, consensus.NewReplica(now, consensus.Config{
 			ID:              "c1",
 			ElectionTimeout: time.Second,
--- a/control/core.go
+++ b/control/core.go
@@ -23,10 +23,12 @@
 	lastSender        string
 	lastSenderAddress string
 	snapshotIndex     uint64
-	isSavingSnapshot  bool
-	receivedSnapshot  *SnapshotReceived
-	lastPulse         pulse
-	formation         formation.Formation
+	// snapshotBytes is the size of the state in the last snapshot.
+	snapshotBytes    uint64
+	isSavingSnapshot bool
+	receivedSnapshot *SnapshotReceived
+	lastPulse        pulse
+	formation        formation.Formation
 	// isRoundTimerRunning is true while a RoundDue event is pending.
 	isRoundTimerRunning bool
 	// isApplyPending is true while an ApplyDue event is pending.
@@ -44,6 +46,12 @@
 	}
 }
 
+// WithSnapshotBytes returns c with the size of the state in the snapshot that was recovered.
+func (c Core) WithSnapshotBytes(n uint64) Core {
+	c.snapshotBytes = n
+	return c
+}
+
 // WithFormation returns c with the state of the agreement on the first group.
 func (c Core) WithFormation(f formation.Formation) Core {
 	c.formation = f
--- a/control/event.go
+++ b/control/event.go
@@ -68,6 +68,10 @@
 type SnapshotSaved struct {
 	// Index is the index of the last entry that the snapshot covers.
 	Index uint64
+	// Bytes is the size of the encoded state.
+	Bytes uint64
+	// KeepAfter is copied from the SaveSnapshot.
+	KeepAfter uint64
 }
 
 // SnapshotReceived delivers a complete snapshot sent by a leader.
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -12,15 +12,30 @@
 	return c.replica.Log().BytesAfter(c.snapshotIndex)
 }
 
-// snapshotIfDue requests a snapshot once Config.SnapshotEvery entries have been
+// snapshotIfDue requests a snapshot once enough entries, or enough bytes of them, have been
 // applied since the last one.
 func (c Core) snapshotIfDue() (Core, []Effect) {
 	index := c.state.Index()
-	if c.isSavingSnapshot || index < c.snapshotIndex+c.cfg.SnapshotEvery {
+	if !c.isSnapshotDue(index) {
 		return c, nil
 	}
+	return c.saveSnapshot(index, c.replica.Log().Trailing(index, c.cfg.TrailingEntries, c.cfg.TrailingBytes))
+}
+
+func (c Core) isSnapshotDue(index uint64) bool {
+	if index >= c.snapshotIndex+c.cfg.SnapshotEvery {
+		return true
+	}
+	// With a state that is larger than the bound, each entry would make a snapshot due.
+	maxBytes := max(c.cfg.SnapshotBytes, c.snapshotBytes)
+	return c.cfg.SnapshotBytes > 0 && c.replica.Log().BytesBetween(c.snapshotIndex, index) >= maxBytes
+}
+
+// saveSnapshot requests a snapshot of the state at the index, unless one is being saved. The
+// log keeps the entries after keepAfter.
+func (c Core) saveSnapshot(index, keepAfter uint64) (Core, []Effect) {
 	term, ok := c.replica.Log().Term(index)
-	if !ok {
+	if c.isSavingSnapshot || !ok {
 		return c, nil
 	}
 	c.isSavingSnapshot = true
@@ -32,16 +47,18 @@
 				Members: c.replica.MembersAt(index),
 			},
 			State:     c.state,
-			KeepAfter: index - min(index, c.cfg.TrailingEntries),
+			KeepAfter: keepAfter,
 		},
 	}
 }
 
 func (c Core) stepSnapshotSaved(now time.Time, e SnapshotSaved) (Core, []Effect) {
 	c.isSavingSnapshot = false
-	c.snapshotIndex = max(c.snapshotIndex, e.Index)
+	if e.Index > c.snapshotIndex {
+		c.snapshotIndex, c.snapshotBytes = e.Index, e.Bytes
+	}
 	return c.stepReplica(now, consensus.Compacted{
-		Index: e.Index - min(e.Index, c.cfg.TrailingEntries),
+		Index: e.KeepAfter,
 	})
 }
 
@@ -59,6 +76,7 @@
 func (c Core) installSnapshot() (Core, []Effect) {
 	c.state = c.receivedSnapshot.State
 	c.snapshotIndex = c.receivedSnapshot.Meta.Index
+	c.snapshotBytes = uint64(len(c.receivedSnapshot.Encoded))
 	return c, []Effect{
 		InstallSnapshot{
 			Meta:    c.receivedSnapshot.Meta,
--- a/controller/node/config.go
+++ b/controller/node/config.go
@@ -25,6 +25,9 @@
 	Source string
 	// SnapshotEvery is the number of log entries between two snapshots.
 	SnapshotEvery int
+	// DiskBytes is the size of the disk with the data folder, in bytes; zero if it is
+	// unknown.
+	DiskBytes int64
 	// Voters is the number of voters up to which the group admits controllers that
 	// ask to join; zero if only operators add members.
 	Voters int
@@ -57,3 +60,11 @@
 	// Logger is the logger of the controller's components.
 	Logger zerolog.Logger
 }
+
+// boundByDisk returns a bound in bytes, or the given part of the disk if that is smaller.
+func (cfg Config) boundByDisk(bound, part uint64) uint64 {
+	if cfg.DiskBytes <= 0 {
+		return bound
+	}
+	return min(bound, uint64(cfg.DiskBytes)/part)
+}
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -32,15 +32,22 @@
 
 // Timing of consensus and limits of the log, the queues and the connections.
 const (
-	tickInterval       = 50 * time.Millisecond
-	electionTimeout    = 500 * time.Millisecond
-	heartbeatInterval  = 100 * time.Millisecond
-	maxBatchEntries    = 512
-	maxBatchBytes      = 1 << 20
-	maxUncommitted     = 8192
-	maxApplyEntries    = 64
-	maxApplyBytes      = 64 << 10
-	trailingEntries    = 1000
+	tickInterval      = 50 * time.Millisecond
+	electionTimeout   = 500 * time.Millisecond
+	heartbeatInterval = 100 * time.Millisecond
+	maxBatchEntries   = 512
+	maxBatchBytes     = 1 << 20
+	maxUncommitted    = 8192
+	maxApplyEntries   = 64
+	maxApplyBytes     = 64 << 10
+	trailingEntries   = 1000
+	// snapshotBytes, trailingBytes and the parts of the disk that they may take keep the
+	// log small beside the disk, however large its entries are.
+	snapshotBytes    = 8 << 20
+	snapshotDiskPart = 16
+	trailingBytes    = 2 << 20
+	trailingDiskPart = 64
+
 	eventQueueLength   = 4096
 	diskQueueLength    = 4096
 	maxConcurrentCalls = 256
@@ -154,12 +161,14 @@
 			Decode: wire.UnmarshalEnvelope,
 		},
 		SnapshotEvery:   uint64(cfg.SnapshotEvery),
+		SnapshotBytes:   cfg.boundByDisk(snapshotBytes, snapshotDiskPart),
 		TrailingEntries: trailingEntries,
+		TrailingBytes:   cfg.boundByDisk(trailingBytes, trailingDiskPart),
 		Policy:          schedule.Guaranteed{},
 		Dispatch:        cfg.Dispatch,
 		Voters:          cfg.Voters,
 		CatchUpDuration: cfg.CatchUpDuration,
-	}, rep, state), nil
+	}, rep, state).WithSnapshotBytes(uint64(len(r.State))), nil
 }
 
 // createComponents creates the components that perform the effects of the control
--- a/controller/node/perform.go
+++ b/controller/node/perform.go
@@ -188,7 +188,9 @@
 	case <-n.ctx.Done():
 	case <-saved:
 		_ = n.loop.Post(n.ctx, control.SnapshotSaved{
-			Index: f.Meta.Index,
+			Index:     f.Meta.Index,
+			Bytes:     uint64(len(state)),
+			KeepAfter: f.KeepAfter,
 		})
 	}
 }
