--- a/control/core.go
+++ b/control/core.go
@@ -253,54 +253,6 @@
 	return list
 }
 
-// replyOnceCommitted replies to a request whose entry is committed, and otherwise
-// makes the reply wait for that.
-func (c Core) replyOnceCommitted(f consensus.Appended) (Core, []Effect) {
-	if f.Token == 0 {
-		return c, nil
-	}
-	if f.Index <= c.replica.CommitIndex() {
-		return c, []Effect{
-			Reply{
-				Token: f.Token,
-				Answer: Committed{
-					Outcome: plantainladder.Outcome{
-						Index: f.Index,
-					},
-				},
-			},
-		}
-	}
-	pending, _ := c.pendingReplies.Get(f.Index)
-	c.pendingReplies = c.pendingReplies.Set(f.Index, pending.withRequest(f))
-	return c, nil
-}
-
-func (c Core) replyRefused(f consensus.Refused) (Core, []Effect) {
-	if f.Token == 0 {
-		return c, nil
-	}
-	var a Answer = Refused{
-		Reason: string(f.Reason),
-		Detail: f.Detail,
-	}
-	switch f.Reason {
-	case consensus.RefusedNotLeader:
-		a = NotLeader{
-			Redirect: c.LeaderAddress(),
-		}
-	case consensus.RefusedLogFull:
-		a = Busy{}
-	case consensus.RefusedInvalidChange, consensus.RefusedChangePending, consensus.RefusedAlreadyFormed:
-	}
-	return c, []Effect{
-		Reply{
-			Token:  f.Token,
-			Answer: a,
-		},
-	}
-}
-
 // applyCommitted applies committed entries and replies to the requests that
 // wait for them.
 func (c Core) applyCommitted(entries []consensus.Entry) (Core, []Effect) {
