Bound what is uncommitted by bytes, and refuse commands that cannot be sent

What callers could see. A leader whose disk or whose majority stands still accepted 8,192 commands of any size: with 200 kB each 1.6 GB, in a process of 280 MB. And one command of nearly 8 MB was appended although no message between controllers (rpc.MaxFrame) could hold its entry: no entry after it could be committed any more.

MaxUncommitted counts entries, and nothing compares the size of a command with that of a message.

A leader refuses proposals (log-full, so callers wait) while the entries that are not committed, or not durable on its own disk, exceed MaxUncommittedBytes (16 MB, or an eighth of a smaller disk). Entries of earlier terms do not count: a group that restarts holds many that are not known to be committed, and must still accept commands. A command over MaxCommandBytes (4 MB) is refused at once, for good (bad-field), in the reply to a gateway as well.

The random test of the replica draws a bound of 100 and 400 bytes.

--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -49,6 +49,8 @@
 // A cluster is a set of hosts and the network between them, with a record of
 // what they did.
 type cluster struct {
+	// cfg is the configuration of each host, but for its identity.
+	cfg      consensus.Config
 	now      time.Time
 	hosts    map[string]*host
 	inFlight []consensus.Message
@@ -80,8 +82,9 @@
 	arriving []string
 }
 
-func newCluster(n int) *cluster {
+func newCluster(n int, cfg consensus.Config) *cluster {
 	c := &cluster{
+		cfg:             cfg,
 		now:             time.Unix(1_700_000_000, 0),
 		hosts:           map[string]*host{},
 		leaderOfTerm:    map[uint64]string{},
@@ -109,14 +112,16 @@
 
 func config(id string) consensus.Config {
 	return consensus.Config{
-		ID:              id,
-		ElectionTimeout: electionTimeout,
-		Heartbeat:       heartbeat,
-		MaxBatchEntries: 8,
-		MaxBatchBytes:   1 << 16,
-		MaxUncommitted:  1 << 10,
-		MaxApplyEntries: 8,
-		MaxApplyBytes:   1 << 16,
+		ID:                  id,
+		ElectionTimeout:     electionTimeout,
+		Heartbeat:           heartbeat,
+		MaxBatchEntries:     8,
+		MaxBatchBytes:       1 << 16,
+		MaxUncommitted:      1 << 10,
+		MaxUncommittedBytes: 1 << 16,
+		MaxCommandBytes:     1 << 15,
+		MaxApplyEntries:     8,
+		MaxApplyBytes:       1 << 16,
 	}
 }
 
@@ -128,7 +133,9 @@
 	h.awaitingSync = nil
 	h.applied = slices.Clone(h.snapshot)
 	h.isSuspended, h.inbox = false, nil
-	h.replica = consensus.NewReplica(c.now.Add(-h.lag), config(h.id), h.written)
+	cfg := c.cfg
+	cfg.ID = h.id
+	h.replica = consensus.NewReplica(c.now.Add(-h.lag), cfg, h.written)
 }
 
 func (c *cluster) crash(h *host) {
@@ -341,7 +348,12 @@
 
 // newFormedCluster returns a cluster whose hosts are all voters of one group.
 func newFormedCluster(n int) *cluster {
-	c := newCluster(n)
+	return newConfiguredCluster(n, config(""))
+}
+
+// newConfiguredCluster returns a formed cluster with the given configuration.
+func newConfiguredCluster(n int, cfg consensus.Config) *cluster {
+	c := newCluster(n, cfg)
 	c.step(c.hosts["c1"], consensus.FormGroup{
 		Group: "g",
 		Self: member.Member{
--- a/consensus/confirm_test.go
+++ b/consensus/confirm_test.go
@@ -37,7 +37,7 @@
 var _ = Describe("The confirmation of a leadership", func() {
 	// A state that lacks committed entries must not be read as the present one.
 	It("waits until the entries that were committed before are applied", func() {
-		c := newCluster(1)
+		c := newCluster(1, config(""))
 		h := c.hosts["c1"]
 		c.step(h, consensus.FormGroup{
 			Group: "g",
--- a/consensus/effect.go
+++ b/consensus/effect.go
@@ -102,8 +102,11 @@
 	// RefusedNotLeader means that the replica is not the leader or is handing
 	// leadership over.
 	RefusedNotLeader RefusalReason = "not-leader"
-	// RefusedLogFull means that too many entries are not yet committed.
+	// RefusedLogFull means that too many entries, or too large ones, are not yet committed
+	// or not yet durable on the leader's own disk.
 	RefusedLogFull RefusalReason = "log-full"
+	// RefusedTooLarge means that no message can hold the command.
+	RefusedTooLarge RefusalReason = "too-large"
 	// RefusedInvalidChange means that the set of members cannot be changed so.
 	RefusedInvalidChange RefusalReason = "bad-change"
 	// RefusedChangePending means that an earlier change of members, or the
--- /dev/null
+++ b/consensus/flow_test.go
@@ -0,0 +1,93 @@
+package consensus_test
+
+import (
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainladder/plantainladder/consensus"
+)
+
+// commandBytes is the size of a large command beside the bounds of the tests.
+const commandBytes = 1000
+
+// limitedConfig returns a configuration with bounds of some large commands.
+func limitedConfig() consensus.Config {
+	cfg := config("")
+	cfg.MaxUncommittedBytes = 10 * commandBytes
+	return cfg
+}
+
+func (c *cluster) proposeLarge(h *host) {
+	c.propose(h, strings.Repeat("a", commandBytes))
+}
+
+// Entries that a disk has not taken yet fill the memory, and then the disk.
+var _ = Describe("A leader of large commands", func() {
+	It("refuses further ones while its own disk does not sync", func() {
+		c := newConfiguredCluster(3, limitedConfig())
+		leader := c.leader()
+		leader.isFull = true
+		for range 100 {
+			c.proposeLarge(leader)
+			c.deliverAll()
+		}
+		log := leader.replica.Log()
+		Expect(log.BytesAfter(uint64(len(leader.disk.Entries)))).To(BeNumerically("<=", 12*commandBytes))
+		Expect(leader.replica.CommitIndex()).To(Equal(log.LastIndex()))
+		leader.isFull = false
+		Expect(c.checkConverges(time.Second)).To(Succeed())
+	})
+
+	It("refuses further ones while no majority holds them", func() {
+		c := newConfiguredCluster(3, limitedConfig())
+		leader := c.leader()
+		for range 100 {
+			c.proposeLarge(leader)
+			c.sync(leader)
+		}
+		Expect(leader.replica.Log().BytesAfter(leader.replica.CommitIndex())).To(BeNumerically("<=", 12*commandBytes))
+		Expect(c.checkConverges(time.Second)).To(Succeed())
+	})
+
+	// It could never be sent, and no later entry could be committed.
+	It("refuses one that no message can hold", func() {
+		c := newConfiguredCluster(3, config(""))
+		leader := c.leader()
+		last := leader.replica.Log().LastIndex()
+		_, effects := leader.replica.Step(c.now, consensus.Propose{
+			Proposals: []consensus.Proposal{
+				{
+					Token: 7,
+					Bytes: make([]byte, config("").MaxCommandBytes+1),
+				},
+			},
+		})
+		Expect(effects).To(ConsistOf(consensus.Refused{
+			Token:  7,
+			Reason: consensus.RefusedTooLarge,
+		}))
+		Expect(leader.replica.Log().LastIndex()).To(Equal(last))
+	})
+})
+
+// All entries of a group that restarts are durable, and most are not known to be committed.
+var _ = Describe("Five voters that restart with a log over all bounds", func() {
+	It("elect a leader and accept commands", func() {
+		c := newConfiguredCluster(5, config(""))
+		for range 300 {
+			c.proposeLarge(c.leader())
+			c.deliverAll()
+		}
+		c.cfg = limitedConfig()
+		for _, id := range c.ids() {
+			c.crash(c.hosts[id])
+			c.start(c.hosts[id])
+		}
+		c.inFlight = nil
+		Expect(c.checkConverges(3 * time.Second)).To(Succeed())
+		Expect(c.violations).To(BeEmpty())
+	})
+})
--- a/consensus/membership_test.go
+++ b/consensus/membership_test.go
@@ -41,7 +41,7 @@
 
 func newGroup(seed uint64) *group {
 	g := &group{
-		cluster:   newCluster(groupVoters),
+		cluster:   newCluster(groupVoters, config("")),
 		rng:       rand.New(rand.NewPCG(seed, 17)),
 		addresses: map[string]string{},
 		created:   groupVoters,
--- a/consensus/replica_test.go
+++ b/consensus/replica_test.go
@@ -92,7 +92,9 @@
 
 	It("stays safe under loss, duplication, delay, reordering, partitions, crashes and restarts", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
-			c := newFormedCluster(rapid.SampledFrom([]int{3, 5}).Draw(t, "hosts"))
+			cfg := config("")
+			cfg.MaxUncommittedBytes = rapid.SampledFrom([]uint64{0, 100, 400}).Draw(t, "max uncommitted bytes")
+			c := newConfiguredCluster(rapid.SampledFrom([]int{3, 5}).Draw(t, "hosts"), cfg)
 			for range rapid.IntRange(100, 500).Draw(t, "steps") {
 				stepRandomly(t, c)
 				if len(c.violations) > 0 {
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -39,30 +39,28 @@
 	l, isLeader := r.role.(Leader)
 	var out []Effect
 	var payloads []Payload
-	lastIndex := r.log.LastIndex()
+	pendingBytes := uint64(0)
 	for _, p := range e.Proposals {
-		switch {
-		case !isLeader || l.transferee != "":
-			out = append(out, Refused{
-				Token:  p.Token,
-				Reason: RefusedNotLeader,
-			})
-		case lastIndex+1-r.commitIndex > r.cfg.MaxUncommitted:
+		reason := RefusedNotLeader
+		if isLeader && l.transferee == "" {
+			reason = r.proposalRefusal(l, p, uint64(len(payloads)), pendingBytes)
+		}
+		if reason != "" {
 			out = append(out, Refused{
 				Token:  p.Token,
-				Reason: RefusedLogFull,
-			})
-		default:
-			lastIndex++
-			payloads = append(payloads, Data{
-				Bytes: p.Bytes,
-			})
-			out = append(out, Appended{
-				Token: p.Token,
-				Index: lastIndex,
-				Term:  r.hardState.Term,
+				Reason: reason,
 			})
+			continue
 		}
+		payloads = append(payloads, Data{
+			Bytes: p.Bytes,
+		})
+		pendingBytes += uint64(len(p.Bytes))
+		out = append(out, Appended{
+			Token: p.Token,
+			Index: r.log.LastIndex() + uint64(len(payloads)),
+			Term:  r.hardState.Term,
+		})
 	}
 	if len(payloads) == 0 {
 		return r, out
--- a/consensus/single_voter_test.go
+++ b/consensus/single_voter_test.go
@@ -13,7 +13,7 @@
 // A learner cannot tell apart the entries of two leaderships in one term.
 var _ = Describe("The only voter of a group", func() {
 	It("does not lead the same term twice with other entries if it restarts", func() {
-		c := newCluster(2)
+		c := newCluster(2, config(""))
 		voter, learner := c.hosts["c1"], c.hosts["c2"]
 		c.step(voter, consensus.FormGroup{
 			Group: "g",
--- a/control/control_suite_test.go
+++ b/control/control_suite_test.go
@@ -26,8 +26,9 @@
 }
 
 const (
-	snapshotBytes = 4 << 20
-	trailingBytes = 1 << 20
+	snapshotBytes   = 4 << 20
+	trailingBytes   = 1 << 20
+	maxCommandBytes = 1 << 20
 )
 
 // leader drives the Core of a group of one controller, whose writes are durable
@@ -63,6 +64,7 @@
 			ElectionTimeout: time.Second,
 			Heartbeat:       100 * time.Millisecond,
 			MaxUncommitted:  100,
+			MaxCommandBytes: maxCommandBytes,
 			MaxApplyEntries: 64,
 			MaxApplyBytes:   1 << 16,
 		}, consensus.StoredState{}), plantainladder.NewState()),
--- a/control/pending_reply.go
+++ b/control/pending_reply.go
@@ -72,6 +72,11 @@
 		}
 	case consensus.RefusedLogFull:
 		a = Busy{}
+	case consensus.RefusedTooLarge:
+		a = Refused{
+			Reason: string(plantainladder.RefusedBadField),
+			Detail: "the command is too large",
+		}
 	case consensus.RefusedInvalidChange, consensus.RefusedChangePending, consensus.RefusedAlreadyFormed:
 	}
 	return c, []Effect{
--- a/controller/gateway/gateway_suite_test.go
+++ b/controller/gateway/gateway_suite_test.go
@@ -54,6 +54,9 @@
 	isHeld bool
 }
 
+// maxCommandBytes is the size of the largest command of a group.
+const maxCommandBytes = 1 << 20
+
 // newGroup returns a group of three voters.
 func newGroup() *group {
 	g := &group{}
@@ -78,6 +81,7 @@
 				MaxBatchEntries: 100,
 				MaxBatchBytes:   1 << 20,
 				MaxUncommitted:  1000,
+				MaxCommandBytes: maxCommandBytes,
 				MaxApplyEntries: 64,
 				MaxApplyBytes:   1 << 16,
 			}, consensus.StoredState{}), plantainladder.NewState()),
--- a/controller/gateway/workflow.go
+++ b/controller/gateway/workflow.go
@@ -141,7 +141,13 @@
 		retry.Redirect = a.Redirect
 	case control.OutcomeUnknown:
 		retry.OutcomeUnknown = true
-	case control.Busy, control.Refused, control.LeadershipConfirmed, control.PollResult:
+	case control.Refused:
+		// The same command would be refused again.
+		return plantainladder.Outcome{
+			Reason: plantainladder.Reason(a.Reason),
+			Detail: a.Detail,
+		}, retry, true
+	case control.Busy, control.LeadershipConfirmed, control.PollResult:
 	}
 	return o, retry, false
 }
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -47,6 +47,11 @@
 	snapshotDiskPart = 16
 	trailingBytes    = 2 << 20
 	trailingDiskPart = 64
+	// maxUncommittedBytes bounds what a leader holds for slow disks.
+	maxUncommittedBytes = 16 << 20
+	uncommittedDiskPart = 8
+	// maxCommandBytes leaves room for the rest of the message.
+	maxCommandBytes = rpc.MaxFrame / 2
 
 	eventQueueLength   = 4096
 	diskQueueLength    = 4096
@@ -146,14 +151,16 @@
 		}
 	}
 	rep := consensus.NewReplica(time.Now(), consensus.Config{
-		ID:              id,
-		ElectionTimeout: electionTimeout,
-		Heartbeat:       heartbeatInterval,
-		MaxBatchEntries: maxBatchEntries,
-		MaxBatchBytes:   maxBatchBytes,
-		MaxUncommitted:  maxUncommitted,
-		MaxApplyEntries: maxApplyEntries,
-		MaxApplyBytes:   maxApplyBytes,
+		ID:                  id,
+		ElectionTimeout:     electionTimeout,
+		Heartbeat:           heartbeatInterval,
+		MaxBatchEntries:     maxBatchEntries,
+		MaxBatchBytes:       maxBatchBytes,
+		MaxUncommitted:      maxUncommitted,
+		MaxUncommittedBytes: cfg.boundByDisk(maxUncommittedBytes, uncommittedDiskPart),
+		MaxCommandBytes:     maxCommandBytes,
+		MaxApplyEntries:     maxApplyEntries,
+		MaxApplyBytes:       maxApplyBytes,
 	}, r.StoredState)
 	return control.NewCore(control.Config{
 		Codec: control.Codec{
