Let a follower whose disk stands still take a bounded part of the log

What callers could see. A follower whose disk is full or stalled went on taking entries into memory, without a bound in bytes, and queued a reply for the disk writer with each heartbeat, until its queue was full and its event loop waited.

A follower took all entries that came. The reply that waits for the disk was queued again although the first one for the same entries was waiting already.

While the entries that are not durable exceed MaxUncommittedBytes, a follower takes no further ones. Its reply tells the leader what it holds (AppendReply.Held); the leader sends it heartbeats only until a reply without Held comes, after the next sync. So the same entries are not sent again and again, and contact and lease stay. Entries that a start found on the disk are durable and do not count. The reply for the disk is queued once for the same entries: after the sync, the reply to the next heartbeat says the same.

In the test, nothing is sent to the follower in 10 s of a stalled disk, no further reply waits, its leader does not change, and it catches up within 2 s once its disk syncs.

--- a/consensus/config.go
+++ b/consensus/config.go
@@ -20,8 +20,9 @@
 	// committed; further proposals are refused.
 	MaxUncommitted uint64
 	// MaxUncommittedBytes bounds the size of the entries that are appended but not yet
-	// committed, or not yet durable on the leader's own disk, in bytes; above it, further
-	// proposals are refused. Zero means no bound.
+	// committed, or not yet durable on the replica's own disk, in bytes. Above it, a leader
+	// refuses further proposals, and a follower takes no further entries. Zero means no
+	// bound.
 	MaxUncommittedBytes uint64
 	// MaxCommandBytes is the size of the largest command that a message can hold, in bytes;
 	// larger ones are refused. Zero means no bound.
--- a/consensus/flow_test.go
+++ b/consensus/flow_test.go
@@ -17,6 +17,7 @@
 func limitedConfig() consensus.Config {
 	cfg := config("")
 	cfg.MaxUncommittedBytes = 10 * commandBytes
+	cfg.MaxBatchBytes = 2 * commandBytes
 	return cfg
 }
 
@@ -24,6 +25,45 @@
 	c.propose(h, strings.Repeat("a", commandBytes))
 }
 
+// runAndCount lets time pass, with a large command every 100 ms if there is a leader, and
+// returns the size of the entries sent to a host.
+func (c *cluster) runAndCount(d time.Duration, to *host) (sentBytes int) {
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.now = c.now.Add(tickInterval)
+		for _, id := range c.ids() {
+			c.step(c.hosts[id], consensus.Tick{})
+			c.sync(c.hosts[id])
+		}
+		if leader := c.leader(); leader != nil && c.now.UnixMilli()%100 == 0 {
+			c.proposeLarge(leader)
+		}
+		for round := 0; len(c.inFlight) > 0; round++ {
+			Expect(round).To(BeNumerically("<", 50), "messages go back and forth without end")
+			inFlight := c.inFlight
+			c.inFlight = nil
+			for _, msg := range inFlight {
+				if request, ok := msg.Body.(consensus.Append); ok && msg.To == to.id {
+					sentBytes += len(request.Entries) * commandBytes
+				}
+				c.deliver(msg)
+			}
+			for _, id := range c.ids() {
+				c.sync(c.hosts[id])
+			}
+		}
+	}
+	return sentBytes
+}
+
+func (c *cluster) follower() *host {
+	for _, id := range c.ids() {
+		if h := c.hosts[id]; h != c.leader() {
+			return h
+		}
+	}
+	return nil
+}
+
 // Entries that a disk has not taken yet fill the memory, and then the disk.
 var _ = Describe("A leader of large commands", func() {
 	It("refuses further ones while its own disk does not sync", func() {
@@ -73,6 +113,24 @@
 	})
 })
 
+var _ = Describe("A follower whose disk stands still", func() {
+	It("takes no more than it may hold, and keeps its leader", func() {
+		c := newConfiguredCluster(3, limitedConfig())
+		leader, stalled := c.leader(), c.follower()
+		stalled.isFull = true
+		c.runAndCount(5*time.Second, stalled)
+		base := uint64(len(stalled.disk.Entries))
+		Expect(stalled.replica.Log().BytesAfter(base)).To(BeNumerically("<=", 12*commandBytes))
+		waiting := len(stalled.awaitingSync)
+		Expect(c.runAndCount(10*time.Second, stalled)).To(BeZero())
+		Expect(stalled.awaitingSync).To(HaveLen(waiting))
+		Expect(c.leader()).To(Equal(leader))
+		Expect(leader.replica.IsSilent(c.now, stalled.id, electionTimeout)).To(BeFalse())
+		stalled.isFull = false
+		Expect(c.checkConverges(2 * time.Second)).To(Succeed())
+	})
+})
+
 // All entries of a group that restarts are durable, and most are not known to be committed.
 var _ = Describe("Five voters that restart with a log over all bounds", func() {
 	It("elect a leader and accept commands", func() {
--- a/consensus/message.go
+++ b/consensus/message.go
@@ -105,6 +105,9 @@
 	Match uint64 `json:"match"`
 	// SentNS is copied from the request.
 	SentNS int64 `json:"sent-ns"`
+	// Held is the last entry that is equal in both logs if the member's disk is too far
+	// behind to take further ones; 0 if it takes them.
+	Held uint64 `json:"held,omitempty"`
 }
 
 // TimeoutNow asks a follower to start an election at once, to take over the
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -132,7 +132,7 @@
 		CommitIndex: r.commitIndex,
 		SentNS:      l.sentNS,
 	}
-	if !p.Probing {
+	if p.mayTakeEntries() {
 		// Assume that the entries arrive. If they are lost, the member rejects
 		// the next request and the leader probes again.
 		request.Entries = r.log.Slice(p.Next, r.cfg.MaxBatchEntries, r.cfg.MaxBatchBytes)
@@ -197,46 +197,20 @@
 			}
 		}
 	}
-	var newEntries []Entry
 	wasSynced := r.syncedIndex >= r.log.LastIndex()
-	for _, e := range request.Entries {
-		if e.Index <= r.log.BaseIndex() {
-			continue
-		}
-		if term, ok := r.log.Term(e.Index); ok && term == e.Term {
-			continue
-		}
-		r = r.truncated(e.Index).withEntry(e)
-		newEntries = append(newEntries, e)
-	}
+	r, taken, match := r.withRequested(request)
 	var out []Effect
-	if len(newEntries) > 0 {
+	if len(taken) > 0 {
 		if wasSynced {
 			r.syncBeganAt = now
 		}
 		out = append(out, Persist{
 			Hard:    r.hardState,
-			Entries: newEntries,
+			Entries: taken,
 		})
 	}
-	matchIndex := request.PrevIndex + uint64(len(request.Entries))
-	r.commitIndex = max(r.commitIndex, min(request.CommitIndex, matchIndex))
-	accepted := func(match uint64) Send {
-		return Send{
-			Message: r.newMessage(msg.From, AppendReply{
-				Accepted: true,
-				Match:    match,
-				SentNS:   request.SentNS,
-			}),
-			// Entries of an earlier request may not be durable yet.
-			AfterSync: match > r.syncedIndex,
-		}
-	}
-	if matchIndex > r.syncedIndex && now.Sub(r.syncBeganAt) >= r.cfg.Heartbeat {
-		// A leader must not lose its lease, or reads their confirmation, to a slow disk.
-		out = append(out, accepted(r.syncedIndex))
-	}
-	return r, append(out, accepted(matchIndex))
+	r.commitIndex = max(r.commitIndex, min(request.CommitIndex, match))
+	return r, append(out, r.repliesTo(now, msg, request, match, len(taken) > 0)...)
 }
 
 // matchHint returns the last entry that may match the leader's log, given that
@@ -281,12 +255,10 @@
 		return r, nil
 	}
 	wasProbing := p.Probing
-	p.Probing = false
-	p.SnapshotRetryAt = time.Time{}
-	p.Next = max(p.Next, p.Match+1)
+	p = p.withAccepted(reply)
 	r.role = l.withProgress(from, p)
 	r = r.advanceCommitIndex()
-	if wasProbing || p.Next <= r.log.LastIndex() {
+	if p.mayTakeEntries() && (wasProbing || p.Next <= r.log.LastIndex()) {
 		return r.replicateToOne(now, from)
 	}
 	l, _ = r.role.(Leader)
--- a/consensus/role.go
+++ b/consensus/role.go
@@ -97,6 +97,21 @@
 	// Probing is true until the member's log is known to match the leader's up
 	// to Next. Meanwhile the leader sends no entries.
 	Probing bool
+	// Paused is true while the member takes no entries since its disk is too far behind.
+	Paused bool
+}
+
+// withAccepted returns p after a reply that accepts a request.
+func (p Progress) withAccepted(reply AppendReply) Progress {
+	p.SnapshotRetryAt = time.Time{}
+	p.Next = max(p.Next, p.Match+1)
+	p.Paused = reply.Held > 0
+	if p.Paused {
+		// The member has dropped the entries after it.
+		p.Next = min(p.Next, max(p.Match, reply.Held)+1)
+	}
+	p.Probing = false
+	return p
 }
 
 func (l Leader) withProgress(id string, p Progress) Leader {
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -47,7 +47,7 @@
 	snapshotDiskPart = 16
 	trailingBytes    = 2 << 20
 	trailingDiskPart = 64
-	// maxUncommittedBytes bounds what a leader holds for slow disks.
+	// maxUncommittedBytes bounds what a controller holds for slow disks.
 	maxUncommittedBytes = 16 << 20
 	uncommittedDiskPart = 8
 	// maxCommandBytes leaves room for the rest of the message.
