Bound the bytes in flight to a member

What callers could see. A leader sent a member that was gone, or slow, the whole rest of the log: up to 1 MB with each proposal and heartbeat, which waited in the queue of its connection (256 messages) and then in the member's memory.

The leader assumes that what it sends arrives, and nothing bounds how far it goes beyond what the member has made durable.

Above MaxInflightBytes (4 MB) between what a member has made durable, or was found to hold when probing ended, and what it was sent, it gets heartbeats without entries. One that is below gets a whole batch, so each can make progress. A member that is back rejects the next heartbeat and is probed as before.

The member of the test is level again within 2 s.

--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -120,6 +120,7 @@
 		MaxUncommitted:      1 << 10,
 		MaxUncommittedBytes: 1 << 16,
 		MaxCommandBytes:     1 << 15,
+		MaxInflightBytes:    1 << 14,
 		MaxApplyEntries:     8,
 		MaxApplyBytes:       1 << 16,
 	}
--- a/consensus/config.go
+++ b/consensus/config.go
@@ -27,6 +27,9 @@
 	// MaxCommandBytes is the size of the largest command that a message can hold, in bytes;
 	// larger ones are refused. Zero means no bound.
 	MaxCommandBytes uint64
+	// MaxInflightBytes bounds the size of the entries that a member has been sent and has
+	// not made durable yet, in bytes. Zero means no bound.
+	MaxInflightBytes uint64
 	// MaxApplyEntries and MaxApplyBytes bound the number of committed entries, and the
 	// size of their commands in bytes, that one step applies. At least one entry is
 	// applied.
--- a/consensus/flow.go
+++ b/consensus/flow.go
@@ -85,6 +85,10 @@
 }
 
 // mayTakeEntries reports whether a member may be sent entries now.
-func (p Progress) mayTakeEntries() bool {
-	return !p.Probing && !p.Paused
+func (r Replica) mayTakeEntries(p Progress) bool {
+	if p.Probing || p.Paused {
+		return false
+	}
+	inflight := r.log.BytesBetween(max(p.Match, p.Probed), p.Next-1)
+	return r.cfg.MaxInflightBytes == 0 || inflight < r.cfg.MaxInflightBytes
 }
--- a/consensus/flow_test.go
+++ b/consensus/flow_test.go
@@ -17,6 +17,7 @@
 func limitedConfig() consensus.Config {
 	cfg := config("")
 	cfg.MaxUncommittedBytes = 10 * commandBytes
+	cfg.MaxInflightBytes = 4 * commandBytes
 	cfg.MaxBatchBytes = 2 * commandBytes
 	return cfg
 }
@@ -111,11 +112,23 @@
 		}))
 		Expect(leader.replica.Log().LastIndex()).To(Equal(last))
 	})
+
+	// Copies of the whole log would wait in the queue of the connection.
+	It("sends a member that is gone no more than the bound in flight", func() {
+		c := newConfiguredCluster(3, limitedConfig())
+		gone := c.follower()
+		c.crash(gone)
+		Expect(c.runAndCount(10*time.Second, gone)).To(BeNumerically("<=", 6*commandBytes))
+		c.start(gone)
+		Expect(c.checkConverges(2 * time.Second)).To(Succeed())
+	})
 })
 
 var _ = Describe("A follower whose disk stands still", func() {
-	It("takes no more than it may hold, and keeps its leader", func() {
-		c := newConfiguredCluster(3, limitedConfig())
+	DescribeTable("takes no more than it may hold, and keeps its leader", func(maxInflightBytes uint64) {
+		cfg := limitedConfig()
+		cfg.MaxInflightBytes = maxInflightBytes
+		c := newConfiguredCluster(3, cfg)
 		leader, stalled := c.leader(), c.follower()
 		stalled.isFull = true
 		c.runAndCount(5*time.Second, stalled)
@@ -128,7 +141,10 @@
 		Expect(leader.replica.IsSilent(c.now, stalled.id, electionTimeout)).To(BeFalse())
 		stalled.isFull = false
 		Expect(c.checkConverges(2 * time.Second)).To(Succeed())
-	})
+	},
+		Entry("with a leader that bounds what is in flight", limitedConfig().MaxInflightBytes),
+		Entry("with a leader that does not", uint64(0)),
+	)
 })
 
 // All entries of a group that restarts are durable, and most are not known to be committed.
--- a/consensus/replica_test.go
+++ b/consensus/replica_test.go
@@ -94,6 +94,7 @@
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			cfg := config("")
 			cfg.MaxUncommittedBytes = rapid.SampledFrom([]uint64{0, 100, 400}).Draw(t, "max uncommitted bytes")
+			cfg.MaxInflightBytes = rapid.SampledFrom([]uint64{0, 1, 300}).Draw(t, "max inflight bytes")
 			c := newConfiguredCluster(rapid.SampledFrom([]int{3, 5}).Draw(t, "hosts"), cfg)
 			for range rapid.IntRange(100, 500).Draw(t, "steps") {
 				stepRandomly(t, c)
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -132,7 +132,7 @@
 		CommitIndex: r.commitIndex,
 		SentNS:      l.sentNS,
 	}
-	if p.mayTakeEntries() {
+	if r.mayTakeEntries(p) {
 		// Assume that the entries arrive. If they are lost, the member rejects
 		// the next request and the leader probes again.
 		request.Entries = r.log.Slice(p.Next, r.cfg.MaxBatchEntries, r.cfg.MaxBatchBytes)
@@ -258,7 +258,7 @@
 	p = p.withAccepted(reply)
 	r.role = l.withProgress(from, p)
 	r = r.advanceCommitIndex()
-	if p.mayTakeEntries() && (wasProbing || p.Next <= r.log.LastIndex()) {
+	if r.mayTakeEntries(p) && (wasProbing || p.Next <= r.log.LastIndex()) {
 		return r.replicateToOne(now, from)
 	}
 	l, _ = r.role.(Leader)
--- a/consensus/role.go
+++ b/consensus/role.go
@@ -97,6 +97,9 @@
 	// Probing is true until the member's log is known to match the leader's up
 	// to Next. Meanwhile the leader sends no entries.
 	Probing bool
+	// Probed is the last entry that the member was found to hold when probing ended. It may
+	// not be durable there.
+	Probed uint64
 	// Paused is true while the member takes no entries since its disk is too far behind.
 	Paused bool
 }
@@ -110,7 +113,9 @@
 		// The member has dropped the entries after it.
 		p.Next = min(p.Next, max(p.Match, reply.Held)+1)
 	}
-	p.Probing = false
+	if p.Probing {
+		p.Probing, p.Probed = false, p.Next-1
+	}
 	return p
 }
 
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -47,9 +47,11 @@
 	snapshotDiskPart = 16
 	trailingBytes    = 2 << 20
 	trailingDiskPart = 64
-	// maxUncommittedBytes bounds what a controller holds for slow disks.
+	// maxUncommittedBytes and maxInflightBytes bound what a disk or a member that is slow
+	// makes the others hold.
 	maxUncommittedBytes = 16 << 20
 	uncommittedDiskPart = 8
+	maxInflightBytes    = 4 << 20
 	// maxCommandBytes leaves room for the rest of the message.
 	maxCommandBytes = rpc.MaxFrame / 2
 
@@ -159,6 +161,7 @@
 		MaxUncommitted:      maxUncommitted,
 		MaxUncommittedBytes: cfg.boundByDisk(maxUncommittedBytes, uncommittedDiskPart),
 		MaxCommandBytes:     maxCommandBytes,
+		MaxInflightBytes:    maxInflightBytes,
 		MaxApplyEntries:     maxApplyEntries,
 		MaxApplyBytes:       maxApplyBytes,
 	}, r.StoredState)
