--- a/consensus/election.go
+++ b/consensus/election.go
@@ -347,8 +347,7 @@
 	successor := ""
 	for _, m := range r.Members().Members {
 		p := l.progress[m.ID]
-		isReachable := now.Sub(p.LastContact) < r.cfg.ElectionTimeout
-		if m.Voter && m.ID != r.cfg.ID && isReachable && (successor == "" || p.Match > l.progress[successor].Match) {
+		if m.Voter && m.ID != r.cfg.ID && r.isReachable(now, p) && (successor == "" || p.Match > l.progress[successor].Match) {
 			successor = m.ID
 		}
 	}
@@ -361,6 +360,27 @@
 	return r.transferIfCaughtUp(l)
 }
 
+// IsOutrun reports whether the replica leads a group that commits entries which are not
+// durable on the replica's own disk, while another reachable voter holds all of them.
+func (r Replica) IsOutrun(now time.Time) bool {
+	l, ok := r.role.(Leader)
+	if !ok || !r.IsEstablishedLeader() || l.transferee != "" || r.syncedIndex >= r.commitIndex {
+		return false
+	}
+	for _, m := range r.Members().Members {
+		p := l.progress[m.ID]
+		if m.Voter && m.ID != r.cfg.ID && r.isReachable(now, p) && p.Match >= r.commitIndex {
+			return true
+		}
+	}
+	return false
+}
+
+// isReachable reports whether a member has answered this leader within an election timeout.
+func (r Replica) isReachable(now time.Time, p Progress) bool {
+	return now.Sub(p.LastContact) < r.cfg.ElectionTimeout
+}
+
 // transferIfCaughtUp sends TimeoutNow to the transferee once it holds the whole
 // log.
 func (r Replica) transferIfCaughtUp(l Leader) (Replica, []Effect) {
--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -182,9 +182,8 @@
 func (r Replica) nextMemberChange(now time.Time, l Leader) (member.Change, bool) {
 	for _, m := range r.Members().Members {
 		p := l.progress[m.ID]
-		isReachable := now.Sub(p.LastContact) < r.cfg.ElectionTimeout
 		replaced, isReplacementPending := r.Members().Get(m.Replaces)
-		isReady := !m.Voter && isReachable && p.Match+maxPromotionLag >= r.commitIndex && p.Match > 0
+		isReady := !m.Voter && r.isReachable(now, p) && p.Match+maxPromotionLag >= r.commitIndex && p.Match > 0
 		switch {
 		case isReady && isReplacementPending && replaced.Address == m.Address, m.Voter && isReplacementPending:
 			// The member that had the learner's address is gone for good. With both as
--- a/control/core.go
+++ b/control/core.go
@@ -27,6 +27,7 @@
 	snapshotBytes    uint64
 	isSavingSnapshot bool
 	receivedSnapshot *SnapshotReceived
+	fullDisk         fullDisk
 	lastPulse        pulse
 	formation        formation.Formation
 	// isRoundTimerRunning is true while a RoundDue event is pending.
@@ -104,6 +105,8 @@
 		out = append(out, more...)
 		c, more = c.logGroupHealth(now)
 		out = append(out, more...)
+		c, more = c.handOverIfDiskFull(now)
+		out = append(out, more...)
 		c, more = c.logStandstill(now, e)
 		return c, append(out, more...)
 	case PeerMessageReceived:
@@ -134,6 +137,8 @@
 		return c.stepReplica(now, consensus.HardStateSynced(e))
 	case SnapshotSaved:
 		return c.stepSnapshotSaved(now, e)
+	case DiskFullChanged:
+		return c.stepDiskFullChanged(now, e)
 	case SnapshotReceived:
 		return c.stepSnapshotReceived(now, e)
 	case SnapshotSent:
--- a/control/first_start_suite_test.go
+++ b/control/first_start_suite_test.go
@@ -28,6 +28,8 @@
 	id      string
 	core    control.Core
 	isUp    bool
+	// isFull is true while nothing that the machine writes becomes durable.
+	isFull bool
 	// isFirstStart is false once the machine has lost its disk.
 	isFirstStart bool
 	wipes        int
@@ -272,7 +274,7 @@
 			Jitter: time.Duration(s.random.IntN(500)) * time.Millisecond,
 		})
 		s.requestJoin(m)
-		if m.isUp && s.random.IntN(4) > 0 {
+		if m.isUp && !m.isFull && s.random.IntN(4) > 0 {
 			s.sync(m)
 		}
 	}
--- /dev/null
+++ b/control/full_disk.go
@@ -0,0 +1,61 @@
+package control
+
+import (
+	"time"
+
+	"github.com/plantainladder/plantainladder/consensus"
+)
+
+const (
+	// handOverPatience is how long the disk of a leader may be full before it hands the
+	// leadership over. A snapshot frees room sooner as a rule.
+	handOverPatience = time.Second
+	// handOverInterval is the least time between two attempts.
+	handOverInterval = 5 * time.Second
+)
+
+// fullDisk is what a core knows about its full disk.
+type fullDisk struct {
+	// since is when the disk became full; zero if it has room.
+	since time.Time
+	// handedOverAt is when the core last tried to hand the leadership over for it.
+	handedOverAt time.Time
+}
+
+func (d fullDisk) isFull() bool {
+	return !d.since.IsZero()
+}
+
+// withFull returns d after the disk has become full, or has room again.
+func (d fullDisk) withFull(now time.Time, isFull bool) fullDisk {
+	switch {
+	case !isFull:
+		d.since = time.Time{}
+	case !d.isFull():
+		d.since = now
+	}
+	return d
+}
+
+// isHandOverDue reports whether a leader may try to hand the leadership over.
+func (d fullDisk) isHandOverDue(now time.Time) bool {
+	return d.isFull() && now.Sub(d.since) > handOverPatience && now.Sub(d.handedOverAt) > handOverInterval
+}
+
+func (c Core) stepDiskFullChanged(now time.Time, e DiskFullChanged) (Core, []Effect) {
+	c.fullDisk = c.fullDisk.withFull(now, e.IsFull)
+	return c.snapshotIfDue()
+}
+
+// handOverIfDiskFull hands the leadership over if the disk of this leader has been full for
+// some time and the group commits without it.
+func (c Core) handOverIfDiskFull(now time.Time) (Core, []Effect) {
+	if !c.fullDisk.isHandOverDue(now) || !c.replica.IsOutrun(now) {
+		return c, nil
+	}
+	c.fullDisk.handedOverAt = now
+	c, out := c.stepReplica(now, consensus.TransferLeadership{})
+	return c, append(out, LogMessage{
+		Text: "Leadership is handed over, since the disk is full.",
+	})
+}
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -13,10 +13,14 @@
 }
 
 // snapshotIfDue requests a snapshot once enough entries, or enough bytes of them, have been
-// applied since the last one.
+// applied since the last one. On a full disk, one is due as soon as anything was applied.
 func (c Core) snapshotIfDue() (Core, []Effect) {
 	index := c.state.Index()
-	if !c.isSnapshotDue(index) {
+	switch {
+	case c.fullDisk.isFull():
+		// Whatever the log holds of these entries takes the room that the disk needs.
+		return c.saveSnapshot(index, index)
+	case !c.isSnapshotDue(index):
 		return c, nil
 	}
 	return c.saveSnapshot(index, c.replica.Log().Trailing(index, c.cfg.TrailingEntries, c.cfg.TrailingBytes))
@@ -31,11 +35,11 @@
 	return c.cfg.SnapshotBytes > 0 && c.replica.Log().BytesBetween(c.snapshotIndex, index) >= maxBytes
 }
 
-// saveSnapshot requests a snapshot of the state at the index, unless one is being saved. The
-// log keeps the entries after keepAfter.
+// saveSnapshot requests a snapshot of the state at the index, unless one is being saved or
+// covers it already. The log keeps the entries after keepAfter.
 func (c Core) saveSnapshot(index, keepAfter uint64) (Core, []Effect) {
 	term, ok := c.replica.Log().Term(index)
-	if c.isSavingSnapshot || !ok {
+	if c.isSavingSnapshot || !ok || index <= c.snapshotIndex {
 		return c, nil
 	}
 	c.isSavingSnapshot = true
@@ -57,9 +61,11 @@
 	if e.Index > c.snapshotIndex {
 		c.snapshotIndex, c.snapshotBytes = e.Index, e.Bytes
 	}
-	return c.stepReplica(now, consensus.Compacted{
+	c, out := c.stepReplica(now, consensus.Compacted{
 		Index: e.KeepAfter,
 	})
+	c, more := c.snapshotIfDue()
+	return c, append(out, more...)
 }
 
 func (c Core) stepSnapshotReceived(now time.Time, e SnapshotReceived) (Core, []Effect) {
