--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -47,6 +47,13 @@
 	snapshotDiskPart = 16
 	trailingBytes    = 2 << 20
 	trailingDiskPart = 64
+	// maxUncommittedBytes and maxInflightBytes bound what a disk or a member that is slow
+	// makes the others hold.
+	maxUncommittedBytes = 16 << 20
+	uncommittedDiskPart = 8
+	maxInflightBytes    = 4 << 20
+	// maxCommandBytes leaves room for the rest of the message.
+	maxCommandBytes = rpc.MaxFrame / 2
 
 	eventQueueLength   = 4096
 	diskQueueLength    = 4096
@@ -146,14 +153,17 @@
 		}
 	}
 	rep := consensus.NewReplica(time.Now(), consensus.Config{
-		ID:              id,
-		ElectionTimeout: electionTimeout,
-		Heartbeat:       heartbeatInterval,
-		MaxBatchEntries: maxBatchEntries,
-		MaxBatchBytes:   maxBatchBytes,
-		MaxUncommitted:  maxUncommitted,
-		MaxApplyEntries: maxApplyEntries,
-		MaxApplyBytes:   maxApplyBytes,
+		ID:                  id,
+		ElectionTimeout:     electionTimeout,
+		Heartbeat:           heartbeatInterval,
+		MaxBatchEntries:     maxBatchEntries,
+		MaxBatchBytes:       maxBatchBytes,
+		MaxUncommitted:      maxUncommitted,
+		MaxUncommittedBytes: cfg.boundByDisk(maxUncommittedBytes, uncommittedDiskPart),
+		MaxCommandBytes:     maxCommandBytes,
+		MaxInflightBytes:    maxInflightBytes,
+		MaxApplyEntries:     maxApplyEntries,
+		MaxApplyBytes:       maxApplyBytes,
 	}, r.StoredState)
 	return control.NewCore(control.Config{
 		Codec: control.Codec{
