--- a/controller/disk/log.go
+++ b/controller/disk/log.go
@@ -277,19 +277,16 @@
 	return l.file.Sync()
 }
 
-// CompactLog writes a new segment with only the entries after the index
-// keepAfter, makes it durable and removes the old segment. If the disk is full,
-// it keeps the old segment and returns a *FullError.
-func (l *Log) CompactLog(keepAfter uint64) (err error) {
-	defer util.Annotate(&err, "disk: compact log")
-	var kept []consensus.Entry
-	for _, e := range l.content.Entries {
-		if e.Index > keepAfter {
-			kept = append(kept, e)
-		}
-	}
-	l.content.Entries = kept
-	frame, err := encodeBatch(true, l.content.Hard, kept)
+// CompactLog replaces the log by its entries after the index keepAfter.
+func (l *Log) CompactLog(keepAfter uint64) error {
+	return l.Replace(l.content.Hard, entriesAfter(l.content.Entries, keepAfter))
+}
+
+// Replace writes a new segment with only the given entries, makes it durable and removes
+// the old segment. If the disk is full, it keeps the old segment and returns a *FullError.
+func (l *Log) Replace(hard consensus.HardState, entries []consensus.Entry) (err error) {
+	defer util.Annotate(&err, "disk: replace log")
+	frame, err := encodeBatch(true, hard, entries)
 	if err != nil {
 		return err
 	}
@@ -300,6 +297,7 @@
 	}
 	err = errors.Join(l.file.Close(), l.files.Remove(segmentPath(l.folder, l.number)))
 	l.file, l.number, l.size = file, l.number+1, int64(len(frame))
+	l.content.Hard, l.content.Entries = hard, entries
 	return errors.Join(err, l.files.SyncFolder(l.folder))
 }
 
--- a/controller/disk/writer.go
+++ b/controller/disk/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/plantainladder/plantainladder/consensus"
@@ -24,6 +25,9 @@
 type After struct {
 	// Run is the function to call. It must not block.
 	Run func()
+	// Key names what the function does; "" for none. If one with the same key still
+	// waits for room on the disk, it is not called: the later one replaces it.
+	Key string
 }
 
 // SaveSnapshot saves a snapshot and removes entries that it covers from the log.
@@ -31,7 +35,8 @@
 type SaveSnapshot struct {
 	// Snapshot is the snapshot to save.
 	Snapshot Snapshot
-	// KeepAfter is the index of the last entry to remove; KeepNone removes all.
+	// KeepAfter is the index of the last entry to remove; KeepNone removes all that were
+	// queued before. Entries that the snapshot covers are removed in any case.
 	KeepAfter uint64
 	// Done is called once the snapshot and the log are durable, also if nothing had
 	// to be written. It must not block.
@@ -104,8 +109,8 @@
 	}
 }
 
-// Run performs queued operations until ctx ends. While the disk is full, it
-// retries the write, and operations queued in the meantime are not acknowledged.
+// Run performs queued operations until ctx ends. While the disk is full, it retries the
+// write together with the operations queued in the meantime, and acknowledges none.
 // It returns an error if the disk fails: operations since the last sync are then
 // not durable, and the process must exit.
 func (w *Writer) Run(ctx context.Context) (err error) {
@@ -138,97 +143,89 @@
 	return ops
 }
 
-// perform writes the queued operations, syncs once for all of them and then
-// calls their callbacks. A SaveSnapshot ends the shared sync: operations before it
-// are synced first.
+// perform writes the queued operations and calls their callbacks. All that are queued
+// before a SaveSnapshot share a write and a sync. If one of them finds the disk full, all
+// that are left become one backlog.
 func (w *Writer) perform(ctx context.Context, ops []Operation) (err error) {
-	var entries []consensus.Entry
-	var hard consensus.HardState
-	appends := 0
-	var callbacks []func()
-	flush := func() error {
-		if err := w.appendAndSync(ctx, appends, hard, entries); err != nil {
-			return err
-		}
-		for _, callback := range callbacks {
-			callback()
+	for len(ops) > 0 {
+		n := sharedLength(ops)
+		startedAt := time.Now()
+		b := w.newBacklog().with(ops[:n])
+		ops = ops[n:]
+		b, err = w.write(b)
+		if full := (*FullError)(nil); errors.As(err, &full) {
+			return w.waitForRoom(ctx, b.with(ops), full)
 		}
-		entries, callbacks, appends = nil, nil, 0
-		return nil
-	}
-	for _, op := range ops {
-		switch op := op.(type) {
-		case Append:
-			hard = op.Persist.Hard
-			entries = mergeEntries(entries, op.Persist.Entries)
-			appends++
-		case After:
-			callbacks = append(callbacks, op.Run)
-		case SaveSnapshot:
-			if err = flush(); err != nil {
-				return err
-			}
-			if err = w.saveSnapshot(ctx, op); err != nil {
-				return err
-			}
+		if err != nil {
+			return err
 		}
+		w.acknowledge(b, time.Since(startedAt))
 	}
-	return flush()
+	return nil
 }
 
-// mergeEntries returns the entries of two appends as those of one: the later
-// entries replace the earlier ones from the index of their first one onwards.
-func mergeEntries(before, next []consensus.Entry) []consensus.Entry {
-	if len(next) == 0 {
-		return before
-	}
-	for n := len(before); n > 0 && before[n-1].Index >= next[0].Index; n-- {
-		before = before[:n-1]
+// sharedLength returns the number of operations at the start of ops that share a write.
+func sharedLength(ops []Operation) int {
+	i := slices.IndexFunc(ops, func(op Operation) bool {
+		_, isSnapshot := op.(SaveSnapshot)
+		return isSnapshot
+	})
+	switch i {
+	case -1:
+		return len(ops)
+	case 0:
+		return 1
 	}
-	return append(before, next...)
+	return i
 }
 
-func (w *Writer) appendAndSync(ctx context.Context, appends int, hard consensus.HardState, entries []consensus.Entry) (err error) {
-	if appends == 0 {
-		return nil
+// write makes a backlog durable, and returns what is left of it if the disk is full. The
+// snapshot comes first, then the removal of what it covers from the log, since these may
+// free the room for the rest.
+func (w *Writer) write(b backlog) (left backlog, err error) {
+	if b.snapshot != nil {
+		if b.snapshotIndex > w.snapshotIndex {
+			if err = w.cfg.Folder.SaveSnapshot(*b.snapshot); err != nil {
+				return b, err
+			}
+			w.snapshotIndex = b.snapshotIndex
+		}
+		if err = w.cfg.Log.Replace(b.hard, entriesAfter(w.cfg.Log.content.Entries, b.keepAfter)); err != nil {
+			return b, err
+		}
+		b.snapshot, b.keepAfter = nil, 0
 	}
-	startedAt := time.Now()
-	write := func() error { return w.cfg.Log.Append(hard, entries) }
-	if err = w.retryWhileFull(ctx, entries, write); err != nil {
-		return err
+	if b.appends == 0 || len(b.entries) == 0 && b.hard == w.cfg.Log.content.Hard {
+		return b, nil
 	}
-	if err = w.cfg.Log.Sync(); err != nil {
-		return err
+	if err = w.cfg.Log.Append(b.hard, b.entries); err != nil {
+		return b, err
 	}
+	return b, w.cfg.Log.Sync()
+}
+
+// acknowledge reports that a backlog is durable.
+func (w *Writer) acknowledge(b backlog, took time.Duration) {
 	w.updateUsage()
-	if w.cfg.ObserveSync != nil {
-		w.cfg.ObserveSync(len(entries), time.Since(startedAt))
+	if b.appends > 0 && w.cfg.ObserveSync != nil {
+		w.cfg.ObserveSync(len(b.entries), took)
 	}
-	if n := len(entries); n > 0 {
-		w.cfg.EntriesSynced(entries[n-1])
+	if b.last.Index > 0 {
+		w.cfg.EntriesSynced(b.last)
 	}
-	if w.cfg.HardStateSynced != nil && hard != w.syncedHard {
-		w.syncedHard = hard
-		w.cfg.HardStateSynced(hard)
+	if b.appends > 0 {
+		w.reportHardState(b.hard)
+	}
+	for _, callback := range b.callbacks {
+		callback()
 	}
-	return nil
 }
 
-func (w *Writer) saveSnapshot(ctx context.Context, op SaveSnapshot) (err error) {
-	if op.Snapshot.Meta.Index > w.snapshotIndex {
-		save := func() error { return w.cfg.Folder.SaveSnapshot(op.Snapshot) }
-		if err = w.retryWhileFull(ctx, nil, save); err != nil {
-			return err
-		}
-		compact := func() error { return w.cfg.Log.CompactLog(op.KeepAfter) }
-		if err = w.retryWhileFull(ctx, nil, compact); err != nil {
-			return err
-		}
-		w.snapshotIndex = op.Snapshot.Meta.Index
-		w.updateUsage()
+func (w *Writer) reportHardState(hard consensus.HardState) {
+	if w.cfg.HardStateSynced != nil && hard != w.syncedHard {
+		w.syncedHard = hard
+		w.cfg.HardStateSynced(hard)
 	}
-	op.Done()
-	return nil
 }
 
 // fullRetryInterval is the time between two attempts to write to a full disk. It
@@ -236,41 +233,51 @@
 // controller.
 const fullRetryInterval = 100 * time.Millisecond
 
-// retryWhileFull repeats a write that fails because the disk is full, until it
-// succeeds, FullTimeout has passed or ctx ends.
-func (w *Writer) retryWhileFull(ctx context.Context, entries []consensus.Entry, write func() error) (err error) {
-	var full *FullError
-	if err = write(); !errors.As(err, &full) {
-		return err
-	}
+// waitForRoom repeats a write that found the disk full until it succeeds, FullTimeout has
+// passed or ctx ends. It takes operations from the queue meanwhile: one of them may be the
+// snapshot that frees room, and those who queue them must not have to wait.
+func (w *Writer) waitForRoom(ctx context.Context, b backlog, full *FullError) (err error) {
 	w.reportFull(FullReport{
 		Err:     full,
-		Entries: len(entries),
-		Bytes:   dataBytes(entries),
+		Entries: len(b.entries),
+		Bytes:   dataBytes(b.entries),
 	})
 	startedAt := time.Now()
 	timeout := time.NewTimer(w.cfg.FullTimeout)
 	defer timeout.Stop()
-	retry := time.NewTicker(fullRetryInterval)
+	retry := time.NewTimer(fullRetryInterval)
 	defer retry.Stop()
-	for errors.As(err, &full) {
+	for err = full; errors.As(err, &full); {
 		select {
 		case <-ctx.Done():
 			return err
 		case <-timeout.C:
 			return err
+		case op := <-w.operations:
+			before := b.snapshotIndex
+			if b = b.with(w.collectQueued(op)); b.snapshotIndex == before {
+				continue
+			}
 		case <-retry.C:
 		}
-		err = write()
+		attemptedAt := time.Now()
+		b, err = w.write(b)
+		retry.Reset(max(fullRetryInterval, attemptsShare*time.Since(attemptedAt)))
 	}
-	if err == nil {
-		w.reportFull(FullReport{
-			Waited: time.Since(startedAt),
-		})
+	if err != nil {
+		return err
 	}
-	return err
+	w.reportFull(FullReport{
+		Waited: time.Since(startedAt),
+	})
+	w.acknowledge(b, time.Since(startedAt))
+	return nil
 }
 
+// attemptsShare is how many times as long as the last attempt to write a long backlog the
+// Writer waits for the next one.
+const attemptsShare = 10
+
 func (w *Writer) reportFull(r FullReport) {
 	w.usage.isFull.Store(r.Err != nil)
 	if w.cfg.FullChanged != nil {
