--- a/control/event.go
+++ b/control/event.go
@@ -89,6 +89,12 @@
 	To string
 }
 
+// DiskFullChanged reports that writes to the disk wait for room, or that they have found it.
+type DiskFullChanged struct {
+	// IsFull is true if a write found no room.
+	IsFull bool
+}
+
 // FormGroup makes this controller the only voter of a new group.
 type FormGroup struct {
 	// Token is repeated in the Reply.
@@ -142,6 +148,7 @@
 func (SnapshotSaved) event()       {}
 func (SnapshotReceived) event()    {}
 func (SnapshotSent) event()        {}
+func (DiskFullChanged) event()     {}
 func (FormGroup) event()           {}
 func (ChangeMembers) event()       {}
 func (ConfirmLeadership) event()   {}
