Tell the core when its disk is full, and keep one reply of a kind

The node posts DiskFullChanged from the callback of the disk writer, which does not wait for the event loop. Of the messages to a member that wait for the disk, the last of a kind is kept: a follower whose disk is full queues a reply for each append otherwise.

--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -60,6 +60,7 @@
 	writer   *disk.Writer
 	synced   syncReporter[consensus.Entry]
 	hard     syncReporter[consensus.HardState]
+	full     syncReporter[bool]
 	peers    *replica.Peers
 	pusher   *worker.Pusher
 	pending  *gateway.PendingRequests
@@ -99,6 +100,7 @@
 		log:     log,
 		synced:  newSyncReporter[consensus.Entry](),
 		hard:    newSyncReporter[consensus.HardState](),
+		full:    newSyncReporter[bool](),
 		pending: gateway.NewPendingRequests(),
 		meters:  newMeters(),
 		ctx:     ctx,
@@ -207,8 +209,10 @@
 	}
 }
 
-// reportDiskFull logs and counts that the disk is full, or logs that it has room again.
+// reportDiskFull logs and counts that the disk is full, or logs that it has room again, and
+// tells the core.
 func (n *Node) reportDiskFull(r disk.FullReport) {
+	n.full.report(r.Err != nil)
 	if r.Err == nil {
 		n.logger.Info().Dur("waited", r.Waited).Msg("Disk has room again.")
 		return
@@ -315,6 +319,7 @@
 	go func() { failed <- n.writer.Run(ctx) }()
 	go n.synced.run(ctx, n.loop.Post, entriesSynced)
 	go n.hard.run(ctx, n.loop.Post, hardStateSynced)
+	go n.full.run(ctx, n.loop.Post, diskFullChanged)
 	go n.peers.Run(ctx)
 	go n.loop.Run(ctx)
 	go n.keeper.run(ctx, time.Now)
--- a/controller/node/perform.go
+++ b/controller/node/perform.go
@@ -156,6 +156,8 @@
 	}
 	queuedAt := time.Now()
 	n.writer.Enqueue(n.ctx, disk.After{
+		// Consensus repeats what is lost, and a later message of a kind says more.
+		Key: f.Message.To + " " + typeName(f.Message.Body),
 		Run: func() {
 			n.peers.QueueMessage(f.Address, f.SenderAddress, f.Message)
 			if _, isVote := f.Message.Body.(consensus.VoteReply); isVote {
--- a/controller/node/sync_report.go
+++ b/controller/node/sync_report.go
@@ -7,8 +7,8 @@
 	"github.com/plantainladder/plantainladder/control"
 )
 
-// A syncReporter passes what became durable last from the disk writer to the event
-// loop. The writer must not wait for the loop, which waits for the writer while
+// A syncReporter passes what became durable last, or whether the disk is full, from the
+// disk writer to the event loop. The writer must not wait for the loop, which waits for the writer while
 // the writer's queue is full.
 type syncReporter[T any] struct {
 	// latest holds the last value that was not reported yet.
@@ -55,3 +55,9 @@
 		Hard: hard,
 	}
 }
+
+func diskFullChanged(isFull bool) control.Event {
+	return control.DiskFullChanged{
+		IsFull: isFull,
+	}
+}
