--- a/controller/disk/leftover.go
+++ b/controller/disk/leftover.go
@@ -12,6 +12,7 @@
 	"." + identityFile + "*",
 	"." + formationFile + "*",
 	"*.wal" + tempSuffix,
+	reserveFile + tempSuffix,
 	receivedSnapshotFile,
 }
 
--- a/controller/disk/quota_test.go
+++ b/controller/disk/quota_test.go
@@ -127,7 +127,7 @@
 }
 
 // startLimited starts a Writer in a folder, whose configuration edit may change.
-func startLimited(path string, edit func(cfg *disk.WriterConfig)) *limitedFolder {
+func startLimited(path string, edit func(q quotaFileSystem, cfg *disk.WriterConfig)) *limitedFolder {
 	l := &limitedFolder{
 		path:  path,
 		quota: newQuota(path),
@@ -155,7 +155,7 @@
 		QueueLength: 16,
 	}
 	if edit != nil {
-		edit(&cfg)
+		edit(l.quota, &cfg)
 	}
 	l.writer = disk.NewWriter(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -347,7 +347,7 @@
 	// run performs the operations that a seed stands for and returns what is durable then,
 	// with the order of their callbacks.
 	run := func(seed uint64, isFull bool) (r disk.Recovered, called []int) {
-		l := startLimited(GinkgoT().TempDir(), func(cfg *disk.WriterConfig) {
+		l := startLimited(GinkgoT().TempDir(), func(_ quotaFileSystem, cfg *disk.WriterConfig) {
 			cfg.QueueLength = 64
 		})
 		if isFull {
--- /dev/null
+++ b/controller/disk/reserve_test.go
@@ -0,0 +1,74 @@
+package disk_test
+
+import (
+	"os"
+	"path/filepath"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainladder/plantainladder/consensus"
+	"github.com/plantainladder/plantainladder/controller/disk"
+)
+
+var _ = Describe("The room that is kept for snapshots", func() {
+	const reserveBytes = 64 << 10
+	hard := consensus.HardState{
+		Term: 1,
+	}
+	withReserve := func(_ quotaFileSystem, cfg *disk.WriterConfig) { cfg.ReserveBytes = reserveBytes }
+	reserveSize := func(l *limitedFolder) int64 {
+		info, err := os.Stat(filepath.Join(l.path, "reserve"))
+		if err != nil {
+			return 0
+		}
+		return info.Size()
+	}
+
+	// A log that fills the disk leaves no room for the snapshot that would shorten it.
+	It("lets a log be compacted that fills the disk to the last byte", func() {
+		l := startLimited(GinkgoT().TempDir(), withReserve)
+		l.enqueue(appendOf(hard, longEntries(1, 300, 1<<10)))
+		l.settle()
+		Expect(reserveSize(l)).To(Equal(int64(reserveBytes)))
+		l.quota.leave(0)
+		l.enqueue(appendOf(hard, longEntries(301, 10, 1<<10)))
+		Eventually(l.full).Should(Receive())
+		l.enqueue(snapshotOf(300, 0, func() {}))
+		l.settle()
+		Expect(l.synced.Load()).To(Equal(uint64(310)))
+		Eventually(func() int64 { return reserveSize(l) }).Should(BeNumerically(">", 0))
+		Expect(l.reopened().StoredState.Entries).To(Equal(longEntries(301, 10, 1<<10)))
+	})
+
+	It("grows with the snapshot", func() {
+		l := startLimited(GinkgoT().TempDir(), withReserve)
+		l.enqueue(appendOf(hard, longEntries(1, 2, 1)))
+		snapshot := snapshotOf(2, 0, func() {})
+		snapshot.Snapshot.State = make([]byte, 10*reserveBytes)
+		l.enqueue(snapshot)
+		l.settle()
+		Eventually(func() int64 { return reserveSize(l) }).Should(BeNumerically(">=", 20*reserveBytes))
+	})
+
+	It("is a small part of a small disk", func() {
+		l := startLimited(GinkgoT().TempDir(), func(q quotaFileSystem, cfg *disk.WriterConfig) {
+			withReserve(q, cfg)
+			q.limit.Store(4 * reserveBytes)
+		})
+		l.settle()
+		Expect(reserveSize(l)).To(Equal(int64(4 * reserveBytes / 16)))
+	})
+
+	It("is not kept while there is little of it, and its incomplete file is removed", func() {
+		path := newFilledFolder(1000)
+		Expect(os.WriteFile(filepath.Join(path, "reserve.tmp"), make([]byte, 1000), 0o600)).To(Succeed())
+		l := startLimited(path, func(q quotaFileSystem, cfg *disk.WriterConfig) {
+			withReserve(q, cfg)
+			q.leave(1 << 10)
+		})
+		l.settle()
+		Expect(reserveSize(l)).To(BeZero())
+		Expect(filepath.Join(path, "reserve.tmp")).NotTo(BeAnExistingFile())
+	})
+})
--- a/controller/disk/writer.go
+++ b/controller/disk/writer.go
@@ -71,6 +71,12 @@
 	// FullTimeout bounds how long a write is retried on a full disk before Run
 	// fails.
 	FullTimeout time.Duration
+	// ReserveBytes is the least size of a file that keeps room for a snapshot; zero for
+	// none.
+	ReserveBytes int64
+	// ReserveFailed is called once if that file cannot be created; nil for none. It must
+	// not block.
+	ReserveFailed func(err error)
 	// DisableGroupCommit makes the Writer sync after each operation instead of once
 	// for all that are queued. It is the baseline of the benchmark.
 	DisableGroupCommit bool
@@ -86,6 +92,9 @@
 	snapshotIndex uint64
 	syncedHard    consensus.HardState
 	usage         usage
+	reserve       *reserve
+	// hasReserveFailed is true once ReserveFailed was called.
+	hasReserveFailed bool
 }
 
 // NewWriter returns a Writer; Run starts it.
@@ -93,6 +102,7 @@
 	w := &Writer{
 		cfg:        cfg,
 		operations: make(chan Operation, cfg.QueueLength),
+		reserve:    newReserve(cfg.Folder, cfg.ReserveBytes),
 	}
 	w.updateUsage()
 	return w
@@ -115,6 +125,7 @@
 // not durable, and the process must exit.
 func (w *Writer) Run(ctx context.Context) (err error) {
 	defer util.Annotate(&err, "disk: run writer")
+	w.keepReserve()
 	for {
 		select {
 		case <-ctx.Done():
@@ -148,7 +159,7 @@
 // that are left become one backlog.
 func (w *Writer) perform(ctx context.Context, ops []Operation) (err error) {
 	for len(ops) > 0 {
-		n := sharedLength(ops)
+		n, before := sharedLength(ops), w.snapshotIndex
 		startedAt := time.Now()
 		b := w.newBacklog().with(ops[:n])
 		ops = ops[n:]
@@ -160,6 +171,9 @@
 			return err
 		}
 		w.acknowledge(b, time.Since(startedAt))
+		if w.snapshotIndex > before {
+			w.keepReserve()
+		}
 	}
 	return nil
 }
@@ -184,13 +198,13 @@
 // free the room for the rest.
 func (w *Writer) write(b backlog) (left backlog, err error) {
 	if b.snapshot != nil {
-		if b.snapshotIndex > w.snapshotIndex {
-			if err = w.cfg.Folder.SaveSnapshot(*b.snapshot); err != nil {
-				return b, err
+		err = w.writeSnapshot(b)
+		if full := (*FullError)(nil); errors.As(err, &full) && w.reserve.bytes > 0 {
+			if err = w.reserve.release(); err == nil {
+				err = w.writeSnapshot(b)
 			}
-			w.snapshotIndex = b.snapshotIndex
 		}
-		if err = w.cfg.Log.Replace(b.hard, entriesAfter(w.cfg.Log.content.Entries, b.keepAfter)); err != nil {
+		if err != nil {
 			return b, err
 		}
 		b.snapshot, b.keepAfter = nil, 0
@@ -204,6 +218,26 @@
 	return b, w.cfg.Log.Sync()
 }
 
+// writeSnapshot saves the snapshot of a backlog and removes what it covers from the log.
+func (w *Writer) writeSnapshot(b backlog) (err error) {
+	if b.snapshotIndex > w.snapshotIndex {
+		if err = w.cfg.Folder.SaveSnapshot(*b.snapshot); err != nil {
+			return err
+		}
+		w.snapshotIndex = b.snapshotIndex
+	}
+	return w.cfg.Log.Replace(b.hard, entriesAfter(w.cfg.Log.content.Entries, b.keepAfter))
+}
+
+// keepReserve keeps room for the next snapshot if there is enough.
+func (w *Writer) keepReserve() {
+	err := w.reserve.keep(w.cfg.Folder.snapshotBytes)
+	if err != nil && w.cfg.ReserveFailed != nil && !w.hasReserveFailed {
+		w.hasReserveFailed = true
+		w.cfg.ReserveFailed(err)
+	}
+}
+
 // acknowledge reports that a backlog is durable.
 func (w *Writer) acknowledge(b backlog, took time.Duration) {
 	w.updateUsage()
@@ -271,6 +305,7 @@
 		Waited: time.Since(startedAt),
 	})
 	w.acknowledge(b, time.Since(startedAt))
+	w.keepReserve()
 	return nil
 }
 
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -45,6 +45,7 @@
 	diskQueueLength    = 4096
 	maxConcurrentCalls = 256
 	shutdownTimeout    = 3 * time.Second
+	reserveBytes       = 2 << 20
 	// diskFullTimeout is how long a controller waits on a full disk before it exits.
 	// It is long enough to notice space that an operator frees. If the queue of the
 	// disk writer fills up before, the event loop waits.
@@ -175,7 +176,11 @@
 		ObserveSync:     n.meters.observeSync,
 		FullChanged:     n.reportDiskFull,
 		FullTimeout:     diskFullTimeout,
-		QueueLength:     diskQueueLength,
+		ReserveBytes:    reserveBytes,
+		ReserveFailed: func(err error) {
+			n.logger.Warn().Err(err).Msg("No room could be kept free for snapshots.")
+		},
+		QueueLength: diskQueueLength,
 	})
 	exportDisk(n.writer.Usage, n.folder.Space)
 	n.peers = replica.NewPeers(replica.Config{
