--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -59,6 +59,7 @@
 	diskQueueLength    = 4096
 	maxConcurrentCalls = 256
 	shutdownTimeout    = 3 * time.Second
+	reserveBytes       = 2 << 20
 	// diskFullTimeout is how long a controller waits on a full disk before it exits.
 	// It is long enough to notice space that an operator frees. If the queue of the
 	// disk writer fills up before, the event loop waits.
@@ -74,6 +75,7 @@
 	writer   *disk.Writer
 	synced   syncReporter[consensus.Entry]
 	hard     syncReporter[consensus.HardState]
+	full     syncReporter[bool]
 	peers    *replica.Peers
 	pusher   *worker.Pusher
 	pending  *gateway.PendingRequests
@@ -113,6 +115,7 @@
 		log:     log,
 		synced:  newSyncReporter[consensus.Entry](),
 		hard:    newSyncReporter[consensus.HardState](),
+		full:    newSyncReporter[bool](),
 		pending: gateway.NewPendingRequests(),
 		meters:  newMeters(),
 		ctx:     ctx,
@@ -192,7 +195,11 @@
 		ObserveSync:     n.meters.observeSync,
 		FullChanged:     n.reportDiskFull,
 		FullTimeout:     diskFullTimeout,
-		QueueLength:     diskQueueLength,
+		ReserveBytes:    reserveBytes,
+		ReserveFailed: func(err error) {
+			n.logger.Warn().Err(err).Msg("No room could be kept free for snapshots.")
+		},
+		QueueLength: diskQueueLength,
 	})
 	exportDisk(n.writer.Usage, n.folder.Space)
 	n.peers = replica.NewPeers(replica.Config{
@@ -226,8 +233,10 @@
 	}
 }
 
-// reportDiskFull logs and counts that the disk is full, or logs that it has room again.
+// reportDiskFull logs and counts that the disk is full, or logs that it has room again, and
+// tells the core.
 func (n *Node) reportDiskFull(r disk.FullReport) {
+	n.full.report(r.Err != nil)
 	if r.Err == nil {
 		n.logger.Info().Dur("waited", r.Waited).Msg("Disk has room again.")
 		return
@@ -334,6 +343,7 @@
 	go func() { failed <- n.writer.Run(ctx) }()
 	go n.synced.run(ctx, n.loop.Post, entriesSynced)
 	go n.hard.run(ctx, n.loop.Post, hardStateSynced)
+	go n.full.run(ctx, n.loop.Post, diskFullChanged)
 	go n.peers.Run(ctx)
 	go n.loop.Run(ctx)
 	go n.keeper.run(ctx, time.Now)
