Say when a leader commits nothing

The callers' 504 `no-reply` named only the controller that had not answered.

Cause: the lease depends on the answers to heartbeats, and a voter answers them whether its disk takes entries or not. Nothing watched the commit index.

Change: the leadership records since when its oldest uncommitted entry waits (commitWait), in constant time at the end of each step. If that is over 1 s, one line has the commit index, the last index, what the leader's own disk holds, and for each other voter what it holds and the time since its last answer; again every 10 s, and one line when commits go on. Of short stalls in a row at most one in 10 s is logged; the counter controller_commit_stalls_total has them all, by whether the leader's own disk or other voters are missing. controller_commit_stalled_seconds is the present wait. A controller whose ticks come late has not read the answers of the others and does not count as stalled; other lines tell of that.

Evidence: without watchCommits in Step, "says after a second what is missing, every 10 s again, and when commits go on" fails with "Expected <[]control.LogCommitStalled | len:0>: nil to have length 1".

Measured: control, controller/node and prove/style pass.

--- a/control/core.go
+++ b/control/core.go
@@ -70,7 +70,8 @@
 	c, out := c.step(now, e)
 	c, out = c.startRoundTimer(now, out)
 	c, out = c.continueApplying(out)
-	return c.runDispatch(now, e, out)
+	c, out = c.runDispatch(now, e, out)
+	return c.watchCommits(now, e, out)
 }
 
 // continueApplying requests an ApplyDue event if committed entries are left to apply.
--- a/control/effect.go
+++ b/control/effect.go
@@ -118,6 +118,7 @@
 	CounterRunCrashes   CounterName = "run_crashes_total"
 	CounterLossVerdicts CounterName = "loss_verdicts_total"
 	CounterStandstills  CounterName = "standstills_total"
+	CounterCommitStalls CounterName = "commit_stalls_total"
 
 	CounterLeadershipsLost CounterName = "leaderships_lost_total"
 )
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -40,6 +40,8 @@
 	// proposedRounds holds the rounds that were proposed and are not known to be
 	// committed, the oldest first.
 	proposedRounds []proposedRound
+	// commitWait is the wait of the oldest uncommitted entry.
+	commitWait commitWait
 	// loggedHealth is the last health of the group that was logged; nil for none.
 	loggedHealth *GroupHealth
 	// joinRequests holds the requests to join of the last moments, the oldest first.
--- a/controller/node/election_test.go
+++ b/controller/node/election_test.go
@@ -100,4 +100,27 @@
 		Eventually(lines).Should(gbytes.Say(`"round":7,"log-index":9,"commit-took":1000,.*"Run has ended."`))
 		Eventually(lines).Should(gbytes.Say(`"reason":"leadership-ended","round":8,"ends":2,"placements":0,"age":1000,`))
 	})
+
+	It("has what the voters hold while the leader commits nothing", func() {
+		n.perform(control.LogCommitStalled{
+			Waited:      time.Second,
+			CommitIndex: 7,
+			LastIndex:   9,
+			SyncedIndex: 8,
+			Voters: []control.VoterProgress{
+				{
+					Address:    "b:1",
+					Match:      7,
+					ContactAge: 50 * time.Millisecond,
+				},
+			},
+		})
+		n.perform(control.LogCommitResumed{
+			Took:        2 * time.Second,
+			CommitIndex: 9,
+		})
+		Eventually(lines).Should(gbytes.Say(`"waited":1000,"commit-index":7,"last-index":9,"synced-index":8,` +
+			`"voters":\["b:1 match 7 contact-age 50ms"\].*"The leader commits nothing."`))
+		Eventually(lines).Should(gbytes.Say(`"took":2000,"commit-index":9.*"The leader commits again."`))
+	})
 })
--- a/controller/node/meters.go
+++ b/controller/node/meters.go
@@ -69,6 +69,9 @@
 	for _, label := range []string{control.LabelStopped, control.LabelSuspended, control.LabelSetBack} {
 		counter(control.CounterStandstills, label)
 	}
+	for _, label := range []string{control.LabelOwnDisk, control.LabelVoters} {
+		counter(control.CounterCommitStalls, label)
+	}
 	for _, cause := range consensus.LossCauses() {
 		counter(control.CounterLeadershipsLost, string(cause))
 	}
@@ -133,20 +136,21 @@
 		tolerated = float64(h.Tolerated)
 	}
 	for name, v := range map[string]float64{
-		"controller_is_leader":        leader,
-		"controller_tolerated_losses": tolerated,
-		"controller_term":             float64(c.Replica().Hard().Term),
-		"controller_commit_index":     float64(c.Replica().CommitIndex()),
-		"controller_log_entries":      float64(c.Replica().Log().LastIndex() - c.Replica().Log().BaseIndex()),
-		"controller_contracts":        float64(counts.Contracts),
-		"controller_workers":          float64(counts.Workers),
-		"controller_jobs":             float64(counts.Jobs),
-		"controller_active_jobs":      float64(counts.Active),
-		"controller_claims":           float64(counts.Claims),
-		"controller_outcomes":         float64(counts.Outcomes),
-		"controller_workflows":        float64(counts.Workflows),
-		"controller_unsettled":        float64(counts.ActiveWorkflows),
-		"controller_pool_workers":     float64(counts.PoolWorkers),
+		"controller_is_leader":              leader,
+		"controller_tolerated_losses":       tolerated,
+		"controller_term":                   float64(c.Replica().Hard().Term),
+		"controller_commit_index":           float64(c.Replica().CommitIndex()),
+		"controller_commit_stalled_seconds": c.CommitStall(now).Seconds(),
+		"controller_log_entries":            float64(c.Replica().Log().LastIndex() - c.Replica().Log().BaseIndex()),
+		"controller_contracts":              float64(counts.Contracts),
+		"controller_workers":                float64(counts.Workers),
+		"controller_jobs":                   float64(counts.Jobs),
+		"controller_active_jobs":            float64(counts.Active),
+		"controller_claims":                 float64(counts.Claims),
+		"controller_outcomes":               float64(counts.Outcomes),
+		"controller_workflows":              float64(counts.Workflows),
+		"controller_unsettled":              float64(counts.ActiveWorkflows),
+		"controller_pool_workers":           float64(counts.PoolWorkers),
 	} {
 		metrics.GetOrCreateGauge(name, nil).Set(v)
 	}
--- a/controller/node/perform.go
+++ b/controller/node/perform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/plantainladder/plantainladder/consensus"
@@ -77,6 +78,10 @@
 	case control.LogStandstill:
 		n.logger.Warn().Dur("steady", f.Steady).Dur("time-of-day", f.TimeOfDay).Bool("leader", f.IsLeader).
 			Msg("Controller stood still, or a clock was set.")
+	case control.LogCommitStalled:
+		n.logCommitStalled(f)
+	case control.LogCommitResumed:
+		n.logger.Info().Dur("took", f.Took).Uint64("commit-index", f.CommitIndex).Msg("The leader commits again.")
 	case control.LogMessage:
 		n.logger.Info().Msg(f.Text)
 	case control.IncrementCounter:
@@ -104,6 +109,16 @@
 		Int("placements", f.Placements).Dur("age", f.Age).Msg("A proposed round was not seen committed by this leader.")
 }
 
+// logCommitStalled logs that this leader commits nothing, with what the voters hold.
+func (n *Node) logCommitStalled(f control.LogCommitStalled) {
+	voters := make([]string, 0, len(f.Voters))
+	for _, v := range f.Voters {
+		voters = append(voters, fmt.Sprintf("%s match %d contact-age %dms", v.Address, v.Match, v.ContactAge.Milliseconds()))
+	}
+	n.logger.Warn().Dur("waited", f.Waited).Uint64("commit-index", f.CommitIndex).Uint64("last-index", f.LastIndex).
+		Uint64("synced-index", f.SyncedIndex).Strs("voters", voters).Msg("The leader commits nothing.")
+}
+
 // logDecision logs a decision on a workflow or one of its runs, with the commit of its
 // round.
 func (n *Node) logDecision(f control.LogDecision) {
