--- a/controller/node/meters.go
+++ b/controller/node/meters.go
@@ -71,6 +71,9 @@
 	for _, label := range []string{control.LabelStopped, control.LabelSuspended, control.LabelSetBack} {
 		counter(control.CounterStandstills, label)
 	}
+	for _, label := range []string{control.LabelOwnDisk, control.LabelVoters} {
+		counter(control.CounterCommitStalls, label)
+	}
 	for _, cause := range consensus.LossCauses() {
 		counter(control.CounterLeadershipsLost, string(cause))
 	}
@@ -162,6 +165,7 @@
 		"controller_tolerated_losses":         tolerated,
 		"controller_term":                     float64(c.Replica().Hard().Term),
 		"controller_commit_index":             float64(c.Replica().CommitIndex()),
+		"controller_commit_stalled_seconds":   c.CommitStall(now).Seconds(),
 		"controller_log_entries":              float64(log.LastIndex() - log.BaseIndex()),
 		"controller_log_bytes":                float64(log.Bytes()),
 		"controller_uncommitted_bytes":        float64(log.BytesAfter(c.Replica().CommitIndex())),
