Refuse commands at once while a leader commits nothing

Cause: the leader proposed each command behind entries that were not committed, whatever they had waited. The caller's deadline ended first.

Change: once a tick has found that the oldest uncommitted entry has waited for over 1 s, a Submit is answered with Busy before anything is proposed. The refusals end with the next commit: the entries that wait show it, so no command has to go through as a probe. The leader's own proposals go on. Busy has a reason (full, group-incomplete, commit-stalled) in place of IsGroupIncomplete. On the wire it is a new field of CommandReply and, for submissions, cancellations and pings, of LeaderReply, which said nothing about a busy leader before; GroupIncomplete is still sent and read for processes of the previous version, which ignore the new field and go on as for a controller that does not lead.

A client that gets this refusal asks the same leader again every 0.2 s while the call has time left, and ends it 0.3 s before its deadline: a call that the deadline cuts short may have been accepted. If an earlier attempt of the call may have been accepted, the outcome stays unknown.

The test of an incomplete group now names the reason in place of the truth value that it replaces.

--- a/control/commit_stall.go
+++ b/control/commit_stall.go
@@ -62,8 +62,9 @@
 	// since is when the oldest uncommitted entry began to wait, or became the oldest one;
 	// zero if all entries are committed.
 	since time.Time
-	// isCounted is true if the wait counts as a stall, and isLogged if it was logged.
-	isCounted, isLogged bool
+	// isStalled is true if a tick has found the wait too long, and isLogged if that was
+	// logged.
+	isStalled, isLogged bool
 	// loggedAt is when a stall was last logged, in this wait or before.
 	loggedAt time.Time
 }
@@ -86,18 +87,21 @@
 	return w
 }
 
+func (w commitWait) isTooLong(now time.Time) bool {
+	return !w.since.IsZero() && now.Sub(w.since) > commitStallTimeout
+}
+
 // CommitStall returns for how long the leader has committed nothing although entries wait
-// for that. It is zero for a shorter time than commitStallTimeout, and if the controller
-// does not lead. A controller that has not run, and has not read what the others answered,
-// is not stalled.
+// for that. It is zero if the leader is not stalled, or if the controller does not lead.
 func (c Core) CommitStall(now time.Time) time.Duration {
-	if c.leadership == nil || c.leadership.commitWait.since.IsZero() || !c.replica.MayJudgeSilence(now) {
+	if !c.isCommitStalled() {
 		return 0
 	}
-	if waited := now.Sub(c.leadership.commitWait.since); waited > commitStallTimeout {
-		return waited
-	}
-	return 0
+	return now.Sub(c.leadership.commitWait.since)
+}
+
+func (c Core) isCommitStalled() bool {
+	return c.leadership != nil && c.leadership.commitWait.isStalled
 }
 
 // watchCommits records how long the oldest uncommitted entry waits, and logs when the
@@ -114,35 +118,38 @@
 			CommitIndex: w.commitIndex,
 		})
 	}
-	c = c.withCommitWait(w)
-	_, isTick := e.(Tick)
-	waited := c.CommitStall(now)
-	if !isTick || waited == 0 {
+	if _, isTick := e.(Tick); isTick && w.isTooLong(now) {
+		w, out = c.noteStall(now, w, out)
+	}
+	if w == before {
 		return c, out
 	}
-	stall := c.describeStall(now, waited)
-	if !w.isCounted {
-		w.isCounted = true
+	l := *c.leadership
+	l.commitWait = w
+	c.leadership = &l
+	return c, out
+}
+
+// noteStall counts and logs a wait that is too long. A controller that has not run, and so
+// has not read what the others answered, does not count as stalled.
+func (c Core) noteStall(now time.Time, w commitWait, out []Effect) (commitWait, []Effect) {
+	isLineDue := now.Sub(w.loggedAt) >= commitStallLogInterval
+	if w.isStalled && !isLineDue || !w.isStalled && !c.replica.MayJudgeSilence(now) {
+		return w, out
+	}
+	stall := c.describeStall(now, now.Sub(w.since))
+	if !w.isStalled {
+		w.isStalled = true
 		out = append(out, IncrementCounter{
 			Name:  CounterCommitStalls,
 			Label: stall.label(),
 		})
 	}
-	if now.Sub(w.loggedAt) >= commitStallLogInterval {
+	if isLineDue {
 		w.isLogged, w.loggedAt = true, now
 		out = append(out, stall)
 	}
-	return c.withCommitWait(w), out
-}
-
-func (c Core) withCommitWait(w commitWait) Core {
-	if w == c.leadership.commitWait {
-		return c
-	}
-	l := *c.leadership
-	l.commitWait = w
-	c.leadership = &l
-	return c
+	return w, out
 }
 
 // describeStall returns the log line for a leader that commits nothing.
--- a/control/commit_stall_test.go
+++ b/control/commit_stall_test.go
@@ -233,4 +233,22 @@
 		Expect(effectsOf[control.LogCommitStalled](l)).To(BeEmpty())
 		Expect(l.core.CommitStall(l.now)).To(BeZero())
 	})
+
+	// The caller of a command that waits behind others learns after its deadline that the
+	// outcome is unknown.
+	It("refuses commands at once, and accepts them as soon as commits go on", func() {
+		Expect(l.submit()).To(BeEmpty())
+		l.advance(900 * time.Millisecond)
+		Expect(l.submit()).To(BeEmpty(), "a slow disk is no stall")
+		l.advance(200 * time.Millisecond)
+		lastIndex := l.core.Replica().Log().LastIndex()
+		Expect(l.submit()).To(Equal([]control.Answer{
+			control.Busy{
+				Reason: control.BusyCommitStalled,
+			},
+		}))
+		Expect(l.core.Replica().Log().LastIndex()).To(Equal(lastIndex), "nothing was proposed")
+		l.free()
+		Expect(l.submit()).To(HaveExactElements(BeAssignableToTypeOf(control.Committed{})))
+	})
 })
--- a/control/core.go
+++ b/control/core.go
@@ -105,16 +105,6 @@
 			Message: e.Message,
 		})
 	case Submit:
-		if !c.acceptsCommands(now) {
-			return c, []Effect{
-				Reply{
-					Token: e.Token,
-					Answer: Busy{
-						IsGroupIncomplete: true,
-					},
-				},
-			}
-		}
 		return c.stepSubmit(now, e)
 	case PollReceived:
 		return c.stepPollReceived(now, e)
--- a/control/effect.go
+++ b/control/effect.go
@@ -141,13 +141,27 @@
 	Redirect string
 }
 
-// Busy reports that the request cannot be accepted now and may be retried: the
-// log has no room for it, or the group has too few voters yet.
+// Busy reports that the request cannot be accepted now and may be retried. Nothing was
+// proposed.
 type Busy struct {
-	// IsGroupIncomplete is true if the group has too few voters.
-	IsGroupIncomplete bool
+	// Reason is the cause.
+	Reason BusyReason
 }
 
+// A BusyReason is why a controller accepts no request now.
+type BusyReason string
+
+// Reasons for which a controller is busy.
+const (
+	// BusyFull means that the log or the queue of the event loop has no room.
+	BusyFull BusyReason = ""
+	// BusyGroupIncomplete means that the group has too few voters yet.
+	BusyGroupIncomplete BusyReason = "group-incomplete"
+	// BusyCommitStalled means that the leader has committed nothing for some time
+	// although entries wait for that.
+	BusyCommitStalled BusyReason = "commit-stalled"
+)
+
 // OutcomeUnknown reports that the request was accepted and that it is not known
 // whether it takes effect.
 type OutcomeUnknown struct{}
--- a/control/incomplete_group_test.go
+++ b/control/incomplete_group_test.go
@@ -33,7 +33,7 @@
 		l.advance(time.Minute)
 		Expect(answers(l)).To(Equal([]control.Answer{
 			control.Busy{
-				IsGroupIncomplete: true,
+				Reason: control.BusyGroupIncomplete,
 			},
 		}))
 	})
--- a/control/submit.go
+++ b/control/submit.go
@@ -8,6 +8,28 @@
 )
 
 func (c Core) stepSubmit(now time.Time, e Submit) (Core, []Effect) {
+	var reason BusyReason
+	switch {
+	case !c.acceptsCommands(now):
+		reason = BusyGroupIncomplete
+	case c.isCommitStalled():
+		// The entry would wait behind those that are not committed, and the caller would
+		// not learn the outcome in time. The entries that wait show when commits go on.
+		reason = BusyCommitStalled
+	default:
+		return c.replicate(now, e)
+	}
+	return c, []Effect{
+		Reply{
+			Token: e.Token,
+			Answer: Busy{
+				Reason: reason,
+			},
+		},
+	}
+}
+
+func (c Core) replicate(now time.Time, e Submit) (Core, []Effect) {
 	b, err := c.cfg.Codec.Encode(plantainladder.Envelope{
 		ID:      e.ID,
 		At:      now,
@@ -36,7 +58,7 @@
 
 // propose replicates a command that the leader itself issues.
 func (c Core) propose(now time.Time, command plantainladder.Command) (Core, []Effect) {
-	return c.stepSubmit(now, Submit{
+	return c.replicate(now, Submit{
 		Command: command,
 	})
 }
--- a/controller/gateway/gateway_suite_test.go
+++ b/controller/gateway/gateway_suite_test.go
@@ -50,6 +50,8 @@
 	syncs int
 	// confirmations counts the requests to confirm a leadership that servers have posted.
 	confirmations int
+	// isDiskFull is true while no host's disk takes entries.
+	isDiskFull bool
 	// isHeld is true while messages between the hosts stay on their way.
 	isHeld bool
 }
@@ -138,7 +140,7 @@
 			g.stepOne(h, control.HardStateSynced{
 				Hard: f.Persist.Hard,
 			})
-			if n := len(f.Persist.Entries); n > 0 {
+			if n := len(f.Persist.Entries); n > 0 && !g.isDiskFull {
 				g.syncs++
 				g.stepOne(h, control.EntriesSynced{
 					Index: f.Persist.Entries[n-1].Index,
@@ -146,6 +148,9 @@
 				})
 			}
 		case control.SendMessage:
+			if f.AfterSync && g.isDiskFull {
+				continue
+			}
 			g.sent++
 			g.inFlight = append(g.inFlight, f)
 		case control.ContinueApplying:
--- a/controller/gateway/server.go
+++ b/controller/gateway/server.go
@@ -118,7 +118,8 @@
 	case control.NotLeader:
 		reply.Redirect = a.Redirect
 	case control.Busy:
-		reply.Leader, reply.Busy, reply.GroupIncomplete = true, true, a.IsGroupIncomplete
+		reply.Leader, reply.Busy, reply.BusyReason = true, true, wire.BusyReason(a.Reason)
+		reply.GroupIncomplete = a.Reason == control.BusyGroupIncomplete
 	case control.OutcomeUnknown:
 		reply.Leader, reply.OutcomeUnknown = true, true
 	case control.Refused:
--- a/controller/gateway/workflow.go
+++ b/controller/gateway/workflow.go
@@ -141,7 +141,9 @@
 		retry.Redirect = a.Redirect
 	case control.OutcomeUnknown:
 		retry.OutcomeUnknown = true
-	case control.Busy, control.Refused, control.LeadershipConfirmed, control.PollResult:
+	case control.Busy:
+		retry.BusyReason = wire.BusyReason(a.Reason)
+	case control.Refused, control.LeadershipConfirmed, control.PollResult:
 	}
 	return o, retry, false
 }
--- a/gateway/caller/jobs.go
+++ b/gateway/caller/jobs.go
@@ -85,6 +85,9 @@
 	if errors.As(err, &noLeader) && !noLeader.Sent {
 		f.Body.Outcome = api.OutcomeNotRun
 	}
+	if reason, ok := controller.RefusalReason(err); ok {
+		f.Body.Reason = reason
+	}
 	f.Status = http.StatusServiceUnavailable
 	f.Body.RetryAfterMS = viewRetryAfter.Milliseconds()
 	return *f
--- a/gateway/caller/once.go
+++ b/gateway/caller/once.go
@@ -11,6 +11,7 @@
 	"github.com/plantainladder/plantainladder/admission"
 	"github.com/plantainladder/plantainladder/api"
 	"github.com/plantainladder/plantainladder/claim"
+	"github.com/plantainladder/plantainladder/gateway/controller"
 	"github.com/plantainladder/plantainladder/gateway/minion"
 	"github.com/plantainladder/plantainladder/gateway/reply"
 	"github.com/plantainladder/plantainladder/util"
@@ -64,7 +65,11 @@
 		case err != nil:
 			// The claim may have been committed without a reply; it then becomes
 			// unknown. This call has not sent the request and does not send it.
-			return claimed, notRunFailure(admission.RefusedViewExpired, viewRetryAfter)
+			failure = notRunFailure(admission.RefusedViewExpired, viewRetryAfter)
+			if reason, ok := controller.RefusalReason(err); ok {
+				failure.Body.Reason, failure.Body.Detail = reason, err.Error()
+			}
+			return claimed, failure
 		case !o.IsAccepted():
 			return claimed, reply.Refused(o)
 		case o.Claim.State != claim.Open || o.Claim.Holder == holder:
--- a/gateway/controller/cause.go
+++ b/gateway/controller/cause.go
@@ -13,7 +13,7 @@
 
 // A Cause tells why no leader answered a call: *NotCalledError, *NotReachedError,
 // *NoLeaderKnownError, *RedirectedError, *FailedError, *NoReplyError, *BusyError,
-// *OutcomeUnknownError or *GroupIncompleteError.
+// *OutcomeUnknownError, *GroupIncompleteError or *CommitStalledError.
 type Cause interface {
 	error
 	cause()
@@ -66,6 +66,10 @@
 // too few voters to keep them.
 type GroupIncompleteError struct{}
 
+// A CommitStalledError reports that the leader accepts no commands, since it commits
+// nothing at present.
+type CommitStalledError struct{}
+
 func (*NotCalledError) cause()       {}
 func (*NotReachedError) cause()      {}
 func (*NoLeaderKnownError) cause()   {}
@@ -75,6 +79,7 @@
 func (*BusyError) cause()            {}
 func (*OutcomeUnknownError) cause()  {}
 func (*GroupIncompleteError) cause() {}
+func (*CommitStalledError) cause()   {}
 
 // Error returns the reason.
 func (*NotCalledError) Error() string {
@@ -136,6 +141,11 @@
 	return "the group of controllers has too few voters yet"
 }
 
+// Error returns the reason.
+func (*CommitStalledError) Error() string {
+	return "the leader commits nothing at present and accepts no commands"
+}
+
 // Names of the causes, as log fields and labels.
 const (
 	causeNotCalled       = "not-called"
@@ -147,6 +157,7 @@
 	causeBusy            = "busy"
 	causeOutcomeUnknown  = "outcome-unknown"
 	causeGroupIncomplete = "group-incomplete"
+	causeCommitStalled   = "commit-stalled"
 )
 
 // causeNames lists the names of all causes, in ascending order of how far a call with
@@ -161,6 +172,7 @@
 	causeBusy,
 	causeOutcomeUnknown,
 	causeGroupIncomplete,
+	causeCommitStalled,
 }
 
 // CauseName returns the name of a cause in kebab case, such as "not-reached".
@@ -184,6 +196,8 @@
 		return causeOutcomeUnknown
 	case *GroupIncompleteError:
 		return causeGroupIncomplete
+	case *CommitStalledError:
+		return causeCommitStalled
 	}
 	return ""
 }
@@ -262,6 +276,20 @@
 	return r
 }
 
+// RefusalReason returns the name of the cause for which a leader accepts no commands at
+// present, if err says so and that no controller may have accepted the request.
+func RefusalReason(err error) (reason string, ok bool) {
+	var noLeader *NoLeaderError
+	if !errors.As(err, &noLeader) || noLeader.Sent {
+		return "", false
+	}
+	switch noLeader.Cause.(type) {
+	case *GroupIncompleteError, *CommitStalledError:
+		return CauseName(noLeader.Cause), true
+	}
+	return "", false
+}
+
 // A NoLeaderError reports that no leader replied in time.
 type NoLeaderError struct {
 	// Sent is true if a controller may have received the request.
--- a/gateway/controller/cause_test.go
+++ b/gateway/controller/cause_test.go
@@ -103,6 +103,16 @@
 		Busy:            true,
 		GroupIncomplete: true,
 	}), 200*time.Millisecond, "group-incomplete"),
+	Entry("if the group is incomplete, by its reason", alwaysReply(wire.CommandReply{
+		Leader:     true,
+		Busy:       true,
+		BusyReason: wire.BusyGroupIncomplete,
+	}), 200*time.Millisecond, "group-incomplete"),
+	Entry("if the leader commits nothing", alwaysReply(wire.CommandReply{
+		Leader:     true,
+		Busy:       true,
+		BusyReason: wire.BusyCommitStalled,
+	}), 200*time.Millisecond, "commit-stalled"),
 )
 
 // Many calls end while their last attempt is under way, which would hide the answers that
--- a/gateway/controller/leader.go
+++ b/gateway/controller/leader.go
@@ -23,7 +23,9 @@
 	dialTimeout  = 300 * time.Millisecond
 	callTimeout  = 900 * time.Millisecond
 	retryBackoff = 30 * time.Millisecond
-	queueLength  = 1024
+	// stalledBackoff is the pause before a leader is asked again that commits nothing.
+	stalledBackoff = 200 * time.Millisecond
+	queueLength    = 1024
 	// maxRedirects is the number of redirects in a row that a call follows. A leader
 	// that waits for its lease, and a controller that has hung, redirect to
 	// themselves.
@@ -184,6 +186,16 @@
 		if err != nil && address == *start && !errors.Is(ctx.Err(), context.Canceled) {
 			l.skip(start)
 		}
+		if _, isStalled := answer.refusal.(*CommitStalledError); isStalled {
+			leader := address
+			l.leader.Store(&leader)
+			if isEnding(ctx, stalledBackoff+minTellingWait) {
+				break
+			}
+			// The others name the same leader until there is another one.
+			util.SleepContext(ctx, stalledBackoff)
+			continue
+		}
 		address = answer.redirect
 		if redirects++; address == "" || redirects > maxRedirects {
 			// Each call has its own position in the ring: calls that shared one
@@ -203,6 +215,13 @@
 	}
 }
 
+// isEnding reports whether ctx ends within d. A call that it cuts short may have been
+// accepted.
+func isEnding(ctx context.Context, d time.Duration) bool {
+	deadline, ok := ctx.Deadline()
+	return ok && time.Until(deadline) < d
+}
+
 // skip makes the next call begin after a controller that has not answered, unless
 // another call has found the leader meanwhile. Otherwise short calls would never
 // get beyond it.
@@ -235,7 +254,8 @@
 // Command replicates a command and returns its outcome. It repeats the command
 // until the outcome is known, so the command must be idempotent or have an
 // identifier. It returns a *NoLeaderError if ctx ends before, whose cause is a
-// *GroupIncompleteError if a leader answered that its group has too few voters.
+// *GroupIncompleteError or a *CommitStalledError if a leader answered that it accepts no
+// commands at present.
 func (l *LeaderClient) Command(ctx context.Context, id string, c plantainladder.Command) (o plantainladder.Outcome, err error) {
 	body, err := wire.MarshalCommand(c)
 	if err != nil {
@@ -255,19 +275,21 @@
 		return reply{
 			isLeaders: r.Leader && !r.Busy && !r.OutcomeUnknown,
 			redirect:  r.Redirect,
-			refusal:   refusalOf(r),
+			refusal:   refusalOf(r.Busy, r.BusyReason, r.GroupIncomplete),
 		}, err
 	})
 	return o, err
 }
 
-// refusalOf returns why a leader did not accept a command; nil if it did, or if there is
-// no such reason.
-func refusalOf(r wire.CommandReply) Cause {
+// refusalOf returns why a leader did not accept a request; nil if it did, or if there is
+// no such reason. Controllers of the previous version have no reason, but isIncomplete.
+func refusalOf(isBusy bool, reason wire.BusyReason, isIncomplete bool) Cause {
 	switch {
-	case r.GroupIncomplete:
+	case reason == wire.BusyCommitStalled:
+		return &CommitStalledError{}
+	case reason == wire.BusyGroupIncomplete || isIncomplete:
 		return &GroupIncompleteError{}
-	case r.Busy:
+	case isBusy || reason != "":
 		return &BusyError{}
 	}
 	return nil
@@ -287,6 +309,7 @@
 		return reply{
 			isLeaders: r.Leader && !r.OutcomeUnknown,
 			redirect:  r.Redirect,
+			refusal:   refusalOf(false, r.BusyReason, false),
 		}, err
 	})
 	return a, err
--- a/wire/poll.go
+++ b/wire/poll.go
@@ -35,11 +35,12 @@
 	Leader bool `json:"leader"`
 	// Redirect is the address of the leader; empty if it is not known.
 	Redirect string `json:"redirect,omitempty"`
-	// Busy is true if the leader's queue was full and it did not accept the
-	// command.
+	// Busy is true if the leader did not accept the command and may do so later.
 	Busy bool `json:"busy,omitempty"`
-	// GroupIncomplete is true if the leader is busy since its group has too few
-	// voters.
+	// BusyReason is why.
+	BusyReason BusyReason `json:"busy-reason,omitempty"`
+	// GroupIncomplete is true if BusyReason is BusyGroupIncomplete, for gateways that
+	// do not know BusyReason.
 	GroupIncomplete bool `json:"group-incomplete,omitempty"`
 	// OutcomeUnknown is true if the leader accepted the command and does not know
 	// whether it was committed.
@@ -48,11 +49,26 @@
 	Outcome plantainladder.Outcome `json:"outcome"`
 }
 
+// A BusyReason is why a leader accepts no commands now; empty if its log or its queue has
+// no room.
+type BusyReason string
+
+// Reasons for which a leader is busy.
+const (
+	// BusyGroupIncomplete means that its group has too few voters yet.
+	BusyGroupIncomplete BusyReason = "group-incomplete"
+	// BusyCommitStalled means that it commits nothing at present.
+	BusyCommitStalled BusyReason = "commit-stalled"
+)
+
 // LeaderReply wraps a reply that only a leader gives, most of them only while
 // it holds a lease.
 type LeaderReply[T any] struct {
 	// Leader is false if the controller does not lead; Body is empty then.
 	Leader bool `json:"leader"`
+	// BusyReason is why a leader did not accept what was asked for and may do so later;
+	// Leader is false then. It is empty for none.
+	BusyReason BusyReason `json:"busy-reason,omitempty"`
 	// OutcomeUnknown is true if the leader accepted what was asked for and does not
 	// know whether it was committed.
 	OutcomeUnknown bool `json:"lost,omitempty"`
