--- a/controller/gateway/workflow.go
+++ b/controller/gateway/workflow.go
@@ -147,7 +147,9 @@
 			Reason: plantainladder.Reason(a.Reason),
 			Detail: a.Detail,
 		}, retry, true
-	case control.Busy, control.LeadershipConfirmed, control.PollResult:
+	case control.Busy:
+		retry.BusyReason = wire.BusyReason(a.Reason)
+	case control.LeadershipConfirmed, control.PollResult:
 	}
 	return o, retry, false
 }
