Refuse a command for good that no frame can hold

What callers saw: a change of the configuration whose command is larger than a frame (8 MB; with 4 MB of text it is, since the command holds the text and what was read from it) was answered with 503 after 0.9 s each time, and sent again for ever.

Cause: the server of an rpc connection ends it when a frame is too large, and the client of the leader takes that for a lost answer. A command a little below the limit was worse: the leader took it, and the message that passes it on was too large for every follower, so nothing was committed any more.

Evidence: "A change that no message can hold is refused for good at once" (platform/operator) got 503 in place of 400 without the check in Command.

Change: rpc.MaxBody is 64 KiB below MaxFrame.

--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -52,8 +52,7 @@
 	maxUncommittedBytes = 16 << 20
 	uncommittedDiskPart = 8
 	maxInflightBytes    = 4 << 20
-	// maxCommandBytes leaves room for the rest of the message.
-	maxCommandBytes = rpc.MaxFrame / 2
+	maxCommandBytes     = rpc.MaxBody
 
 	eventQueueLength   = 4096
 	diskQueueLength    = 4096
--- a/gateway/controller/leader.go
+++ b/gateway/controller/leader.go
@@ -261,6 +261,12 @@
 	if err != nil {
 		return o, err
 	}
+	if len(body) > rpc.MaxBody {
+		return plantainladder.Outcome{
+			Reason: plantainladder.RefusedBadField,
+			Detail: fmt.Sprintf("the command has %d bytes, more than %d", len(body), rpc.MaxBody),
+		}, nil
+	}
 	err = l.withLeader(ctx, wire.MethodCommand, func(ctx context.Context, client *rpc.Client) (reply, error) {
 		r, err := rpc.Call[wire.Command, wire.CommandReply](ctx, client, wire.MethodCommand, wire.Command{
 			ID:   id,
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -18,6 +18,10 @@
 // MaxFrame is the size in bytes of the largest frame that either side accepts.
 const MaxFrame = 8 << 20
 
+// MaxBody is the size in bytes of the largest body of a call. The rest of a frame is for
+// what the body is wrapped in, also when it is passed on.
+const MaxBody = MaxFrame - 64<<10
+
 const writeTimeout = time.Second
 
 // A RemoteError is an error that the server returned for a call.
