Store votes on a full disk

A controller whose disk was full could neither vote nor count its own vote: the term and the vote went the way of the entries that found no room. With most disks full, a controller with room could not be elected.

A file with two slots exists from the start and is overwritten in turn, so a term and a vote can be stored while the log has no room. It is used only then; the writer reports HardStateSynced and calls the callbacks that need nothing else, which the node marks for replies to votes. What else waits is not acknowledged. A start takes the later one of the log and the slots, and stores that of a slot again before it counts.

appendFrame always got an empty slice and is encodeFrame now.

--- a/controller/disk/backlog.go
+++ b/controller/disk/backlog.go
@@ -19,7 +19,7 @@
 	keepAfter uint64
 	// snapshotIndex is the index of the last snapshot, saved or to be saved.
 	snapshotIndex uint64
-	callbacks     []func()
+	callbacks     []After
 	// keys holds the positions of the callbacks that a later one replaces.
 	keys map[string]int
 }
@@ -61,16 +61,18 @@
 func (b backlog) withCallback(op After) backlog {
 	if op.Key != "" {
 		if i, ok := b.keys[op.Key]; ok {
-			b.callbacks[i] = func() {}
+			b.callbacks[i] = After{}
 		}
 		b.keys[op.Key] = len(b.callbacks)
 	}
-	b.callbacks = append(b.callbacks, op.Run)
+	b.callbacks = append(b.callbacks, op)
 	return b
 }
 
 func (b backlog) withSnapshot(op SaveSnapshot) backlog {
-	b.callbacks = append(b.callbacks, op.Done)
+	b.callbacks = append(b.callbacks, After{
+		Run: op.Done,
+	})
 	index := op.Snapshot.Meta.Index
 	if index <= b.snapshotIndex {
 		return b
--- a/controller/disk/folder.go
+++ b/controller/disk/folder.go
@@ -188,7 +188,7 @@
 	if err != nil {
 		return err
 	}
-	frame := appendFrame(nil, body)
+	frame := encodeFrame(body)
 	if err = f.files.ReplaceFile(f.path, f.snapshotPath(), frame); err != nil {
 		return asFullError(err, nil)
 	}
--- a/controller/disk/formation.go
+++ b/controller/disk/formation.go
@@ -25,7 +25,7 @@
 		return nil
 	}
 	f.savedFormation = nil
-	if err = f.files.ReplaceFile(f.path, f.formationPath(), appendFrame(nil, body)); err != nil {
+	if err = f.files.ReplaceFile(f.path, f.formationPath(), encodeFrame(body)); err != nil {
 		return asFullError(err, nil)
 	}
 	if err = f.files.SyncFolder(f.path); err == nil {
--- a/controller/disk/frame.go
+++ b/controller/disk/frame.go
@@ -22,12 +22,13 @@
 
 var checksumTable = crc32.MakeTable(crc32.Castagnoli)
 
-func appendFrame(dst, body []byte) []byte {
+// encodeFrame returns a frame with a body.
+func encodeFrame(body []byte) []byte {
 	header := binary.LittleEndian.AppendUint32(nil, frameMagic)
 	header = binary.LittleEndian.AppendUint32(header, uint32(len(body)))
 	header = binary.LittleEndian.AppendUint32(header, checksum(body))
 	header = binary.LittleEndian.AppendUint32(header, checksum(header))
-	return append(append(dst, header...), body...)
+	return append(append(make([]byte, 0, headerBytes+len(body)), header...), body...)
 }
 
 func checksum(b []byte) uint32 {
--- a/controller/disk/leftover.go
+++ b/controller/disk/leftover.go
@@ -13,6 +13,7 @@
 	"." + formationFile + "*",
 	"*.wal" + tempSuffix,
 	reserveFile + tempSuffix,
+	voteFileName + tempSuffix,
 	receivedSnapshotFile,
 }
 
--- a/controller/disk/log.go
+++ b/controller/disk/log.go
@@ -38,6 +38,8 @@
 	// size is the length of the file up to the end of its last complete frame.
 	size    int64
 	content LogContent
+	// vote is nil without room for the file.
+	vote *voteFile
 }
 
 // LogContent is the content of a log when it was opened.
@@ -268,7 +270,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return appendFrame(nil, body), nil
+	return encodeFrame(body), nil
 }
 
 // Sync makes all appended batches durable.
@@ -326,7 +328,10 @@
 	return file, l.files.SyncFolder(l.folder)
 }
 
-// Close closes the current segment. It does not sync.
-func (l *Log) Close() error {
-	return l.file.Close()
+// Close closes the current segment and the vote file. It does not sync.
+func (l *Log) Close() (err error) {
+	if l.vote != nil {
+		err = l.vote.file.Close()
+	}
+	return errors.Join(err, l.file.Close())
 }
--- a/controller/disk/powerloss/durable_test.go
+++ b/controller/disk/powerloss/durable_test.go
@@ -207,6 +207,53 @@
 		}
 	})
 
+	// A replica that forgets a vote may give two in a term.
+	It("a vote is there that was stored on a full disk, also if the next one was torn", func() {
+		votes := []consensus.HardState{
+			{
+				Term: 2,
+				Vote: "c2",
+			},
+			{
+				Term: 3,
+			},
+			{
+				Term: 3,
+				Vote: "c1",
+			},
+		}
+		for seed := range uint64(3 * seedsPerTest) {
+			l := newLossyFolder(seed)
+			stored := 0
+			l.run(func(_ *disk.Folder, log *disk.Log) {
+				Expect(log.Append(hard, entries(1, 3))).To(Succeed())
+				Expect(log.Sync()).To(Succeed())
+				l.disk.isFull = true
+				for i, v := range votes {
+					if seed%4 == uint64(i) {
+						l.disk.operationsLeft = 1 + int(seed/4%2)
+					}
+					if log.StoreHardState(v) != nil {
+						break
+					}
+					stored = i + 1
+				}
+			})
+			if seed%3 == 0 {
+				l.disk.losePower(seed%2 == 0)
+			}
+			before := l.run(nothing).StoredState
+			Expect(before.Entries).To(HaveLen(3))
+			wanted := []consensus.HardState{
+				hard,
+			}
+			wanted = append(wanted, votes...)[stored:min(stored+2, len(votes)+1)]
+			Expect(wanted).To(ContainElement(before.Hard), "seed %d", seed)
+			l.disk.losePower(seed%2 == 0)
+			Expect(l.run(nothing).StoredState).To(Equal(before), "seed %d", seed)
+		}
+	})
+
 	It("a log is not damaged that was not compacted after a received snapshot", func() {
 		for seed := range uint64(seedsPerTest) {
 			l := newLossyFolder(seed)
--- a/controller/disk/powerloss/lossy_disk_test.go
+++ b/controller/disk/powerloss/lossy_disk_test.go
@@ -326,6 +326,13 @@
 
 // WriteAt writes at an offset. A kill cuts it short.
 func (h *lossyHandle) WriteAt(b []byte, offset int64) (int, error) {
+	info, err := h.Stat()
+	if err != nil {
+		return 0, err
+	}
+	if h.disk.isFull && offset+int64(len(b)) > info.Size() {
+		return 0, syscall.ENOSPC
+	}
 	killed := h.disk.survivesOperation()
 	if killed != nil {
 		b = b[:h.disk.random.IntN(len(b)+1)]
--- a/controller/disk/recover.go
+++ b/controller/disk/recover.go
@@ -1,6 +1,8 @@
 package disk
 
 import (
+	"errors"
+
 	"github.com/plantainladder/plantainladder/consensus"
 	"github.com/plantainladder/plantainladder/util"
 )
@@ -33,9 +35,12 @@
 	if err != nil {
 		return nil, r, err
 	}
+	if err = l.openVote(); err != nil {
+		return nil, r, errors.Join(err, l.Close())
+	}
 	r = Recovered{
 		StoredState: consensus.StoredState{
-			Hard:     content.Hard,
+			Hard:     l.content.Hard,
 			Snapshot: snapshot.Meta,
 		},
 		State:       snapshot.State,
--- a/controller/disk/writer.go
+++ b/controller/disk/writer.go
@@ -28,6 +28,9 @@
 	// Key names what the function does; "" for none. If one with the same key still
 	// waits for room on the disk, it is not called: the later one replaces it.
 	Key string
+	// NeedsOnlyHardState is true if the function may be called once the terms and votes
+	// queued before it are durable, while entries still wait for room.
+	NeedsOnlyHardState bool
 }
 
 // SaveSnapshot saves a snapshot and removes entries that it covers from the log.
@@ -74,8 +77,8 @@
 	// ReserveBytes is the least size of a file that keeps room for a snapshot; zero for
 	// none.
 	ReserveBytes int64
-	// ReserveFailed is called once if that file cannot be created; nil for none. It must
-	// not block.
+	// ReserveFailed is called once if that file, or the one for votes, cannot be created;
+	// nil for none. It must not block.
 	ReserveFailed func(err error)
 	// DisableGroupCommit makes the Writer sync after each operation instead of once
 	// for all that are queued. It is the baseline of the benchmark.
@@ -229,9 +232,9 @@
 	return w.cfg.Log.Replace(b.hard, entriesAfter(w.cfg.Log.content.Entries, b.keepAfter))
 }
 
-// keepReserve keeps room for the next snapshot if there is enough.
+// keepReserve keeps room for the next snapshot and for votes if there is enough.
 func (w *Writer) keepReserve() {
-	err := w.reserve.keep(w.cfg.Folder.snapshotBytes)
+	err := errors.Join(w.reserve.keep(w.cfg.Folder.snapshotBytes), w.cfg.Log.keepVoteFile())
 	if err != nil && w.cfg.ReserveFailed != nil && !w.hasReserveFailed {
 		w.hasReserveFailed = true
 		w.cfg.ReserveFailed(err)
@@ -251,8 +254,30 @@
 		w.reportHardState(b.hard)
 	}
 	for _, callback := range b.callbacks {
-		callback()
+		if callback.Run != nil {
+			callback.Run()
+		}
+	}
+}
+
+// storeVote makes the last term and vote of a backlog durable although the log has no
+// room, and calls the callbacks that need nothing else.
+func (w *Writer) storeVote(b backlog) (err error) {
+	err = w.cfg.Log.StoreHardState(b.hard)
+	if full := (*FullError)(nil); errors.As(err, &full) {
+		return nil
+	}
+	if err != nil {
+		return err
 	}
+	w.reportHardState(b.hard)
+	for i, callback := range b.callbacks {
+		if callback.NeedsOnlyHardState && callback.Run != nil {
+			b.callbacks[i] = After{}
+			callback.Run()
+		}
+	}
+	return nil
 }
 
 func (w *Writer) reportHardState(hard consensus.HardState) {
@@ -282,14 +307,18 @@
 	retry := time.NewTimer(fullRetryInterval)
 	defer retry.Stop()
 	for err = full; errors.As(err, &full); {
+		if err = w.storeVote(b); err != nil {
+			return err
+		}
 		select {
 		case <-ctx.Done():
-			return err
+			return full
 		case <-timeout.C:
-			return err
+			return full
 		case op := <-w.operations:
 			before := b.snapshotIndex
 			if b = b.with(w.collectQueued(op)); b.snapshotIndex == before {
+				err = full
 				continue
 			}
 		case <-retry.C:
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -178,7 +178,7 @@
 		FullTimeout:     diskFullTimeout,
 		ReserveBytes:    reserveBytes,
 		ReserveFailed: func(err error) {
-			n.logger.Warn().Err(err).Msg("No room could be kept free for snapshots.")
+			n.logger.Warn().Err(err).Msg("No room could be kept free for snapshots and votes.")
 		},
 		QueueLength: diskQueueLength,
 	})
--- a/controller/node/perform.go
+++ b/controller/node/perform.go
@@ -155,12 +155,15 @@
 		return
 	}
 	queuedAt := time.Now()
+	_, isVote := f.Message.Body.(consensus.VoteReply)
 	n.writer.Enqueue(n.ctx, disk.After{
 		// Consensus repeats what is lost, and a later message of a kind says more.
 		Key: f.Message.To + " " + typeName(f.Message.Body),
+		// A vote tells nothing about the entries that the voter holds.
+		NeedsOnlyHardState: isVote,
 		Run: func() {
 			n.peers.QueueMessage(f.Address, f.SenderAddress, f.Message)
-			if _, isVote := f.Message.Body.(consensus.VoteReply); isVote {
+			if isVote {
 				n.reportVoteSent(f, time.Since(queuedAt))
 			}
 		},
