Let a controller wait on a full disk for as long as it takes

A controller ended when its disk had been full for 30 s, and at once if a file could not be synced, or the folder after a new file, for lack of room.

FullTimeout is gone; the writer tries again every 0.1 s until there is room or its context ends, which is no failure. If a sync of the log finds no room, the next attempt writes a new segment, since no further sync of that file tells what is durable. If the folder cannot be synced after a new segment was renamed into place, the old one stays until it can.

--- a/controller/disk/folder.go
+++ b/controller/disk/folder.go
@@ -193,7 +193,7 @@
 		return asFullError(err, nil)
 	}
 	f.snapshotBytes = int64(len(frame))
-	return f.files.SyncFolder(f.path)
+	return asFullError(f.files.SyncFolder(f.path), nil)
 }
 
 // LoadSnapshot returns the last snapshot, or the zero value if there is none. It
@@ -247,7 +247,7 @@
 
 // WriteSnapshotChunk writes a chunk of a snapshot received from another
 // controller. An offset of zero discards the chunks received before, and so does
-// an error.
+// an error, which is a *FullError if the disk is full.
 func (f *Folder) WriteSnapshotChunk(offset int64, chunk []byte) (err error) {
 	defer util.Annotate(&err, "disk: write snapshot chunk")
 	flags := os.O_WRONLY
@@ -256,11 +256,11 @@
 	}
 	file, err := f.files.OpenFile(f.receivedSnapshotPath(), flags)
 	if err != nil {
-		return err
+		return asFullError(err, nil)
 	}
 	_, err = file.WriteAt(chunk, offset)
 	if err = errors.Join(err, file.Close()); err != nil {
-		return errors.Join(err, f.files.Remove(f.receivedSnapshotPath()))
+		return asFullError(err, f.files.Remove(f.receivedSnapshotPath()))
 	}
 	return nil
 }
--- a/controller/disk/log.go
+++ b/controller/disk/log.go
@@ -40,6 +40,13 @@
 	content LogContent
 	// vote is nil without room for the file.
 	vote *voteFile
+	// isUnsynced is true while batches were appended since the last sync. isBroken is
+	// true once a sync of the file has found the disk full: no further sync of it tells
+	// what is durable.
+	isUnsynced bool
+	isBroken   bool
+	// replaced holds the segments to remove once the name of the newest one is durable.
+	replaced []string
 }
 
 // LogContent is the content of a log when it was opened.
@@ -120,7 +127,7 @@
 	}
 	err = l.file.Close()
 	l.file = file
-	return true, err
+	return true, errors.Join(err, l.files.SyncFolder(l.folder))
 }
 
 func segmentPath(folder string, n int) string {
@@ -228,6 +235,9 @@
 // it compacted the log. Recover finds a gap that no snapshot covers.
 func (l *Log) Append(hard consensus.HardState, entries []consensus.Entry) (err error) {
 	defer util.Annotate(&err, "disk: append to log")
+	if err = l.settle(); err != nil {
+		return err
+	}
 	known := l.content.Entries
 	if n := len(known); n > 0 && len(entries) > 0 && entries[0].Index > known[n-1].Index+1 {
 		known = nil
@@ -241,6 +251,7 @@
 		return l.undoAppend(err)
 	}
 	l.size += int64(len(frame))
+	l.isUnsynced = true
 	l.content.Hard = hard
 	l.content.Entries = mergeEntries(known, entries)
 	return nil
@@ -273,10 +284,16 @@
 	return encodeFrame(body), nil
 }
 
-// Sync makes all appended batches durable.
+// Sync makes all appended batches durable. If the disk is full, it returns a *FullError; the
+// next append then writes a new segment.
 func (l *Log) Sync() (err error) {
 	defer util.Annotate(&err, "disk: sync log")
-	return l.file.Sync()
+	if err = l.file.Sync(); err != nil {
+		l.isBroken = true
+		return asFullError(err, nil)
+	}
+	l.isUnsynced = false
+	return nil
 }
 
 // CompactLog replaces the log by its entries after the index keepAfter.
@@ -292,23 +309,49 @@
 	if err != nil {
 		return err
 	}
-	path := segmentPath(l.folder, l.number+1)
-	file, err := l.writeDurably(path, frame)
+	file, err := l.writeDurably(segmentPath(l.folder, l.number+1), frame)
 	if err != nil {
 		return err
 	}
-	err = errors.Join(l.file.Close(), l.files.Remove(segmentPath(l.folder, l.number)))
+	err = l.file.Close()
+	l.replaced = append(l.replaced, segmentPath(l.folder, l.number))
 	l.file, l.number, l.size = file, l.number+1, int64(len(frame))
 	l.content.Hard, l.content.Entries = hard, entries
-	return errors.Join(err, l.files.SyncFolder(l.folder))
+	l.isUnsynced, l.isBroken = false, false
+	return errors.Join(err, l.settle())
+}
+
+// settle makes the segment durable if a disk that was full has left that open. It returns
+// a *FullError if the disk is still full.
+func (l *Log) settle() error {
+	if l.isBroken {
+		return l.Replace(l.content.Hard, l.content.Entries)
+	}
+	if len(l.replaced) == 0 {
+		return nil
+	}
+	if err := l.files.SyncFolder(l.folder); err != nil {
+		return asFullError(err, nil)
+	}
+	for _, path := range l.replaced {
+		if err := l.files.Remove(path); err != nil {
+			return err
+		}
+	}
+	l.replaced = nil
+	// The segments that were removed may come back: the newest one replaces them.
+	if err := l.files.SyncFolder(l.folder); !isFull(err) {
+		return err
+	}
+	return nil
 }
 
 // tempSuffix ends the names of segments that are not complete.
 const tempSuffix = ".tmp"
 
-// writeDurably writes a temporary file, syncs it and renames it to path, and
-// returns it open for appending. If the disk is full, it leaves nothing behind and
-// returns a *FullError.
+// writeDurably writes a temporary file, syncs it and renames it to path, and returns it
+// open for appending. The name is durable once the folder is synced. If the disk is full,
+// it leaves nothing behind and returns a *FullError.
 func (l *Log) writeDurably(path string, content []byte) (file File, err error) {
 	tempPath := path + tempSuffix
 	file, err = l.files.OpenFile(tempPath, os.O_CREATE|os.O_WRONLY|os.O_TRUNC|os.O_APPEND)
@@ -325,7 +368,7 @@
 	if err != nil {
 		return nil, asFullError(err, errors.Join(file.Close(), l.files.Remove(tempPath)))
 	}
-	return file, l.files.SyncFolder(l.folder)
+	return file, nil
 }
 
 // Close closes the current segment and the vote file. It does not sync.
--- a/controller/disk/vote.go
+++ b/controller/disk/vote.go
@@ -164,7 +164,12 @@
 
 var errNoVoteFile = errors.New("there was no room for the vote file")
 
-// hasDurable reports whether a term and vote are durable, if all batches of the log are.
+// hasDurable reports whether a term and vote are durable.
 func (l *Log) hasDurable(hard consensus.HardState) bool {
-	return hard == l.content.Hard || l.vote != nil && hard == l.vote.last.Hard
+	return l.isDurable(hard) || l.vote != nil && hard == l.vote.last.Hard
+}
+
+// isDurable reports whether all batches of the log are durable and end with a term and vote.
+func (l *Log) isDurable(hard consensus.HardState) bool {
+	return hard == l.content.Hard && !l.isUnsynced && len(l.replaced) == 0
 }
--- a/controller/disk/writer.go
+++ b/controller/disk/writer.go
@@ -71,9 +71,6 @@
 	// FullChanged is called when a write finds the disk full, and again once it has
 	// succeeded; nil for none. It must not block.
 	FullChanged func(r FullReport)
-	// FullTimeout bounds how long a write is retried on a full disk before Run
-	// fails.
-	FullTimeout time.Duration
 	// ReserveBytes is the least size of a file that keeps room for a snapshot; zero for
 	// none.
 	ReserveBytes int64
@@ -125,7 +122,7 @@
 // Run performs queued operations until ctx ends. While the disk is full, it retries the
 // write together with the operations queued in the meantime, and acknowledges none.
 // It returns an error if the disk fails: operations since the last sync are then
-// not durable, and the process must exit.
+// not durable, and the process must exit. The end of ctx on a full disk is no failure.
 func (w *Writer) Run(ctx context.Context) (err error) {
 	defer util.Annotate(&err, "disk: run writer")
 	w.keepReserve()
@@ -212,7 +209,7 @@
 		}
 		b.snapshot, b.keepAfter = nil, 0
 	}
-	if b.appends == 0 || len(b.entries) == 0 && b.hard == w.cfg.Log.content.Hard {
+	if b.appends == 0 || len(b.entries) == 0 && w.cfg.Log.isDurable(b.hard) {
 		return b, nil
 	}
 	if err = w.cfg.Log.Append(b.hard, b.entries); err != nil {
@@ -292,8 +289,8 @@
 // controller.
 const fullRetryInterval = 100 * time.Millisecond
 
-// waitForRoom repeats a write that found the disk full until it succeeds, FullTimeout has
-// passed or ctx ends. It takes operations from the queue meanwhile: one of them may be the
+// waitForRoom repeats a write that found the disk full until it succeeds or ctx ends. It
+// does not give up: a new process would have to write as well. It takes operations from the queue meanwhile: one of them may be the
 // snapshot that frees room, and those who queue them must not have to wait.
 func (w *Writer) waitForRoom(ctx context.Context, b backlog, full *FullError) (err error) {
 	w.reportFull(FullReport{
@@ -302,8 +299,6 @@
 		Bytes:   dataBytes(b.entries),
 	})
 	startedAt := time.Now()
-	timeout := time.NewTimer(w.cfg.FullTimeout)
-	defer timeout.Stop()
 	retry := time.NewTimer(fullRetryInterval)
 	defer retry.Stop()
 	for err = full; errors.As(err, &full); {
@@ -312,9 +307,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return full
-		case <-timeout.C:
-			return full
+			return nil
 		case op := <-w.operations:
 			before := b.snapshotIndex
 			if b = b.with(w.collectQueued(op)); b.snapshotIndex == before {
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -46,10 +46,6 @@
 	maxConcurrentCalls = 256
 	shutdownTimeout    = 3 * time.Second
 	reserveBytes       = 2 << 20
-	// diskFullTimeout is how long a controller waits on a full disk before it exits.
-	// It is long enough to notice space that an operator frees. If the queue of the
-	// disk writer fills up before, the event loop waits.
-	diskFullTimeout = 30 * time.Second
 )
 
 // A Node is one running controller.
@@ -175,7 +171,6 @@
 		HardStateSynced: n.hard.report,
 		ObserveSync:     n.meters.observeSync,
 		FullChanged:     n.reportDiskFull,
-		FullTimeout:     diskFullTimeout,
 		ReserveBytes:    reserveBytes,
 		ReserveFailed: func(err error) {
 			n.logger.Warn().Err(err).Msg("No room could be kept free for snapshots and votes.")
