--- a/controller/disk/writer.go
+++ b/controller/disk/writer.go
@@ -28,6 +28,9 @@
 	// Key names what the function does; "" for none. If one with the same key still
 	// waits for room on the disk, it is not called: the later one replaces it.
 	Key string
+	// NeedsOnlyHardState is true if the function may be called once the terms and votes
+	// queued before it are durable, while entries still wait for room.
+	NeedsOnlyHardState bool
 }
 
 // SaveSnapshot saves a snapshot and removes entries that it covers from the log.
@@ -68,14 +71,11 @@
 	// FullChanged is called when a write finds the disk full, and again once it has
 	// succeeded; nil for none. It must not block.
 	FullChanged func(r FullReport)
-	// FullTimeout bounds how long a write is retried on a full disk before Run
-	// fails.
-	FullTimeout time.Duration
 	// ReserveBytes is the least size of a file that keeps room for a snapshot; zero for
 	// none.
 	ReserveBytes int64
-	// ReserveFailed is called once if that file cannot be created; nil for none. It must
-	// not block.
+	// ReserveFailed is called once if that file, or the one for votes, cannot be created;
+	// nil for none. It must not block.
 	ReserveFailed func(err error)
 	// DisableGroupCommit makes the Writer sync after each operation instead of once
 	// for all that are queued. It is the baseline of the benchmark.
@@ -122,7 +122,7 @@
 // Run performs queued operations until ctx ends. While the disk is full, it retries the
 // write together with the operations queued in the meantime, and acknowledges none.
 // It returns an error if the disk fails: operations since the last sync are then
-// not durable, and the process must exit.
+// not durable, and the process must exit. The end of ctx on a full disk is no failure.
 func (w *Writer) Run(ctx context.Context) (err error) {
 	defer util.Annotate(&err, "disk: run writer")
 	w.keepReserve()
@@ -209,7 +209,7 @@
 		}
 		b.snapshot, b.keepAfter = nil, 0
 	}
-	if b.appends == 0 || len(b.entries) == 0 && b.hard == w.cfg.Log.content.Hard {
+	if b.appends == 0 || len(b.entries) == 0 && w.cfg.Log.isDurable(b.hard) {
 		return b, nil
 	}
 	if err = w.cfg.Log.Append(b.hard, b.entries); err != nil {
@@ -229,9 +229,9 @@
 	return w.cfg.Log.Replace(b.hard, entriesAfter(w.cfg.Log.content.Entries, b.keepAfter))
 }
 
-// keepReserve keeps room for the next snapshot if there is enough.
+// keepReserve keeps room for the next snapshot and for votes if there is enough.
 func (w *Writer) keepReserve() {
-	err := w.reserve.keep(w.cfg.Folder.snapshotBytes)
+	err := errors.Join(w.reserve.keep(w.cfg.Folder.snapshotBytes), w.cfg.Log.keepVoteFile())
 	if err != nil && w.cfg.ReserveFailed != nil && !w.hasReserveFailed {
 		w.hasReserveFailed = true
 		w.cfg.ReserveFailed(err)
@@ -251,10 +251,32 @@
 		w.reportHardState(b.hard)
 	}
 	for _, callback := range b.callbacks {
-		callback()
+		if callback.Run != nil {
+			callback.Run()
+		}
 	}
 }
 
+// storeVote makes the last term and vote of a backlog durable although the log has no
+// room, and calls the callbacks that need nothing else.
+func (w *Writer) storeVote(b backlog) (err error) {
+	err = w.cfg.Log.StoreHardState(b.hard)
+	if full := (*FullError)(nil); errors.As(err, &full) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	w.reportHardState(b.hard)
+	for i, callback := range b.callbacks {
+		if callback.NeedsOnlyHardState && callback.Run != nil {
+			b.callbacks[i] = After{}
+			callback.Run()
+		}
+	}
+	return nil
+}
+
 func (w *Writer) reportHardState(hard consensus.HardState) {
 	if w.cfg.HardStateSynced != nil && hard != w.syncedHard {
 		w.syncedHard = hard
@@ -267,8 +289,8 @@
 // controller.
 const fullRetryInterval = 100 * time.Millisecond
 
-// waitForRoom repeats a write that found the disk full until it succeeds, FullTimeout has
-// passed or ctx ends. It takes operations from the queue meanwhile: one of them may be the
+// waitForRoom repeats a write that found the disk full until it succeeds or ctx ends. It
+// does not give up: a new process would have to write as well. It takes operations from the queue meanwhile: one of them may be the
 // snapshot that frees room, and those who queue them must not have to wait.
 func (w *Writer) waitForRoom(ctx context.Context, b backlog, full *FullError) (err error) {
 	w.reportFull(FullReport{
@@ -277,19 +299,19 @@
 		Bytes:   dataBytes(b.entries),
 	})
 	startedAt := time.Now()
-	timeout := time.NewTimer(w.cfg.FullTimeout)
-	defer timeout.Stop()
 	retry := time.NewTimer(fullRetryInterval)
 	defer retry.Stop()
 	for err = full; errors.As(err, &full); {
+		if err = w.storeVote(b); err != nil {
+			return err
+		}
 		select {
 		case <-ctx.Done():
-			return err
-		case <-timeout.C:
-			return err
+			return nil
 		case op := <-w.operations:
 			before := b.snapshotIndex
 			if b = b.with(w.collectQueued(op)); b.snapshotIndex == before {
+				err = full
 				continue
 			}
 		case <-retry.C:
