Draw small bounds in bytes for the replicas with slow disks

A member that takes no entries for a while must take them again. The random test on slow disks, late messages, restarts and changes of members plays two of three seeds with bounds that they reach, and checks in the calm that a further command is acknowledged and that each member gets it. With a leader that does not resume after a pause, it fails.

--- a/consensus/slow_disk_faults_test.go
+++ b/consensus/slow_disk_faults_test.go
@@ -51,7 +51,7 @@
 	rng := rand.New(rand.NewPCG(seed, 0))
 	n := []int{1, 2, 3, 5, 5}[rng.IntN(5)]
 	return &faultyCluster{
-		cluster:  newFormedCluster(n),
+		cluster:  newConfiguredCluster(n, faultyConfig(seed)),
 		rng:      rng,
 		syncs:    map[string]*pendingSync{},
 		reports:  map[string][]delayedEvent{},
@@ -60,6 +60,18 @@
 	}
 }
 
+// faultyConfig returns a configuration with bounds in bytes that some seeds reach often.
+func faultyConfig(seed uint64) consensus.Config {
+	cfg := config("")
+	switch seed % 3 {
+	case 1:
+		cfg.MaxUncommittedBytes, cfg.MaxInflightBytes = 400, 200
+	case 2:
+		cfg.MaxUncommittedBytes, cfg.MaxInflightBytes = 200, 0
+	}
+	return cfg
+}
+
 // chance returns true once in n times.
 func (c *faultyCluster) chance(n int) bool {
 	return c.rng.IntN(n) == 0
@@ -345,6 +357,23 @@
 			return fmt.Sprintf("seed %d: acknowledged command %q at index %d is lost", seed, command, index)
 		}
 	}
+	return c.checkLevel(seed)
+}
+
+// checkLevel returns what is wrong if a member does not get a further command in the calm;
+// "" if nothing is. One that takes no entries must take them again.
+func (c *faultyCluster) checkLevel(seed uint64) string {
+	c.propose(c.leader(), "last")
+	c.run(recoveryBound)
+	l := c.leader()
+	if _, ok := c.acknowledged["last"]; !ok || l == nil {
+		return fmt.Sprintf("seed %d: the last command is not acknowledged\n%s", seed, c)
+	}
+	for _, m := range l.replica.Members().Members {
+		if p, ok := l.replica.Progress(m.ID); !ok || p.Match < c.acknowledged["last"] {
+			return fmt.Sprintf("seed %d: %s lacks the last command\n%s", seed, m.ID, c)
+		}
+	}
 	return ""
 }
 
