Open a long log within the memory of a controller

A start read a log with a whole-file buffer, kept it while it decoded the entries, and read and wrote the file as a whole once more to make it durable. A log of 105 MB took 359 MB from the operating system, with a limit of 280 MB for the process, so a controller that had come up against a full disk could not be started again with that memory.

The log is read frame by frame with one buffer and copied in portions.

--- a/controller/disk/frame.go
+++ b/controller/disk/frame.go
@@ -43,12 +43,17 @@
 		return nil, b, false
 	}
 	body = b[headerBytes : headerBytes+n]
-	if checksum(body) != binary.LittleEndian.Uint32(b[8:]) {
+	if !hasChecksum(b, body) {
 		return nil, b, false
 	}
 	return body, b[headerBytes+n:], true
 }
 
+// hasChecksum reports whether a body has the checksum in its header.
+func hasChecksum(header, body []byte) bool {
+	return checksum(body) == binary.LittleEndian.Uint32(header[8:])
+}
+
 // bodyLength returns the length of the body according to the header at the
 // start of b, or false if the header is invalid.
 func bodyLength(b []byte) (n int, ok bool) {
@@ -62,22 +67,6 @@
 	return n, n <= maxBodyBytes
 }
 
-// isTornTail reports whether b, which does not begin with a valid frame, is a
-// torn write, as a crash during the last write leaves it: a frame cut short by
-// the end of the file, or only zeros. Anything else is damage to data that may
-// have been acknowledged.
-func isTornTail(b []byte) bool {
-	zeros := true
-	for _, c := range b {
-		zeros = zeros && c == 0
-	}
-	if zeros || len(b) < headerBytes {
-		return true
-	}
-	n, ok := bodyLength(b)
-	return ok && len(b) < headerBytes+n
-}
-
 // A DamageError reports a file with damage that a crash during a write does not
 // explain.
 type DamageError struct {
--- a/controller/disk/log.go
+++ b/controller/disk/log.go
@@ -1,12 +1,11 @@
 package disk
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"os"
-	"path/filepath"
-	"sort"
-	"strings"
 
 	"github.com/plantainladder/plantainladder/codec"
 	"github.com/plantainladder/plantainladder/consensus"
@@ -24,10 +23,6 @@
 	Entries [][]byte `json:"entries,omitempty"`
 }
 
-// segmentPattern is the pattern of the names of segment files. The number is padded
-// so that the names sort by age.
-const segmentPattern = "log-%08d.wal"
-
 // A Log is a write-ahead log in numbered segment files. Batches are appended to
 // the newest segment.
 type Log struct {
@@ -113,83 +108,26 @@
 // sync of the same file writes it. If the disk is full, the old file stays, and rewrite
 // returns false.
 func (l *Log) rewrite() (done bool, err error) {
+	if l.size == 0 {
+		return false, nil
+	}
 	path := segmentPath(l.folder, l.number)
-	data, err := os.ReadFile(path)
-	if err != nil || len(data) == 0 {
+	old, err := os.Open(path)
+	if err != nil {
 		return false, err
 	}
-	file, err := l.writeDurably(path, data)
+	file, err := l.writeDurably(path, old)
+	if err = errors.Join(err, old.Close()); err == nil {
+		err = l.file.Close()
+	}
 	if full := (*FullError)(nil); errors.As(err, &full) {
 		return false, nil
 	}
 	if err != nil {
 		return false, err
 	}
-	err = l.file.Close()
 	l.file = file
-	return true, errors.Join(err, l.files.SyncFolder(l.folder))
-}
-
-func segmentPath(folder string, n int) string {
-	return filepath.Join(folder, fmt.Sprintf(segmentPattern, n))
-}
-
-func segmentNumbers(folder string) (numbers []int, err error) {
-	files, err := os.ReadDir(folder)
-	if err != nil {
-		return nil, err
-	}
-	for _, f := range files {
-		n := 0
-		if strings.HasSuffix(f.Name(), ".wal") {
-			if _, err := fmt.Sscanf(f.Name(), segmentPattern, &n); err == nil {
-				numbers = append(numbers, n)
-			}
-		}
-	}
-	sort.Ints(numbers)
-	return numbers, nil
-}
-
-func readSegment(files FileSystem, path string, isLast bool, content LogContent) (out LogContent, err error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return content, err
-	}
-	rest := data
-	for len(rest) > 0 {
-		body, next, ok := readFrame(rest)
-		if !ok {
-			return content, truncateTornTail(files, path, data, rest, isLast, &content)
-		}
-		b, err := codec.Unmarshal[batch](body)
-		if err != nil {
-			return content, err
-		}
-		if content, err = content.withBatch(b); err != nil {
-			return content, err
-		}
-		rest = next
-	}
-	return content, nil
-}
-
-// truncateTornTail removes the torn write rest from the end of the last
-// segment. It returns a *DamageError if rest is not a torn write.
-func truncateTornTail(files FileSystem, path string, data, rest []byte, isLast bool, content *LogContent) error {
-	offset := int64(len(data) - len(rest))
-	if !isLast || !isTornTail(rest) {
-		return &DamageError{
-			Path:   path,
-			Offset: offset,
-		}
-	}
-	content.TornBytes = int64(len(rest))
-	file, err := files.OpenFile(path, os.O_WRONLY)
-	if err != nil {
-		return err
-	}
-	return errors.Join(file.Truncate(offset), file.Close())
+	return true, l.files.SyncFolder(l.folder)
 }
 
 // withBatch returns c with a batch applied. It returns a *GapError if an entry does
@@ -309,7 +247,7 @@
 	if err != nil {
 		return err
 	}
-	file, err := l.writeDurably(segmentPath(l.folder, l.number+1), frame)
+	file, err := l.writeDurably(segmentPath(l.folder, l.number+1), bytes.NewReader(frame))
 	if err != nil {
 		return err
 	}
@@ -352,14 +290,14 @@
 // writeDurably writes a temporary file, syncs it and renames it to path, and returns it
 // open for appending. The name is durable once the folder is synced. If the disk is full,
 // it leaves nothing behind and returns a *FullError.
-func (l *Log) writeDurably(path string, content []byte) (file File, err error) {
+func (l *Log) writeDurably(path string, content io.Reader) (file File, err error) {
 	tempPath := path + tempSuffix
 	file, err = l.files.OpenFile(tempPath, os.O_CREATE|os.O_WRONLY|os.O_TRUNC|os.O_APPEND)
 	if err != nil {
 		return nil, asFullError(err, nil)
 	}
-	_, err = file.Write(content)
-	if err == nil {
+	// Only Write is visible to Copy: the kernel could let both files share their blocks.
+	if _, err = io.Copy(struct{ io.Writer }{file}, content); err == nil {
 		err = file.Sync()
 	}
 	if err == nil {
