--- a/controller/disk/powerloss/durable_test.go
+++ b/controller/disk/powerloss/durable_test.go
@@ -276,6 +276,34 @@
 		}
 	})
 
+	// A log that ends with them is behind the snapshot by its last term, and such a replica
+	// would vote for one that lacks what the snapshot covers.
+	It("entries that a received snapshot has replaced do not come back", func() {
+		for seed := range uint64(seedsPerTest) {
+			l := newLossyFolder(seed)
+			l.run(func(f *disk.Folder, log *disk.Log) {
+				Expect(log.Append(hard, entries(1, 12))).To(Succeed())
+				Expect(log.Sync()).To(Succeed())
+				Expect(f.SaveSnapshot(disk.Snapshot{
+					Meta: consensus.SnapshotMeta{
+						Index: 10,
+						Term:  5,
+					},
+				})).To(Succeed())
+			})
+			l.disk.losePower(seed%2 == 0)
+			next := entries(11, 1)
+			next[0].Term = 5
+			r := l.run(func(_ *disk.Folder, log *disk.Log) {
+				Expect(log.Append(hard, next)).To(Succeed())
+				Expect(log.Sync()).To(Succeed())
+			})
+			Expect(r.StoredState.Entries).To(BeEmpty())
+			l.disk.losePower(seed%2 == 0)
+			Expect(l.run(nothing).StoredState.Entries).To(Equal(next))
+		}
+	})
+
 	It("a snapshot is there that a process read at its start", func() {
 		for seed := range uint64(seedsPerTest / 10) {
 			for operations := 1; operations < 15; operations++ {
--- a/controller/disk/recover.go
+++ b/controller/disk/recover.go
@@ -49,7 +49,9 @@
 	}
 	nextIndex := snapshot.Meta.Index + 1
 	for _, e := range content.Entries {
-		if e.Index < nextIndex {
+		// A process that was killed may not have removed what a received snapshot has
+		// replaced; terms never decrease within a log.
+		if e.Index < nextIndex || e.Term < snapshot.Meta.Term {
 			continue
 		}
 		if e.Index > nextIndex {
