Pass a refusal for good on to the caller

What callers saw: a command that the control state refuses for good, such as one that cannot be encoded or is too large to be replicated, was sent again until the deadline of the call, for a submission, a cancellation and a ping. The caller then got "no leader" and came back with the same command.

Cause: commit in controller/gateway dropped control.Refused and replied as a controller that does not lead does.

Change: commit returns the refusal as the outcome.

Evidence: without the case in commit, "A command that can never be replicated is refused with the reason and without a retry" fails with "Expected <bool>: false to be true" for the reply's Leader.

--- a/command.go
+++ b/command.go
@@ -232,6 +232,8 @@
 	// RefusedQueueFull means that the organisation has as many active jobs as its
 	// contract allows.
 	RefusedQueueFull Reason = "queue-full"
+	// RefusedTooLarge means that the command is too large to be replicated.
+	RefusedTooLarge Reason = "too-large"
 )
 
 // Reasons returns all reasons to refuse a command.
@@ -239,7 +241,7 @@
 	return []Reason{
 		RefusedBadField, RefusedWrongRevision, RefusedInfeasible, RefusedNotFound, RefusedUnknownOrganisation,
 		RefusedClassNotAllowed, RefusedKeyReuse, RefusedTableFull, RefusedWrongState, RefusedNotOwner,
-		RefusedQueueFull,
+		RefusedQueueFull, RefusedTooLarge,
 	}
 }
 
--- a/controller/gateway/gateway_suite_test.go
+++ b/controller/gateway/gateway_suite_test.go
@@ -50,6 +50,8 @@
 	syncs int
 	// confirmations counts the requests to confirm a leadership that servers have posted.
 	confirmations int
+	// refusal is the answer to each command; nil if commands are not refused.
+	refusal control.Answer
 	// isDiskFull is true while no host's disk takes entries.
 	isDiskFull bool
 	// isHeld is true while messages between the hosts stay on their way.
@@ -231,6 +233,10 @@
 			if _, ok := e.(control.ConfirmLeadership); ok {
 				g.confirmations++
 			}
+			if s, ok := e.(control.Submit); ok && g.refusal != nil {
+				h.pending.Answer(s.Token, g.refusal)
+				return nil
+			}
 			g.step(h, e)
 			return nil
 		},
--- a/controller/gateway/server.go
+++ b/controller/gateway/server.go
@@ -100,6 +100,14 @@
 	return reply, nil
 }
 
+// outcomeOf returns the outcome of a command that was refused for good.
+func outcomeOf(a control.Refused) plantainladder.Outcome {
+	return plantainladder.Outcome{
+		Reason: plantainladder.Reason(a.Reason),
+		Detail: a.Detail,
+	}
+}
+
 func (g *Server) command(ctx context.Context, c wire.Command) (reply wire.CommandReply, err error) {
 	cmd, err := wire.UnmarshalCommand(c.Body)
 	if err != nil {
@@ -123,11 +131,7 @@
 	case control.OutcomeUnknown:
 		reply.Leader, reply.OutcomeUnknown = true, true
 	case control.Refused:
-		reply.Leader = true
-		reply.Outcome = plantainladder.Outcome{
-			Reason: plantainladder.Reason(a.Reason),
-			Detail: a.Detail,
-		}
+		reply.Leader, reply.Outcome = true, outcomeOf(a)
 	case control.PollResult, control.LeadershipConfirmed:
 		return reply, &UnexpectedAnswerError{
 			Answer: a,
--- a/controller/gateway/workflow.go
+++ b/controller/gateway/workflow.go
@@ -101,6 +101,7 @@
 // resultKinds maps the reasons of refused commands to kinds of results.
 var resultKinds = map[plantainladder.Reason]wire.ResultKind{
 	plantainladder.RefusedBadField:            wire.ResultBadField,
+	plantainladder.RefusedTooLarge:            wire.ResultBadField,
 	plantainladder.RefusedUnknownOrganisation: wire.ResultBadToken,
 	plantainladder.RefusedNotOwner:            wire.ResultTaken,
 	plantainladder.RefusedTableFull:           wire.ResultFull,
@@ -143,7 +144,9 @@
 		retry.OutcomeUnknown = true
 	case control.Busy:
 		retry.BusyReason = wire.BusyReason(a.Reason)
-	case control.Refused, control.LeadershipConfirmed, control.PollResult:
+	case control.Refused:
+		return outcomeOf(a), retry, true
+	case control.LeadershipConfirmed, control.PollResult:
 	}
 	return o, retry, false
 }
@@ -247,10 +250,14 @@
 	r.Worker.Sequence = r.Sequence
 	known, ok := core.State().PoolWorker(r.Worker.ID)
 	if !ok || r.Worker.Supersedes(known) {
-		if _, retry, ok := g.commit(ctx, plantainladder.Announce{
+		o, retry, ok := g.commit(ctx, plantainladder.Announce{
 			Worker: r.Worker,
-		}); !ok {
+		})
+		switch {
+		case !ok:
 			return retry, nil
+		case !o.IsAccepted():
+			return leaderReply(withOutcome(wire.Result{}, o)), nil
 		}
 	}
 	err = g.cfg.Post(ctx, control.ObservationReceived{
--- a/gateway/reply/reply.go
+++ b/gateway/reply/reply.go
@@ -107,6 +107,8 @@
 		return http.StatusUnprocessableEntity
 	case plantainladder.RefusedTableFull, plantainladder.RefusedQueueFull:
 		return http.StatusTooManyRequests
+	case plantainladder.RefusedTooLarge:
+		return http.StatusRequestEntityTooLarge
 	}
 	return http.StatusInternalServerError
 }
