--- a/control/pending_reply.go
+++ b/control/pending_reply.go
@@ -74,8 +74,8 @@
 		a = Busy{}
 	case consensus.RefusedTooLarge:
 		a = Refused{
-			Reason: string(plantainladder.RefusedBadField),
-			Detail: "the command is too large",
+			Reason: string(plantainladder.RefusedTooLarge),
+			Detail: "no message can hold the command",
 		}
 	case consensus.RefusedInvalidChange, consensus.RefusedChangePending, consensus.RefusedAlreadyFormed:
 	}
--- a/gateway/controller/leader.go
+++ b/gateway/controller/leader.go
@@ -263,7 +263,7 @@
 	}
 	if len(body) > rpc.MaxBody {
 		return plantainladder.Outcome{
-			Reason: plantainladder.RefusedBadField,
+			Reason: plantainladder.RefusedTooLarge,
 			Detail: fmt.Sprintf("the command has %d bytes, more than %d", len(body), rpc.MaxBody),
 		}, nil
 	}
