--- a/control/core.go
+++ b/control/core.go
@@ -106,6 +106,8 @@
 		out = append(out, more...)
 		c, more = c.logGroupHealth(now)
 		out = append(out, more...)
+		c, more = c.snapshotIfDiskFull(now)
+		out = append(out, more...)
 		c, more = c.handOverIfDiskFull(now)
 		out = append(out, more...)
 		c, more = c.logStandstill(now, e)
--- a/control/full_disk.go
+++ b/control/full_disk.go
@@ -7,6 +7,9 @@
 )
 
 const (
+	// fullSnapshotInterval is the least time between two snapshots of a controller whose
+	// disk stays full. A large state would otherwise be encoded without a break.
+	fullSnapshotInterval = time.Second
 	// handOverPatience is how long the disk of a leader may be full before it hands the
 	// leadership over. A snapshot frees room sooner as a rule.
 	handOverPatience = time.Second
@@ -18,6 +21,8 @@
 type fullDisk struct {
 	// since is when the disk became full; zero if it has room.
 	since time.Time
+	// snapshotAt is when a snapshot was last requested for it.
+	snapshotAt time.Time
 	// handedOverAt is when the core last tried to hand the leadership over for it.
 	handedOverAt time.Time
 }
@@ -44,7 +49,20 @@
 
 func (c Core) stepDiskFullChanged(now time.Time, e DiskFullChanged) (Core, []Effect) {
 	c.fullDisk = c.fullDisk.withFull(now, e.IsFull)
-	return c.snapshotIfDue()
+	return c.snapshotIfDiskFull(now)
+}
+
+// snapshotIfDiskFull requests a snapshot if the disk is full and something was applied since
+// the last one.
+func (c Core) snapshotIfDiskFull(now time.Time) (Core, []Effect) {
+	if !c.fullDisk.isFull() || now.Sub(c.fullDisk.snapshotAt) < fullSnapshotInterval {
+		return c, nil
+	}
+	c, out := c.saveSnapshot()
+	if len(out) > 0 {
+		c.fullDisk.snapshotAt = now
+	}
+	return c, out
 }
 
 // handOverIfDiskFull hands the leadership over if the disk of this leader has been full for
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -13,17 +13,12 @@
 }
 
 // snapshotIfDue requests a snapshot once enough entries, or enough bytes of them, have been
-// applied since the last one. On a full disk, one is due as soon as anything was applied.
+// applied since the last one.
 func (c Core) snapshotIfDue() (Core, []Effect) {
-	index := c.state.Index()
-	switch {
-	case c.fullDisk.isFull():
-		// Whatever the log holds of these entries takes the room that the disk needs.
-		return c.saveSnapshot(index, index)
-	case !c.isSnapshotDue(index):
+	if !c.isSnapshotDue(c.state.Index()) {
 		return c, nil
 	}
-	return c.saveSnapshot(index, c.replica.Log().Trailing(index, c.cfg.TrailingEntries, c.cfg.TrailingBytes))
+	return c.saveSnapshot()
 }
 
 func (c Core) isSnapshotDue(index uint64) bool {
@@ -35,9 +30,10 @@
 	return c.cfg.SnapshotBytes > 0 && c.replica.Log().BytesBetween(c.snapshotIndex, index) >= maxBytes
 }
 
-// saveSnapshot requests a snapshot of the state at the index, unless one is being saved or
-// covers it already. The log keeps the entries after keepAfter.
-func (c Core) saveSnapshot(index, keepAfter uint64) (Core, []Effect) {
+// saveSnapshot requests a snapshot of the state, unless one is being saved or covers it
+// already.
+func (c Core) saveSnapshot() (Core, []Effect) {
+	index := c.state.Index()
 	term, ok := c.replica.Log().Term(index)
 	if c.isSavingSnapshot || !ok || index <= c.snapshotIndex {
 		return c, nil
@@ -51,21 +47,28 @@
 				Members: c.replica.MembersAt(index),
 			},
 			State:     c.state,
-			KeepAfter: keepAfter,
+			KeepAfter: c.keepAfter(index),
 		},
 	}
 }
 
+// keepAfter returns the last entry that the log may drop once a snapshot of the index is
+// saved. On a full disk, all that the snapshot covers takes the room that is needed.
+func (c Core) keepAfter(index uint64) uint64 {
+	if c.fullDisk.isFull() {
+		return index
+	}
+	return c.replica.Log().Trailing(index, c.cfg.TrailingEntries, c.cfg.TrailingBytes)
+}
+
 func (c Core) stepSnapshotSaved(now time.Time, e SnapshotSaved) (Core, []Effect) {
 	c.isSavingSnapshot = false
 	if e.Index > c.snapshotIndex {
 		c.snapshotIndex, c.snapshotBytes = e.Index, e.Bytes
 	}
-	c, out := c.stepReplica(now, consensus.Compacted{
+	return c.stepReplica(now, consensus.Compacted{
 		Index: e.KeepAfter,
 	})
-	c, more := c.snapshotIfDue()
-	return c, append(out, more...)
 }
 
 func (c Core) stepSnapshotReceived(now time.Time, e SnapshotReceived) (Core, []Effect) {
