--- a/controller/disk/backlog.go
+++ b/controller/disk/backlog.go
@@ -19,7 +19,9 @@
 	keepAfter uint64
 	// snapshotIndex is the index of the last snapshot, saved or to be saved.
 	snapshotIndex uint64
-	callbacks     []After
+	// saved are called once the snapshot is durable, whatever is left of the log.
+	saved     []func()
+	callbacks []After
 	// keys holds the positions of the callbacks that a later one replaces.
 	keys map[string]int
 }
@@ -70,9 +72,13 @@
 }
 
 func (b backlog) withSnapshot(op SaveSnapshot) backlog {
-	b.callbacks = append(b.callbacks, After{
-		Run: op.Done,
-	})
+	if op.KeepAfter == KeepNone {
+		b.callbacks = append(b.callbacks, After{
+			Run: op.Done,
+		})
+	} else {
+		b.saved = append(b.saved, op.Done)
+	}
 	index := op.Snapshot.Meta.Index
 	if index <= b.snapshotIndex {
 		return b
--- a/controller/disk/writer.go
+++ b/controller/disk/writer.go
@@ -41,8 +41,8 @@
 	// KeepAfter is the index of the last entry to remove; KeepNone removes all that were
 	// queued before. Entries that the snapshot covers are removed in any case.
 	KeepAfter uint64
-	// Done is called once the snapshot and the log are durable, also if nothing had
-	// to be written. It must not block.
+	// Done is called once the snapshot is durable, with KeepNone also the log, and if
+	// nothing had to be written. It must not block.
 	Done func()
 }
 
@@ -93,6 +93,9 @@
 	syncedHard    consensus.HardState
 	usage         usage
 	reserve       *reserve
+	// coveredIndex is the last entry of the log that a snapshot covers and that found no
+	// room to be removed; zero for none.
+	coveredIndex uint64
 	// hasReserveFailed is true once ReserveFailed was called.
 	hasReserveFailed bool
 }
@@ -193,21 +196,36 @@
 	return i
 }
 
-// write makes a backlog durable, and returns what is left of it if the disk is full. The
-// snapshot comes first, then the removal of what it covers from the log, since these may
-// free the room for the rest.
+// write makes a backlog durable, and returns what is left of it if the disk is full. It
+// gives up the reserve if a snapshot or the room that it frees depends on that.
 func (w *Writer) write(b backlog) (left backlog, err error) {
-	if b.snapshot != nil {
-		err = w.writeSnapshot(b)
-		if full := (*FullError)(nil); errors.As(err, &full) && w.reserve.bytes > 0 {
-			if err = w.reserve.release(); err == nil {
-				err = w.writeSnapshot(b)
-			}
-		}
-		if err != nil {
+	left, err = w.attempt(b)
+	full := (*FullError)(nil)
+	if !errors.As(err, &full) || w.reserve.bytes == 0 || left.snapshot == nil && left.keepAfter == 0 {
+		return left, err
+	}
+	if err = w.reserve.release(); err != nil {
+		return left, err
+	}
+	return w.attempt(left)
+}
+
+// attempt writes the snapshot of a backlog first, then removes what it covers from the
+// log, since these may free the room for the rest.
+func (w *Writer) attempt(b backlog) (left backlog, err error) {
+	if b.snapshot != nil && b.snapshotIndex > w.snapshotIndex {
+		if err = w.cfg.Folder.SaveSnapshot(*b.snapshot); err != nil {
 			return b, err
 		}
-		b.snapshot, b.keepAfter = nil, 0
+		w.snapshotIndex = b.snapshotIndex
+	}
+	b.snapshot = nil
+	for _, callback := range b.saved {
+		callback()
+	}
+	b.saved = nil
+	if b, err = w.compact(b); err != nil {
+		return b, err
 	}
 	if b.appends == 0 || len(b.entries) == 0 && w.cfg.Log.isDurable(b.hard) {
 		return b, nil
@@ -218,15 +236,31 @@
 	return b, w.cfg.Log.Sync()
 }
 
-// writeSnapshot saves the snapshot of a backlog and removes what it covers from the log.
-func (w *Writer) writeSnapshot(b backlog) (err error) {
-	if b.snapshotIndex > w.snapshotIndex {
-		if err = w.cfg.Folder.SaveSnapshot(*b.snapshot); err != nil {
-			return err
-		}
-		w.snapshotIndex = b.snapshotIndex
+// maxRestShare is the part of the log, as a divisor, that may be left after a snapshot for
+// the log to be written anew without what the snapshot covers.
+const maxRestShare = 4
+
+// compact removes what the snapshot of a backlog covers from the log. It puts that off to the
+// next snapshot if much would have to be written again, and until an append needs the room
+// if the disk is full: the log may be far longer than the room beside it. What a received
+// snapshot replaces must go.
+func (w *Writer) compact(b backlog) (left backlog, err error) {
+	if b.keepAfter == 0 {
+		return b, nil
+	}
+	rest := entriesAfter(w.cfg.Log.content.Entries, b.keepAfter)
+	if maxRestShare*dataBytes(rest) <= w.cfg.Log.size {
+		err = w.cfg.Log.Replace(b.hard, rest)
+	}
+	full := (*FullError)(nil)
+	if errors.As(err, &full) && b.keepAfter != KeepNone {
+		w.coveredIndex = b.keepAfter
+		return b, nil
+	}
+	if err == nil {
+		b.keepAfter, w.coveredIndex = 0, 0
 	}
-	return w.cfg.Log.Replace(b.hard, entriesAfter(w.cfg.Log.content.Entries, b.keepAfter))
+	return b, err
 }
 
 // keepReserve keeps room for the next snapshot and for votes if there is enough.
@@ -290,14 +324,16 @@
 const fullRetryInterval = 100 * time.Millisecond
 
 // waitForRoom repeats a write that found the disk full until it succeeds or ctx ends. It
-// does not give up: a new process would have to write as well. It takes operations from the queue meanwhile: one of them may be the
-// snapshot that frees room, and those who queue them must not have to wait.
+// does not give up: a new process would have to write as well. It takes operations from
+// the queue meanwhile: one of them may be the snapshot that frees room, and those who queue
+// them must not have to wait.
 func (w *Writer) waitForRoom(ctx context.Context, b backlog, full *FullError) (err error) {
 	w.reportFull(FullReport{
 		Err:     full,
 		Entries: len(b.entries),
 		Bytes:   dataBytes(b.entries),
 	})
+	b.keepAfter = max(b.keepAfter, w.coveredIndex)
 	startedAt := time.Now()
 	retry := time.NewTimer(fullRetryInterval)
 	defer retry.Stop()
