Tell when a controller writes nothing to its data folder any more

"A controller whose disk was full goes on if all its queues have filled up meanwhile" failed twice, in two of about six runs, under load, when its folder was removed: "directory not empty". Its disk writer still ran after the context of the controller had ended. Node.Written tells when it has ended, and the tests of the package wait for that before they remove the folder.

--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -78,7 +78,9 @@
 	meters   *meters
 	observer *loopObserver
 	keeper   *keeper
-	ctx      context.Context
+	// written is closed once nothing is written to the data folder any more.
+	written chan struct{}
+	ctx     context.Context
 }
 
 // New opens the data folder and returns a controller with the state stored there.
@@ -113,6 +115,7 @@
 		full:    newSyncReporter[bool](),
 		pending: gateway.NewPendingRequests(),
 		meters:  newMeters(),
+		written: make(chan struct{}),
 		ctx:     ctx,
 	}
 	if n.cfg.Advertise == "" {
@@ -334,7 +337,10 @@
 	}
 	failed := make(chan error, 2)
 	go func() { failed <- server.Serve(listener) }()
-	go func() { failed <- n.writer.Run(ctx) }()
+	go func() {
+		defer close(n.written)
+		failed <- n.writer.Run(ctx)
+	}()
 	go n.synced.run(ctx, n.loop.Post, entriesSynced)
 	go n.hard.run(ctx, n.loop.Post, hardStateSynced)
 	go n.full.run(ctx, n.loop.Post, diskFullChanged)
@@ -363,6 +369,12 @@
 	}
 }
 
+// Written returns a channel that is closed once nothing is written to the data folder any
+// more, after the context of Run has ended.
+func (n *Node) Written() <-chan struct{} {
+	return n.written
+}
+
 // TransferLeadership steps down as leader and waits until this controller no
 // longer leads, the timeout has passed or ctx ends.
 func (n *Node) TransferLeadership(ctx context.Context) {
--- a/controller/node/node_suite_test.go
+++ b/controller/node/node_suite_test.go
@@ -57,6 +57,8 @@
 	DeferCleanup(func() {
 		close(stopping)
 		cancel()
+		// The folder is removed next.
+		Eventually(n.Written()).WithTimeout(5 * time.Second).Should(BeClosed())
 		// Each controller registers its metrics with the process.
 		metrics.UnregisterAllMetrics()
 	})
