--- a/controller/disk/leftover.go
+++ b/controller/disk/leftover.go
@@ -12,7 +12,6 @@
 	"." + identityFile + "*",
 	"." + formationFile + "*",
 	"*.wal" + tempSuffix,
-	reserveFile + tempSuffix,
 	voteFileName + tempSuffix,
 	receivedSnapshotFile,
 }
--- a/controller/disk/reserve.go
+++ b/controller/disk/reserve.go
@@ -14,6 +14,9 @@
 // divisor.
 const maxReserveShare = 16
 
+// reserveChunkBytes is what is written at a time, so that nothing waits long for the disk.
+const reserveChunkBytes = 256 << 10
+
 // A reserve is a file without meaning that is removed when a snapshot finds no room.
 // Nothing depends on it.
 type reserve struct {
@@ -34,53 +37,42 @@
 	}
 }
 
-// keep creates the file with room for two snapshots like the last one, unless there is one
-// of half that size. It does nothing if little room would be left.
-func (r *reserve) keep(snapshotBytes int64) (err error) {
-	defer util.Annotate(&err, "disk: keep reserve")
-	if r.minBytes == 0 {
-		return nil
+// grow adds a chunk to the file unless it has room for two snapshots like the last one, or
+// little room would be left for others. It reports whether more is due.
+func (r *reserve) grow(snapshotBytes int64) (isMoreDue bool, err error) {
+	defer util.Annotate(&err, "disk: grow reserve")
+	size := r.wantedBytes(snapshotBytes)
+	if r.bytes >= size {
+		return false, nil
 	}
-	size := max(r.minBytes, 2*snapshotBytes)
-	if s, spaceErr := r.files.Space(r.folder); spaceErr == nil {
-		size = min(size, s.Total/maxReserveShare)
-		if s.Free < 2*size {
-			return nil
-		}
-	}
-	if 2*r.bytes >= size {
-		return nil
+	file, err := r.files.OpenFile(filepath.Join(r.folder, reserveFile), os.O_CREATE|os.O_WRONLY|os.O_APPEND)
+	if err != nil {
+		return false, asFullError(err, nil)
 	}
-	if err = r.release(); err != nil {
-		return err
+	n := min(size-r.bytes, reserveChunkBytes)
+	if _, err = file.Write(make([]byte, n)); err == nil {
+		err = file.Sync()
 	}
-	if err = r.create(size); err != nil {
-		return asFullError(err, nil)
+	if err != nil {
+		return false, asFullError(err, errors.Join(file.Truncate(r.bytes), file.Close()))
 	}
-	r.bytes = size
-	return nil
+	r.bytes += n
+	return r.bytes < size, file.Close()
 }
 
-func (r *reserve) create(size int64) (err error) {
-	path := filepath.Join(r.folder, reserveFile)
-	file, err := r.files.OpenFile(path+tempSuffix, os.O_CREATE|os.O_WRONLY|os.O_TRUNC)
-	if err != nil {
-		return err
-	}
-	zeros := make([]byte, min(size, 1<<16))
-	for left := size; left > 0 && err == nil; left -= int64(len(zeros)) {
-		_, err = file.Write(zeros[:min(left, int64(len(zeros)))])
-	}
-	if err == nil {
-		err = file.Sync()
-	}
-	if err = errors.Join(err, file.Close()); err == nil {
-		err = r.files.Rename(path+tempSuffix, path)
+// wantedBytes returns the size that the file should have.
+func (r *reserve) wantedBytes(snapshotBytes int64) int64 {
+	if r.minBytes == 0 {
+		return 0
 	}
-	if err != nil {
-		return errors.Join(err, r.files.Remove(path+tempSuffix))
+	size := max(r.minBytes, 2*snapshotBytes)
+	if s, err := r.files.Space(r.folder); err == nil {
+		size = min(size, s.Total/maxReserveShare)
+		if s.Free < 2*(size-r.bytes) {
+			return 0
+		}
 	}
-	return nil
+	return size
 }
 
 // release removes the file, which frees its room.
--- a/controller/disk/writer.go
+++ b/controller/disk/writer.go
@@ -96,6 +96,8 @@
 	// coveredIndex is the last entry of the log that a snapshot covers and that found no
 	// room to be removed; zero for none.
 	coveredIndex uint64
+	// reserveTimer fires when the reserve is to grow.
+	reserveTimer *time.Timer
 	// hasReserveFailed is true once ReserveFailed was called.
 	hasReserveFailed bool
 }
@@ -128,11 +130,14 @@
 // not durable, and the process must exit. The end of ctx on a full disk is no failure.
 func (w *Writer) Run(ctx context.Context) (err error) {
 	defer util.Annotate(&err, "disk: run writer")
-	w.keepReserve()
+	w.reserveTimer = time.NewTimer(reserveDelay)
+	defer w.reserveTimer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-w.reserveTimer.C:
+			w.growReserve()
 		case op := <-w.operations:
 			if err = w.perform(ctx, w.collectQueued(op)); err != nil {
 				return err
@@ -175,7 +180,7 @@
 		}
 		w.acknowledge(b, time.Since(startedAt))
 		if w.snapshotIndex > before {
-			w.keepReserve()
+			w.reserveTimer.Reset(reserveDelay)
 		}
 	}
 	return nil
@@ -263,13 +268,24 @@
 	return b, err
 }
 
-// keepReserve keeps room for the next snapshot and for votes if there is enough.
-func (w *Writer) keepReserve() {
-	err := errors.Join(w.reserve.keep(w.cfg.Folder.snapshotBytes), w.cfg.Log.keepVoteFile())
+// The reserve grows from reserveDelay after a start or a snapshot on, with a pause after each
+// chunk: what is queued goes first.
+const (
+	reserveDelay = 200 * time.Millisecond
+	reservePause = 50 * time.Millisecond
+)
+
+// growReserve keeps room for the next snapshot and for votes if there is enough.
+func (w *Writer) growReserve() {
+	isMoreDue, err := w.reserve.grow(w.cfg.Folder.snapshotBytes)
+	err = errors.Join(err, w.cfg.Log.keepVoteFile())
 	if err != nil && w.cfg.ReserveFailed != nil && !w.hasReserveFailed {
 		w.hasReserveFailed = true
 		w.cfg.ReserveFailed(err)
 	}
+	if isMoreDue && err == nil {
+		w.reserveTimer.Reset(reservePause)
+	}
 }
 
 // acknowledge reports that a backlog is durable.
@@ -363,7 +379,7 @@
 		Waited: time.Since(startedAt),
 	})
 	w.acknowledge(b, time.Since(startedAt))
-	w.keepReserve()
+	w.reserveTimer.Reset(reserveDelay)
 	return nil
 }
 
