Let disks be full in the random test of losses of power

Disks are full now and then, also while a process starts; a process whose writer waits for room is killed in three of four cases, and goes on with room in the others.

--- a/controller/disk/powerloss/group_test.go
+++ b/controller/disk/powerloss/group_test.go
@@ -41,6 +41,8 @@
 	applied []string
 	// hangsUntil is when the disk goes on.
 	hangsUntil time.Time
+	// killWriter ends the process of a writer that waits for room.
+	killWriter func()
 }
 
 // A group is a set of machines and the network between them, with a record of what
@@ -59,6 +61,8 @@
 	// votes holds the candidate that a voter chose in a term.
 	votes      map[string]string
 	violations []string
+	// fulls is the number of times that a writer found its disk full.
+	fulls int
 }
 
 func newGroup(seed uint64) *group {
@@ -103,7 +107,7 @@
 		m.log, r, err = disk.Recover(m.folder)
 	}
 	if err != nil {
-		if m.disk.operationsLeft != 0 && !m.disk.syncFails {
+		if m.disk.operationsLeft != 0 && !m.disk.syncFails && !m.disk.isFull {
 			g.report("%s does not start: %v", m.address, err)
 		}
 		m.stop()
@@ -127,7 +131,17 @@
 				Hard: hard,
 			})
 		},
-		QueueLength: 1 << 12,
+		FullChanged: func(r disk.FullReport) {
+			if r.Err == nil {
+				return
+			}
+			g.fulls++
+			if m.disk.isFull = !g.happens(4); m.disk.isFull {
+				m.killWriter()
+			}
+		},
+		ReserveBytes: 256,
+		QueueLength:  1 << 12,
 	})
 	m.applied = decodeApplied(r.State)
 	m.replica = consensus.NewReplica(g.now, consensus.Config{
@@ -196,8 +210,10 @@
 			g.send(f.Message)
 			return
 		}
+		_, isVote := f.Message.Body.(consensus.VoteReply)
 		m.queue = append(m.queue, disk.After{
-			Run: func() { g.send(f.Message) },
+			Run:                func() { g.send(f.Message) },
+			NeedsOnlyHardState: isVote,
 		})
 	case consensus.Apply:
 		g.apply(m, f.Entries)
@@ -338,6 +354,11 @@
 	}
 	if len(m.queue) > 0 {
 		ctx, cancel := context.WithCancel(context.Background())
+		isKilled := false
+		m.killWriter = func() {
+			isKilled = true
+			cancel()
+		}
 		for _, op := range m.queue {
 			Expect(m.writer.Enqueue(ctx, op)).To(BeTrue())
 		}
@@ -347,7 +368,7 @@
 		})).To(BeTrue())
 		err := m.writer.Run(ctx)
 		cancel()
-		if err != nil {
+		if err != nil || isKilled {
 			m.stop()
 			return
 		}
--- a/controller/disk/powerloss/power_loss_test.go
+++ b/controller/disk/powerloss/power_loss_test.go
@@ -128,7 +128,7 @@
 }
 
 // disturb kills processes, also in the middle of what they write, lets syncs fail and disks
-// hang, takes the power from machines and starts processes again.
+// hang or be full, takes the power from machines and starts processes again.
 func (g *group) disturb() {
 	for _, m := range g.machines {
 		switch {
@@ -146,6 +146,8 @@
 			m.disk.syncFails = true
 		case g.happens(20):
 			m.hangsUntil = g.now.Add(time.Duration(g.random.Int64N(int64(maxHang))))
+		case g.happens(80):
+			m.disk.isFull = true
 		case g.happens(40):
 			g.saveSnapshot(m)
 		}
@@ -169,6 +171,7 @@
 		m.disk.operationsLeft = 1 + g.random.IntN(12)
 	}
 	m.disk.syncFails = g.happens(20)
+	m.disk.isFull = m.disk.isFull && g.happens(2)
 	g.start(m)
 }
 
@@ -190,6 +193,7 @@
 func (g *group) settle() {
 	for end := g.now.Add(settleLimit); !g.isWhole() && g.now.Before(end); {
 		for _, m := range g.machines {
+			m.disk.isFull = false
 			if !m.isUp {
 				g.start(m)
 			}
@@ -254,7 +258,7 @@
 }
 
 // runWithPowerLosses returns what went wrong with a group under random faults.
-func runWithPowerLosses(seed uint64) (violations []string, acknowledged int) {
+func runWithPowerLosses(seed uint64) (violations []string, acknowledged, fulls int) {
 	g := newGroup(seed)
 	g.settle()
 	for range roundsOfFaults {
@@ -275,7 +279,7 @@
 	for _, m := range g.machines {
 		m.stop()
 	}
-	return g.violations, len(g.acknowledged)
+	return g.violations, len(g.acknowledged), g.fulls
 }
 
 var _ = Describe("A group of five", func() {
@@ -307,12 +311,14 @@
 	})
 
 	It("keeps what it has acknowledged if two disks are lost while all other machines lose power", func() {
-		total := 0
+		total, fulls := 0, 0
 		for seed := range uint64(powerLossSeeds) {
-			violations, acknowledged := runWithPowerLosses(seed)
+			violations, acknowledged, full := runWithPowerLosses(seed)
 			Expect(violations).To(BeEmpty(), "seed %d", seed)
 			total += acknowledged
+			fulls += full
 		}
 		Expect(total).To(BeNumerically(">", 0))
+		Expect(fulls).To(BeNumerically(">", 0))
 	})
 })
