--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -39,30 +39,28 @@
 	l, isLeader := r.role.(Leader)
 	var out []Effect
 	var payloads []Payload
-	lastIndex := r.log.LastIndex()
+	pendingBytes := uint64(0)
 	for _, p := range e.Proposals {
-		switch {
-		case !isLeader || l.transferee != "":
-			out = append(out, Refused{
-				Token:  p.Token,
-				Reason: RefusedNotLeader,
-			})
-		case lastIndex+1-r.commitIndex > r.cfg.MaxUncommitted:
+		reason := RefusedNotLeader
+		if isLeader && l.transferee == "" {
+			reason = r.proposalRefusal(l, p, uint64(len(payloads)), pendingBytes)
+		}
+		if reason != "" {
 			out = append(out, Refused{
 				Token:  p.Token,
-				Reason: RefusedLogFull,
-			})
-		default:
-			lastIndex++
-			payloads = append(payloads, Data{
-				Bytes: p.Bytes,
-			})
-			out = append(out, Appended{
-				Token: p.Token,
-				Index: lastIndex,
-				Term:  r.hardState.Term,
+				Reason: reason,
 			})
+			continue
 		}
+		payloads = append(payloads, Data{
+			Bytes: p.Bytes,
+		})
+		pendingBytes += uint64(len(p.Bytes))
+		out = append(out, Appended{
+			Token: p.Token,
+			Index: r.log.LastIndex() + uint64(len(payloads)),
+			Term:  r.hardState.Term,
+		})
 	}
 	if len(payloads) == 0 {
 		return r, out
@@ -134,7 +132,7 @@
 		CommitIndex: r.commitIndex,
 		SentNS:      l.sentNS,
 	}
-	if !p.Probing {
+	if r.mayTakeEntries(p) {
 		// Assume that the entries arrive. If they are lost, the member rejects
 		// the next request and the leader probes again.
 		request.Entries = r.log.Slice(p.Next, r.cfg.MaxBatchEntries, r.cfg.MaxBatchBytes)
@@ -199,46 +197,20 @@
 			}
 		}
 	}
-	var newEntries []Entry
 	wasSynced := r.syncedIndex >= r.log.LastIndex()
-	for _, e := range request.Entries {
-		if e.Index <= r.log.BaseIndex() {
-			continue
-		}
-		if term, ok := r.log.Term(e.Index); ok && term == e.Term {
-			continue
-		}
-		r = r.truncated(e.Index).withEntry(e)
-		newEntries = append(newEntries, e)
-	}
+	r, taken, match := r.withRequested(request)
 	var out []Effect
-	if len(newEntries) > 0 {
+	if len(taken) > 0 {
 		if wasSynced {
 			r.syncBeganAt = now
 		}
 		out = append(out, Persist{
 			Hard:    r.hardState,
-			Entries: newEntries,
+			Entries: taken,
 		})
 	}
-	matchIndex := request.PrevIndex + uint64(len(request.Entries))
-	r.commitIndex = max(r.commitIndex, min(request.CommitIndex, matchIndex))
-	accepted := func(match uint64) Send {
-		return Send{
-			Message: r.newMessage(msg.From, AppendReply{
-				Accepted: true,
-				Match:    match,
-				SentNS:   request.SentNS,
-			}),
-			// Entries of an earlier request may not be durable yet.
-			AfterSync: match > r.syncedIndex,
-		}
-	}
-	if matchIndex > r.syncedIndex && now.Sub(r.syncBeganAt) >= r.cfg.Heartbeat {
-		// A leader must not lose its lease, or reads their confirmation, to a slow disk.
-		out = append(out, accepted(r.syncedIndex))
-	}
-	return r, append(out, accepted(matchIndex))
+	r.commitIndex = max(r.commitIndex, min(request.CommitIndex, match))
+	return r, append(out, r.repliesTo(now, msg, request, match, len(taken) > 0)...)
 }
 
 // matchHint returns the last entry that may match the leader's log, given that
@@ -283,12 +255,10 @@
 		return r, nil
 	}
 	wasProbing := p.Probing
-	p.Probing = false
-	p.SnapshotRetryAt = time.Time{}
-	p.Next = max(p.Next, p.Match+1)
+	p = p.withAccepted(reply)
 	r.role = l.withProgress(from, p)
 	r = r.advanceCommitIndex()
-	if wasProbing || p.Next <= r.log.LastIndex() {
+	if r.mayTakeEntries(p) && (wasProbing || p.Next <= r.log.LastIndex()) {
 		return r.replicateToOne(now, from)
 	}
 	l, _ = r.role.(Leader)
--- a/control/core.go
+++ b/control/core.go
@@ -23,10 +23,13 @@
 	lastSender        string
 	lastSenderAddress string
 	snapshotIndex     uint64
-	isSavingSnapshot  bool
-	receivedSnapshot  *SnapshotReceived
-	lastPulse         pulse
-	formation         formation.Formation
+	// snapshotBytes is the size of the state in the last snapshot.
+	snapshotBytes    uint64
+	isSavingSnapshot bool
+	receivedSnapshot *SnapshotReceived
+	fullDisk         fullDisk
+	lastPulse        pulse
+	formation        formation.Formation
 	// isRoundTimerRunning is true while a RoundDue event is pending.
 	isRoundTimerRunning bool
 	// isApplyPending is true while an ApplyDue event is pending.
@@ -44,6 +47,12 @@
 	}
 }
 
+// WithSnapshotBytes returns c with the size of the state in the snapshot that was recovered.
+func (c Core) WithSnapshotBytes(n uint64) Core {
+	c.snapshotBytes = n
+	return c
+}
+
 // WithFormation returns c with the state of the agreement on the first group.
 func (c Core) WithFormation(f formation.Formation) Core {
 	c.formation = f
@@ -70,7 +79,8 @@
 	c, out := c.step(now, e)
 	c, out = c.startRoundTimer(now, out)
 	c, out = c.continueApplying(out)
-	return c.runDispatch(now, e, out)
+	c, out = c.runDispatch(now, e, out)
+	return c.watchCommits(now, e, out)
 }
 
 // continueApplying requests an ApplyDue event if committed entries are left to apply.
@@ -96,6 +106,10 @@
 		out = append(out, more...)
 		c, more = c.logGroupHealth(now)
 		out = append(out, more...)
+		c, more = c.snapshotIfDiskFull(now)
+		out = append(out, more...)
+		c, more = c.handOverIfDiskFull(now)
+		out = append(out, more...)
 		c, more = c.logStandstill(now, e)
 		return c, append(out, more...)
 	case PeerMessageReceived:
@@ -104,16 +118,6 @@
 			Message: e.Message,
 		})
 	case Submit:
-		if !c.acceptsCommands(now) {
-			return c, []Effect{
-				Reply{
-					Token: e.Token,
-					Answer: Busy{
-						IsGroupIncomplete: true,
-					},
-				},
-			}
-		}
 		return c.stepSubmit(now, e)
 	case PollReceived:
 		return c.stepPollReceived(now, e)
@@ -126,6 +130,8 @@
 		return c.stepReplica(now, consensus.HardStateSynced(e))
 	case SnapshotSaved:
 		return c.stepSnapshotSaved(now, e)
+	case DiskFullChanged:
+		return c.stepDiskFullChanged(now, e)
 	case SnapshotReceived:
 		return c.stepSnapshotReceived(now, e)
 	case SnapshotSent:
@@ -201,7 +207,7 @@
 			},
 		}
 	case consensus.Apply:
-		return c.applyCommitted(f.Entries)
+		return c.applyCommitted(now, f.Entries)
 	case consensus.Appended:
 		return c.replyOnceCommitted(f)
 	case consensus.LeadershipConfirmed:
@@ -245,62 +251,14 @@
 	return list
 }
 
-// replyOnceCommitted replies to a request whose entry is committed, and otherwise
-// makes the reply wait for that.
-func (c Core) replyOnceCommitted(f consensus.Appended) (Core, []Effect) {
-	if f.Token == 0 {
-		return c, nil
-	}
-	if f.Index <= c.replica.CommitIndex() {
-		return c, []Effect{
-			Reply{
-				Token: f.Token,
-				Answer: Committed{
-					Outcome: plantainladder.Outcome{
-						Index: f.Index,
-					},
-				},
-			},
-		}
-	}
-	pending, _ := c.pendingReplies.Get(f.Index)
-	c.pendingReplies = c.pendingReplies.Set(f.Index, pending.withRequest(f))
-	return c, nil
-}
-
-func (c Core) replyRefused(f consensus.Refused) (Core, []Effect) {
-	if f.Token == 0 {
-		return c, nil
-	}
-	var a Answer = Refused{
-		Reason: string(f.Reason),
-		Detail: f.Detail,
-	}
-	switch f.Reason {
-	case consensus.RefusedNotLeader:
-		a = NotLeader{
-			Redirect: c.LeaderAddress(),
-		}
-	case consensus.RefusedLogFull:
-		a = Busy{}
-	case consensus.RefusedInvalidChange, consensus.RefusedChangePending, consensus.RefusedAlreadyFormed:
-	}
-	return c, []Effect{
-		Reply{
-			Token:  f.Token,
-			Answer: a,
-		},
-	}
-}
-
 // applyCommitted applies committed entries and replies to the requests that
 // wait for them.
-func (c Core) applyCommitted(entries []consensus.Entry) (Core, []Effect) {
+func (c Core) applyCommitted(now time.Time, entries []consensus.Entry) (Core, []Effect) {
 	var out []Effect
 	for _, e := range entries {
 		var o plantainladder.Outcome
 		var more []Effect
-		c, o, more = c.applyEntry(e)
+		c, o, more = c.applyEntry(now, e)
 		out = append(out, more...)
 		pending, ok := c.pendingReplies.Get(e.Index)
 		if !ok {
@@ -322,7 +280,7 @@
 	return c, append(out, more...)
 }
 
-func (c Core) applyEntry(e consensus.Entry) (Core, plantainladder.Outcome, []Effect) {
+func (c Core) applyEntry(now time.Time, e consensus.Entry) (Core, plantainladder.Outcome, []Effect) {
 	data, ok := e.Payload.(consensus.Data)
 	if !ok {
 		var out []Effect
@@ -356,11 +314,13 @@
 	out := []Effect{
 		counter,
 	}
-	if e.Term == c.leadership.term {
+	if e.Term != c.leadership.term {
 		// Entries of earlier terms were logged by the leaders of those terms.
-		out = append(out, logCommand(before, next, envelope)...)
+		return c, o, out
 	}
-	return c, o, out
+	c, more := c.logCommittedRound(now, e.Index, envelope.Command, before)
+	out = append(out, more...)
+	return c, o, append(out, logCommand(before, next, envelope)...)
 }
 
 // skipEntry ignores an entry that cannot be decoded. All replicas hold the same
@@ -377,24 +337,3 @@
 		},
 	}
 }
-
-// roleChanged creates or discards the leader state. Pending requests of a lost
-// leadership have an unknown outcome: the next leader may commit their entries.
-func (c Core) roleChanged(now time.Time, f consensus.RoleChanged) (Core, []Effect) {
-	out := []Effect{
-		c.logRole(f),
-	}
-	if c.replica.IsLeader() {
-		if c.leadership == nil || c.leadership.term != f.Term {
-			c.leadership = newLeadership(now, f.Term, c.cfg.Dispatch)
-		}
-		return c, out
-	}
-	c.leadership = nil
-	for itr := c.pendingReplies.Iterator(); !itr.Done(); {
-		_, pending, _ := itr.Next()
-		out = append(out, pending.replies(OutcomeUnknown{})...)
-	}
-	c.pendingReplies = immutable.NewMap[uint64, pendingReply](nil)
-	return c, out
-}
--- a/controller/gateway/gateway_suite_test.go
+++ b/controller/gateway/gateway_suite_test.go
@@ -50,10 +50,17 @@
 	syncs int
 	// confirmations counts the requests to confirm a leadership that servers have posted.
 	confirmations int
+	// refusal is the answer to each command; nil if commands are not refused.
+	refusal control.Answer
+	// isDiskFull is true while no host's disk takes entries.
+	isDiskFull bool
 	// isHeld is true while messages between the hosts stay on their way.
 	isHeld bool
 }
 
+// maxCommandBytes is the size of the largest command of a group.
+const maxCommandBytes = 1 << 20
+
 // newGroup returns a group of three voters.
 func newGroup() *group {
 	g := &group{}
@@ -78,6 +85,7 @@
 				MaxBatchEntries: 100,
 				MaxBatchBytes:   1 << 20,
 				MaxUncommitted:  1000,
+				MaxCommandBytes: maxCommandBytes,
 				MaxApplyEntries: 64,
 				MaxApplyBytes:   1 << 16,
 			}, consensus.StoredState{}), plantainladder.NewState()),
@@ -138,7 +146,7 @@
 			g.stepOne(h, control.HardStateSynced{
 				Hard: f.Persist.Hard,
 			})
-			if n := len(f.Persist.Entries); n > 0 {
+			if n := len(f.Persist.Entries); n > 0 && !g.isDiskFull {
 				g.syncs++
 				g.stepOne(h, control.EntriesSynced{
 					Index: f.Persist.Entries[n-1].Index,
@@ -146,6 +154,9 @@
 				})
 			}
 		case control.SendMessage:
+			if f.AfterSync && g.isDiskFull {
+				continue
+			}
 			g.sent++
 			g.inFlight = append(g.inFlight, f)
 		case control.ContinueApplying:
@@ -226,6 +237,10 @@
 			if _, ok := e.(control.ConfirmLeadership); ok {
 				g.confirmations++
 			}
+			if s, ok := e.(control.Submit); ok && g.refusal != nil {
+				h.pending.Answer(s.Token, g.refusal)
+				return nil
+			}
 			g.step(h, e)
 			return nil
 		},
--- a/controller/gateway/server.go
+++ b/controller/gateway/server.go
@@ -100,6 +100,14 @@
 	return reply, nil
 }
 
+// outcomeOf returns the outcome of a command that was refused for good.
+func outcomeOf(a control.Refused) plantainladder.Outcome {
+	return plantainladder.Outcome{
+		Reason: plantainladder.Reason(a.Reason),
+		Detail: a.Detail,
+	}
+}
+
 func (g *Server) command(ctx context.Context, c wire.Command) (reply wire.CommandReply, err error) {
 	cmd, err := wire.UnmarshalCommand(c.Body)
 	if err != nil {
@@ -118,15 +126,12 @@
 	case control.NotLeader:
 		reply.Redirect = a.Redirect
 	case control.Busy:
-		reply.Leader, reply.Busy, reply.GroupIncomplete = true, true, a.IsGroupIncomplete
+		reply.Leader, reply.Busy, reply.BusyReason = true, true, wire.BusyReason(a.Reason)
+		reply.GroupIncomplete = a.Reason == control.BusyGroupIncomplete
 	case control.OutcomeUnknown:
 		reply.Leader, reply.OutcomeUnknown = true, true
 	case control.Refused:
-		reply.Leader = true
-		reply.Outcome = plantainladder.Outcome{
-			Reason: plantainladder.Reason(a.Reason),
-			Detail: a.Detail,
-		}
+		reply.Leader, reply.Outcome = true, outcomeOf(a)
 	case control.PollResult, control.LeadershipConfirmed:
 		return reply, &UnexpectedAnswerError{
 			Answer: a,
--- a/controller/node/election_test.go
+++ b/controller/node/election_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/plantainladder/plantainladder/consensus"
 	"github.com/plantainladder/plantainladder/control"
+	"github.com/plantainladder/plantainladder/dispatch"
 )
 
 var _ = Describe("The log of a controller", func() {
@@ -78,4 +79,48 @@
 		Eventually(lines).Should(gbytes.Say(`"round":"vote","cause":"timeout","term":3,"took":1000,` +
 			`"granted":\["a"\],"refused":\["b voted"\],"silent":\["c"\].*"Election failed."`))
 	})
+
+	It("tells the decisions of a committed round from a round that was only proposed", func() {
+		n.perform(control.LogDecision{
+			Record: dispatch.DecisionRecord{
+				Text: "Run has ended.",
+			},
+			Commit: control.RoundCommit{
+				Round: 7,
+				Index: 9,
+				Took:  time.Second,
+			},
+		})
+		n.perform(control.LogUnseenRound{
+			Reason: control.UnseenLeadershipEnded,
+			Round:  8,
+			Ends:   2,
+			Age:    time.Second,
+		})
+		Eventually(lines).Should(gbytes.Say(`"round":7,"log-index":9,"commit-took":1000,.*"Run has ended."`))
+		Eventually(lines).Should(gbytes.Say(`"reason":"leadership-ended","round":8,"ends":2,"placements":0,"age":1000,`))
+	})
+
+	It("has what the voters hold while the leader commits nothing", func() {
+		n.perform(control.LogCommitStalled{
+			Waited:      time.Second,
+			CommitIndex: 7,
+			LastIndex:   9,
+			SyncedIndex: 8,
+			Voters: []control.VoterProgress{
+				{
+					Address:    "b:1",
+					Match:      7,
+					ContactAge: 50 * time.Millisecond,
+				},
+			},
+		})
+		n.perform(control.LogCommitResumed{
+			Took:        2 * time.Second,
+			CommitIndex: 9,
+		})
+		Eventually(lines).Should(gbytes.Say(`"waited":1000,"commit-index":7,"last-index":9,"synced-index":8,` +
+			`"voters":\["b:1 match 7 contact-age 50ms"\].*"The leader commits nothing."`))
+		Eventually(lines).Should(gbytes.Say(`"took":2000,"commit-index":9.*"The leader commits again."`))
+	})
 })
--- a/controller/node/perform.go
+++ b/controller/node/perform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/plantainladder/plantainladder/consensus"
@@ -60,7 +61,9 @@
 		// The event loop must not wait for room in its own queue.
 		go func() { _ = n.loop.Post(n.ctx, control.ApplyDue{}) }()
 	case control.LogDecision:
-		n.logDecision(f.Record)
+		n.logDecision(f)
+	case control.LogUnseenRound:
+		n.logUnseenRound(f)
 	case control.LogMembers:
 		n.logMembers(f)
 	case control.LogGroupHealth:
@@ -75,6 +78,10 @@
 	case control.LogStandstill:
 		n.logger.Warn().Dur("steady", f.Steady).Dur("time-of-day", f.TimeOfDay).Bool("leader", f.IsLeader).
 			Msg("Controller stood still, or a clock was set.")
+	case control.LogCommitStalled:
+		n.logCommitStalled(f)
+	case control.LogCommitResumed:
+		n.logger.Info().Dur("took", f.Took).Uint64("commit-index", f.CommitIndex).Msg("The leader commits again.")
 	case control.LogMessage:
 		n.logger.Info().Msg(f.Text)
 	case control.IncrementCounter:
@@ -96,8 +103,26 @@
 	})
 }
 
-// logDecision logs a decision on a workflow or one of its runs.
-func (n *Node) logDecision(d dispatch.DecisionRecord) {
+// logUnseenRound logs that this leader does not know its round to be committed.
+func (n *Node) logUnseenRound(f control.LogUnseenRound) {
+	n.logger.Warn().Str("reason", string(f.Reason)).Uint64("round", f.Round).Int("ends", f.Ends).
+		Int("placements", f.Placements).Dur("age", f.Age).Msg("A proposed round was not seen committed by this leader.")
+}
+
+// logCommitStalled logs that this leader commits nothing, with what the voters hold.
+func (n *Node) logCommitStalled(f control.LogCommitStalled) {
+	voters := make([]string, 0, len(f.Voters))
+	for _, v := range f.Voters {
+		voters = append(voters, fmt.Sprintf("%s match %d contact-age %dms", v.Address, v.Match, v.ContactAge.Milliseconds()))
+	}
+	n.logger.Warn().Dur("waited", f.Waited).Uint64("commit-index", f.CommitIndex).Uint64("last-index", f.LastIndex).
+		Uint64("synced-index", f.SyncedIndex).Strs("voters", voters).Msg("The leader commits nothing.")
+}
+
+// logDecision logs a decision on a workflow or one of its runs, with the commit of its
+// round.
+func (n *Node) logDecision(f control.LogDecision) {
+	d := f.Record
 	line := n.logger.Info().Str("reason", d.Reason)
 	if d.RunKey.Workflow != "" {
 		line = line.Str("workflow", d.RunKey.Workflow).Int("occurrence", d.RunKey.Occurrence).
@@ -115,6 +140,9 @@
 	if !d.CompleteBy.IsZero() {
 		line = line.Time("due", d.CompleteBy)
 	}
+	if f.Commit.Round != 0 {
+		line = line.Uint64("round", f.Commit.Round).Uint64("log-index", f.Commit.Index).Dur("commit-took", f.Commit.Took)
+	}
 	line.Dur("age", d.Age).Msg(d.Text)
 }
 
@@ -193,7 +221,9 @@
 	case <-n.ctx.Done():
 	case <-saved:
 		_ = n.loop.Post(n.ctx, control.SnapshotSaved{
-			Index: f.Meta.Index,
+			Index:     f.Meta.Index,
+			Bytes:     uint64(len(state)),
+			KeepAfter: f.KeepAfter,
 		})
 	}
 }
