--- a/controller/disk/backlog.go
+++ b/controller/disk/backlog.go
@@ -19,11 +19,21 @@
 	keepAfter uint64
 	// snapshotIndex is the index of the last snapshot, saved or to be saved.
 	snapshotIndex uint64
-	callbacks     []After
+	callbacks     []callback
 	// keys holds the positions of the callbacks that a later one replaces.
 	keys map[string]int
 }
 
+// A callback is a function that is called once what it stands for is durable.
+type callback struct {
+	// run is nil once it was called or replaced.
+	run func()
+	// needsOnlyHardState is After.NeedsOnlyHardState.
+	needsOnlyHardState bool
+	// snapshotIndex is the index of the snapshot that run reports as saved; zero for none.
+	snapshotIndex uint64
+}
+
 // newBacklog returns the backlog of no operation.
 func (w *Writer) newBacklog() backlog {
 	return backlog{
@@ -61,19 +71,23 @@
 func (b backlog) withCallback(op After) backlog {
 	if op.Key != "" {
 		if i, ok := b.keys[op.Key]; ok {
-			b.callbacks[i] = After{}
+			b.callbacks[i].run = nil
 		}
 		b.keys[op.Key] = len(b.callbacks)
 	}
-	b.callbacks = append(b.callbacks, op)
+	b.callbacks = append(b.callbacks, callback{
+		run:                op.Run,
+		needsOnlyHardState: op.NeedsOnlyHardState,
+	})
 	return b
 }
 
 func (b backlog) withSnapshot(op SaveSnapshot) backlog {
-	b.callbacks = append(b.callbacks, After{
-		Run: op.Done,
-	})
 	index := op.Snapshot.Meta.Index
+	b.callbacks = append(b.callbacks, callback{
+		run:           op.Done,
+		snapshotIndex: index,
+	})
 	if index <= b.snapshotIndex {
 		return b
 	}
@@ -88,6 +102,16 @@
 	return b
 }
 
+// call calls the callbacks that meet a condition, in their order, each once.
+func (b backlog) call(isDue func(c callback) bool) {
+	for i, c := range b.callbacks {
+		if c.run != nil && isDue(c) {
+			b.callbacks[i].run = nil
+			c.run()
+		}
+	}
+}
+
 // entriesAfter returns a new list of the entries after an index.
 func entriesAfter(entries []consensus.Entry, index uint64) (kept []consensus.Entry) {
 	for _, e := range entries {
--- a/controller/disk/quota_test.go
+++ b/controller/disk/quota_test.go
@@ -295,6 +295,27 @@
 		Expect(r.StoredState.Entries).To(Equal(longEntries(21, 2, entryBytes)))
 	})
 
+	// The core requests one snapshot at a time, of what it has applied, which may not be all
+	// that has to be removed from the log.
+	It("is reported as saved while entries still wait, so that the next one can follow", func() {
+		l := startLimited(GinkgoT().TempDir(), nil)
+		l.enqueue(appendOf(hard, longEntries(1, 20, entryBytes)))
+		l.settle()
+		l.quota.leave(entryBytes / 2)
+		l.enqueue(appendOf(hard, longEntries(21, 28, entryBytes)))
+		Eventually(l.full).Should(Receive())
+		// Half of the log has to fit beside the whole of it.
+		l.quota.leave(11 * entryBytes)
+		first := make(chan struct{})
+		l.enqueue(snapshotOf(10, 0, func() { close(first) }))
+		Eventually(first).Should(BeClosed())
+		Expect(l.synced.Load()).To(Equal(uint64(20)))
+		l.enqueue(snapshotOf(20, 0, func() {}))
+		l.settle()
+		Expect(l.synced.Load()).To(Equal(uint64(48)))
+		Expect(l.reopened().StoredState.Entries).To(Equal(longEntries(21, 28, entryBytes)))
+	})
+
 	It("that covers entries that wait makes it needless to write them", func() {
 		l := startLimited(GinkgoT().TempDir(), nil)
 		l.enqueue(appendOf(hard, longEntries(1, 20, entryBytes)))
--- a/controller/disk/writer.go
+++ b/controller/disk/writer.go
@@ -41,8 +41,8 @@
 	// KeepAfter is the index of the last entry to remove; KeepNone removes all that were
 	// queued before. Entries that the snapshot covers are removed in any case.
 	KeepAfter uint64
-	// Done is called once the snapshot and the log are durable, also if nothing had
-	// to be written. It must not block.
+	// Done is called once the snapshot is durable and what it covers is removed from the
+	// log, also if nothing had to be written. It must not block.
 	Done func()
 }
 
@@ -250,16 +250,16 @@
 	if b.appends > 0 {
 		w.reportHardState(b.hard)
 	}
-	for _, callback := range b.callbacks {
-		if callback.Run != nil {
-			callback.Run()
-		}
-	}
+	b.call(func(callback) bool { return true })
 }
 
-// storeVote makes the last term and vote of a backlog durable although the log has no
-// room, and calls the callbacks that need nothing else.
-func (w *Writer) storeVote(b backlog) (err error) {
+// reportDone reports what of a backlog is durable although the rest finds no room. A
+// snapshot that is saved may have to be followed by a later one.
+func (w *Writer) reportDone(b backlog) (err error) {
+	if b.snapshot == nil {
+		b.call(func(c callback) bool { return c.snapshotIndex > 0 })
+		w.updateUsage()
+	}
 	err = w.cfg.Log.StoreHardState(b.hard)
 	if full := (*FullError)(nil); errors.As(err, &full) {
 		return nil
@@ -268,12 +268,7 @@
 		return err
 	}
 	w.reportHardState(b.hard)
-	for i, callback := range b.callbacks {
-		if callback.NeedsOnlyHardState && callback.Run != nil {
-			b.callbacks[i] = After{}
-			callback.Run()
-		}
-	}
+	b.call(func(c callback) bool { return c.needsOnlyHardState })
 	return nil
 }
 
@@ -302,7 +297,7 @@
 	retry := time.NewTimer(fullRetryInterval)
 	defer retry.Stop()
 	for err = full; errors.As(err, &full); {
-		if err = w.storeVote(b); err != nil {
+		if err = w.reportDone(b); err != nil {
 			return err
 		}
 		select {
--- a/controller/node/node_suite_test.go
+++ b/controller/node/node_suite_test.go
@@ -95,6 +95,18 @@
 	return size
 }
 
+// largestLog returns the size in bytes of the largest log file in a folder.
+func largestLog(path string) (size int64) {
+	files, err := filepath.Glob(filepath.Join(path, "*.wal"))
+	Expect(err).NotTo(HaveOccurred())
+	for _, f := range files {
+		if info, err := os.Stat(f); err == nil {
+			size = max(size, info.Size())
+		}
+	}
+	return size
+}
+
 var _ = Describe("A controller whose disk was full", func() {
 	It("goes on if all its queues have filled up meanwhile", func() {
 		path := GinkgoT().TempDir()
@@ -121,6 +133,24 @@
 		Expect(stopped).NotTo(Receive())
 	})
 
+	// The snapshot that frees the disk is not due, and was queued behind what found no room.
+	It("frees the disk by itself with a snapshot, and goes on", func() {
+		path := GinkgoT().TempDir()
+		n, stopped := startLeader(path, 1_000_000)
+		fillLog(n, 3000)
+		full := largestLog(path)
+		restore := limitFileSize(full + 10)
+		DeferCleanup(restore)
+		for i := range 2000 {
+			Expect(submit(context.Background(), n, i%2 == 0)).To(Succeed())
+		}
+		last := n.Core().Replica().Log().LastIndex()
+		Eventually(func() uint64 { return n.Core().Replica().CommitIndex() }).WithTimeout(10 * time.Second).
+			Should(BeNumerically(">=", last))
+		Expect(largestLog(path)).To(BeNumerically("<", full))
+		Expect(stopped).NotTo(Receive())
+	})
+
 	It("goes on to compact its log if snapshots were due each time", func() {
 		const snapshotEvery = 100
 		path := GinkgoT().TempDir()
