Read only the newest segment of a log

What callers saw: a core that lost power soon after its disk had been full did not start again: "log file log-.wal is damaged".

An append that finds no room leaves a part of its frame, and the truncation that undoes it is not durable. The compaction that frees the disk then writes a new segment; the end of the old one is never synced. If power is lost before the removal of the old segment is durable, it is back with a torn end, and OpenLog takes that for damage, since only the last segment may be torn. Each new segment begins with a batch that replaces all before it, so the old one is worth nothing.

The disks of the power-loss model now cut short a write that finds no room, as the kernel does.

OpenLog reads the newest segment, and returns a *DamageError if there are older ones and it does not begin with such a batch. Before, a newest segment without a valid frame was truncated ("a log of several segments is damaged if the newest one does not replace the others" failed).

go test ./controller/disk/... passes.

--- a/controller/disk/log.go
+++ b/controller/disk/log.go
@@ -24,7 +24,8 @@
 }
 
 // A Log is a write-ahead log in numbered segment files. Batches are appended to
-// the newest segment.
+// the newest segment. Each segment but the first one begins with a batch that replaces
+// all before it, so that only the newest one counts.
 type Log struct {
 	folder string
 	files  FileSystem
@@ -69,15 +70,12 @@
 	if err != nil {
 		return nil, content, err
 	}
-	for i, n := range numbers {
-		isLast := i == len(numbers)-1
-		if content, err = readSegment(cfg.Files, segmentPath(folder, n), isLast, content); err != nil {
-			return nil, content, err
-		}
-	}
 	number := 1
 	if len(numbers) > 0 {
 		number = numbers[len(numbers)-1]
+		if content, err = readSegment(cfg.Files, segmentPath(folder, number), len(numbers) > 1); err != nil {
+			return nil, content, err
+		}
 	}
 	l = &Log{
 		folder:  folder,
--- a/controller/disk/powerloss/durable_test.go
+++ b/controller/disk/powerloss/durable_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"os"
 	"path/filepath"
 	"reflect"
 
@@ -304,6 +305,51 @@
 		}
 	})
 
+	It("a log is not damaged whose compaction was cut short after an append found no room", func() {
+		var failed []uint64
+		for seed := range uint64(10 * seedsPerTest) {
+			l := newLossyFolder(seed)
+			l.run(func(_ *disk.Folder, log *disk.Log) {
+				Expect(log.Append(hard, entries(1, 3))).To(Succeed())
+				Expect(log.Sync()).To(Succeed())
+				l.disk.isFull = true
+				Expect(log.Append(hard, entries(4, 3))).NotTo(Succeed())
+				l.disk.isFull = false
+				l.disk.operationsLeft = 1 + int(seed%10)
+				_ = log.CompactLog(0)
+			})
+			l.disk.losePower(false)
+			_, _, r, err := l.open()
+			if damage := (*disk.DamageError)(nil); errors.As(err, &damage) {
+				failed = append(failed, seed)
+				continue
+			}
+			Expect(err).NotTo(HaveOccurred(), "seed %d", seed)
+			Expect(r.StoredState.Entries).To(Equal(entries(1, 3)), "seed %d", seed)
+		}
+		Expect(failed).To(BeEmpty())
+	})
+
+	It("a log of several segments is damaged if the newest one does not replace the others", func() {
+		l := newLossyFolder(1)
+		l.run(func(_ *disk.Folder, log *disk.Log) {
+			Expect(log.Append(hard, entries(1, 3))).To(Succeed())
+		})
+		first := filepath.Join(l.path, "log-00000001.wal")
+		content, err := os.ReadFile(first)
+		Expect(err).NotTo(HaveOccurred())
+		for _, second := range [][]byte{
+			nil,
+			content,
+		} {
+			Expect(os.WriteFile(filepath.Join(l.path, "log-00000002.wal"), second, 0o600)).To(Succeed())
+			_, _, _, err = l.open()
+			damage := (*disk.DamageError)(nil)
+			Expect(errors.As(err, &damage)).To(BeTrue())
+			Expect(first).To(BeAnExistingFile())
+		}
+	})
+
 	It("a snapshot is there that a process read at its start", func() {
 		for seed := range uint64(seedsPerTest / 10) {
 			for operations := 1; operations < 15; operations++ {
--- a/controller/disk/powerloss/lossy_disk_test.go
+++ b/controller/disk/powerloss/lossy_disk_test.go
@@ -302,18 +302,18 @@
 	h.content.writes = append(h.content.writes, w)
 }
 
-// Write appends to the file. A kill cuts it short.
+// Write appends to the file. A kill or a full disk cuts it short.
 func (h *lossyHandle) Write(b []byte) (int, error) {
 	info, err := h.Stat()
 	if err != nil {
 		return 0, err
 	}
-	if h.disk.isFull {
-		return 0, syscall.ENOSPC
-	}
 	offset := info.Size()
-	killed := h.disk.survivesOperation()
-	if killed != nil {
+	cut := h.disk.survivesOperation()
+	if cut == nil && h.disk.isFull {
+		cut = syscall.ENOSPC
+	}
+	if cut != nil {
 		b = b[:h.disk.random.IntN(len(b)+1)]
 	}
 	n, err := h.File.Write(b)
@@ -321,7 +321,7 @@
 		offset: offset,
 		bytes:  append([]byte(nil), b[:n]...),
 	})
-	return n, errors.Join(err, killed)
+	return n, errors.Join(err, cut)
 }
 
 // WriteAt writes at an offset. A kill cuts it short.
--- a/controller/disk/segment.go
+++ b/controller/disk/segment.go
@@ -38,9 +38,10 @@
 	return numbers, nil
 }
 
-// readSegment returns content with the batches of a segment applied. It holds one frame at
-// a time: a log may be longer than the memory that the process may use.
-func readSegment(files FileSystem, path string, isLast bool, content LogContent) (out LogContent, err error) {
+// readSegment returns the content of a segment. It holds one frame at a time: a log may be
+// longer than the memory that the process may use. If the segment replaces older ones, it
+// returns a *DamageError unless it begins with a batch that does.
+func readSegment(files FileSystem, path string, replacesOlder bool) (content LogContent, err error) {
 	file, err := os.Open(path)
 	if err != nil {
 		return content, err
@@ -55,33 +56,45 @@
 		size:   info.Size(),
 		source: bufio.NewReaderSize(file, readBufferBytes),
 	}
+	hasReplaced := !replacesOlder
 	for r.offset < r.size {
 		body, ok, err := r.next()
 		if err != nil {
 			return content, err
 		}
 		if !ok {
-			return truncateTornTail(files, path, r, isLast, content)
+			break
 		}
 		b, err := codec.Unmarshal[batch](body)
 		if err != nil {
 			return content, err
 		}
+		if hasReplaced = hasReplaced || b.Reset; !hasReplaced {
+			break
+		}
 		if content, err = content.withBatch(b); err != nil {
 			return content, err
 		}
 	}
+	switch {
+	case !hasReplaced:
+		return content, &DamageError{
+			Path: path,
+		}
+	case r.offset < r.size:
+		return truncateTornTail(files, path, r, content)
+	}
 	return content, nil
 }
 
-// truncateTornTail removes the torn write at the reader's offset from the end of the last
+// truncateTornTail removes the torn write at the reader's offset from the end of the
 // segment. It returns a *DamageError if it is not a torn write.
-func truncateTornTail(files FileSystem, path string, r frameReader, isLast bool, content LogContent) (out LogContent, err error) {
+func truncateTornTail(files FileSystem, path string, r frameReader, content LogContent) (out LogContent, err error) {
 	isTorn, err := r.isTornTail()
 	if err != nil {
 		return content, err
 	}
-	if !isLast || !isTorn {
+	if !isTorn {
 		return content, &DamageError{
 			Path:   path,
 			Offset: r.offset,
