Remove the segments that a killed process has left

What callers could see: a core that was killed between the start of a new segment and the removal of the old one kept the old one for ever. On a disk of 128 MB it may be as large as most of it.

Only the segment that a compaction replaces is removed; OpenLog did not remember older ones.

OpenLog makes the name of the newest segment durable and removes the older ones, before it looks for room to rewrite the newest one.

go test ./controller/disk/... passes.

--- a/controller/disk/leftover_test.go
+++ b/controller/disk/leftover_test.go
@@ -1,6 +1,7 @@
 package disk_test
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 
@@ -33,6 +34,23 @@
 		Expect(fileNames(path)).To(ConsistOf(want))
 	})
 
+	It("are removed at the next start if a process was killed while it compacted the log", func() {
+		path := newFilledFolder(3)
+		first := filepath.Join(path, "log-00000001.wal")
+		replaced, err := os.ReadFile(first)
+		Expect(err).NotTo(HaveOccurred())
+		f, log, _, err := open(path)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(log.CompactLog(0)).To(Succeed())
+		Expect(errors.Join(log.Close(), f.Close())).To(Succeed())
+		want := fileNames(path)
+		Expect(os.WriteFile(first, replaced, 0o600)).To(Succeed())
+		_, _, r, err := open(path)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.StoredState.Entries).To(Equal(entries(1, 3)))
+		Expect(fileNames(path)).To(ConsistOf(want))
+	})
+
 	It("are removed once a received snapshot was read", func() {
 		path := newFilledFolder(3)
 		sender, _, _, err := open(newFilledFolder(3))
--- a/controller/disk/log.go
+++ b/controller/disk/log.go
@@ -61,7 +61,8 @@
 // OpenLog opens the log in a folder, makes its content durable and returns it. A
 // process that was killed may have left entries that only the kernel holds; the
 // replica answers for them once it has read them. OpenLog truncates a torn write at
-// the end, and returns a *DamageError for any other damage.
+// the end, and returns a *DamageError for any other damage. It removes older segments,
+// which a process leaves that is killed while it compacts the log.
 func OpenLog(cfg FolderConfig) (l *Log, content LogContent, err error) {
 	defer util.Annotate(&err, "disk: open log")
 	cfg = cfg.withDefaults()
@@ -83,6 +84,9 @@
 		number:  number,
 		content: content,
 	}
+	for i := range len(numbers) - 1 {
+		l.replaced = append(l.replaced, segmentPath(folder, numbers[i]))
+	}
 	l.file, err = cfg.Files.OpenFile(segmentPath(folder, number), os.O_CREATE|os.O_WRONLY|os.O_APPEND)
 	if err != nil {
 		return nil, content, err
@@ -92,7 +96,10 @@
 		return nil, content, err
 	}
 	l.size = info.Size()
-	if content.IsRewritten, err = l.rewrite(); err == nil && !content.IsRewritten {
+	if err = l.settle(); err == nil {
+		content.IsRewritten, err = l.rewrite()
+	}
+	if err == nil && !content.IsRewritten {
 		err = errors.Join(l.file.Sync(), cfg.Files.SyncFolder(folder))
 	}
 	if err != nil {
