--- a/controller/node/node_suite_test.go
+++ b/controller/node/node_suite_test.go
@@ -137,16 +137,17 @@
 
 	// The snapshot that frees the disk is not due, and was queued behind what found no room.
 	It("frees the disk by itself with a snapshot, and goes on", func() {
+		const changes = 2000
 		path := GinkgoT().TempDir()
 		n, stopped := startLeader(path, 1_000_000)
 		fillLog(n, 3000)
 		full := largestLog(path)
 		restore := limitFileSize(full + 10)
 		DeferCleanup(restore)
-		for i := range 2000 {
+		last := n.Core().Replica().Log().LastIndex() + changes
+		for i := range changes {
 			Expect(submit(context.Background(), n, i%2 == 0)).To(Succeed())
 		}
-		last := n.Core().Replica().Log().LastIndex()
 		Eventually(func() uint64 { return n.Core().Replica().CommitIndex() }).WithTimeout(10 * time.Second).
 			Should(BeNumerically(">=", last))
 		Expect(largestLog(path)).To(BeNumerically("<", full))
