Answer a change that changes nothing without storing it

Invalid ones were stored as well.

Change: a leader answers a configuration that is in force or older than the one in force, and one that is invalid, from a state that a majority has confirmed. It needs no sync, works on a full disk, and the group must be complete as for other commands. One that waits for its commit is still stored again.

--- a/apply_workflow.go
+++ b/apply_workflow.go
@@ -149,6 +149,18 @@
 	}
 }
 
+// Settled returns the outcome of a command that changes nothing, whatever other commands
+// follow; ok is false for all others.
+func (s State) Settled(c Command) (o Outcome, ok bool) {
+	put, isPut := c.(PutConfiguration)
+	if !isPut {
+		return o, false
+	}
+	_, o = s.applyPutConfiguration(put)
+	o.Index = s.index
+	return o, !o.IsAccepted() || put.Document.Version <= s.configuration.Version
+}
+
 // HasAccepted reports whether a call has submitted the workflow with the identifier. If
 // the call sends its submission again since the answer was lost, that is accepted without
 // effect, whatever was withdrawn since.
--- a/control/join.go
+++ b/control/join.go
@@ -93,12 +93,12 @@
 	return c, nil
 }
 
-// acceptsCommands reports whether the group has enough voters to accept
+// AcceptsCommands reports whether the group has enough voters to accept
 // commands: an accepted command must survive as many failures as the configured
 // number of voters tolerates. If v of 2f+1 voters are there and the others count as
 // lost, v-f-1 more may be lost. With v > f, f+1 voters are left then, which are a
 // majority and hold every committed entry. With fewer, none need be left.
-func (c Core) acceptsCommands(now time.Time) bool {
+func (c Core) AcceptsCommands(now time.Time) bool {
 	voters := c.replica.Members().Voters()
 	switch {
 	case c.leadership == nil || voters >= c.cfg.Voters:
--- a/control/submit.go
+++ b/control/submit.go
@@ -10,7 +10,7 @@
 func (c Core) stepSubmit(now time.Time, e Submit) (Core, []Effect) {
 	var reason BusyReason
 	switch {
-	case !c.acceptsCommands(now):
+	case !c.AcceptsCommands(now):
 		reason = BusyGroupIncomplete
 	case c.isCommitStalled():
 		// The entry would wait behind those that are not committed, and the caller would
--- a/controller/gateway/server.go
+++ b/controller/gateway/server.go
@@ -113,6 +113,9 @@
 	if err != nil {
 		return reply, err
 	}
+	if reply, ok := g.answerSettled(ctx, c.ID, cmd); ok {
+		return reply, nil
+	}
 	a := g.postAndWait(ctx, func(token uint64) control.Event {
 		return control.Submit{
 			Token:   token,
@@ -139,3 +142,18 @@
 	}
 	return reply, nil
 }
+
+// answerSettled answers a command that changes nothing from the confirmed state. Otherwise
+// each configuration that is sent again would be stored once more by all controllers.
+func (g *Server) answerSettled(ctx context.Context, id string, c plantainladder.Command) (reply wire.CommandReply, ok bool) {
+	core, _, isLeader := g.leaderCore()
+	if _, ok = core.State().Settled(c); !ok || !isLeader || id != "" || !core.AcceptsCommands(g.cfg.Clock()) {
+		return reply, false
+	}
+	if core, _, ok = g.confirmedCore(ctx); !ok {
+		return reply, false
+	}
+	reply.Leader = true
+	reply.Outcome, ok = core.State().Settled(c)
+	return reply, ok
+}
