Keep a stored vote while a start stores a later one

What could happen: a replica forgets a vote that it has answered, and votes twice in a term.

On a full disk, votes are written to two slots in turn. A process that is killed before the sync of the second one leaves it in the memory of the kernel only. The next process takes it for the last one and stores it again in the other slot, which holds the vote that was answered. If power is lost during that write, neither slot is valid.

A start writes the slot that it has read again, with the same bytes. If that slot was durable, the write changes nothing; if not, the other one is untouched.

--- a/controller/disk/powerloss/durable_test.go
+++ b/controller/disk/powerloss/durable_test.go
@@ -255,6 +255,33 @@
 		}
 	})
 
+	It("a vote is there that was stored on a full disk, also if the next process was killed at its start", func() {
+		answered := consensus.HardState{
+			Term: 2,
+			Vote: "c2",
+		}
+		var failed []uint64
+		for seed := range uint64(20 * seedsPerTest) {
+			l := newLossyFolder(seed)
+			l.run(func(_ *disk.Folder, log *disk.Log) {
+				Expect(log.Append(hard, entries(1, 3))).To(Succeed())
+				Expect(log.Sync()).To(Succeed())
+				l.disk.isFull = true
+				Expect(log.StoreHardState(answered)).To(Succeed())
+				l.disk.operationsLeft = 2
+				Expect(log.StoreHardState(consensus.HardState{
+					Term: 3,
+				})).NotTo(Succeed())
+			})
+			l.killAfter(1 + int(seed%10))
+			l.disk.losePower(false)
+			if l.run(nothing).StoredState.Hard.Term < answered.Term {
+				failed = append(failed, seed)
+			}
+		}
+		Expect(failed).To(BeEmpty())
+	})
+
 	It("a log is not damaged that was not compacted after a received snapshot", func() {
 		for seed := range uint64(seedsPerTest) {
 			l := newLossyFolder(seed)
--- a/controller/disk/vote.go
+++ b/controller/disk/vote.go
@@ -90,24 +90,28 @@
 }
 
 // store makes a term and vote durable in the slot that does not hold the last ones.
-func (v *voteFile) store(hard consensus.HardState) (err error) {
-	next := voteSlot{
+func (v *voteFile) store(hard consensus.HardState) error {
+	return v.write(voteSlot{
 		Sequence: v.last.Sequence + 1,
 		Hard:     hard,
-	}
-	body, err := codec.Marshal(next)
+	})
+}
+
+// write makes a slot durable.
+func (v *voteFile) write(s voteSlot) (err error) {
+	body, err := codec.Marshal(s)
 	if err != nil {
 		return err
 	}
 	slot := make([]byte, voteSlotBytes)
 	copy(slot, encodeFrame(body))
-	if _, err = v.file.WriteAt(slot, int64(next.Sequence%voteSlots)*voteSlotBytes); err != nil {
+	if _, err = v.file.WriteAt(slot, int64(s.Sequence%voteSlots)*voteSlotBytes); err != nil {
 		return asFullError(err, nil)
 	}
 	if err = v.file.Sync(); err != nil {
 		return asFullError(err, nil)
 	}
-	v.last = next
+	v.last = s
 	return nil
 }
 
@@ -122,7 +126,8 @@
 
 // openVote opens the vote file and takes over a term and vote that are newer than those of
 // the log. A process that was killed may have left them where a loss of power takes them
-// away, so they are stored again. Without room for the file, the log goes on without it.
+// away, so their slot is written again; the other one may hold the last durable ones.
+// Without room for the file, the log goes on without it.
 func (l *Log) openVote() (err error) {
 	l.vote, err = openVoteFile(l.files, l.folder)
 	if full := (*FullError)(nil); errors.As(err, &full) {
@@ -136,7 +141,7 @@
 		return nil
 	}
 	l.content.Hard = hard
-	return l.vote.store(hard)
+	return l.vote.write(l.vote.last)
 }
 
 // keepVoteFile creates the vote file if there was no room for it before.
