--- a/controller/gateway/server.go
+++ b/controller/gateway/server.go
@@ -113,8 +113,8 @@
 	if err != nil {
 		return reply, err
 	}
-	if reply, ok := g.answerSettled(ctx, c.ID, cmd); ok {
-		return reply, nil
+	if settled, ok := g.answerSettled(ctx, c.ID, cmd); ok {
+		return settled, nil
 	}
 	a := g.postAndWait(ctx, func(token uint64) control.Event {
 		return control.Submit{
