Hold one callback of a kind while the disk is full

What callers could see: the memory of a controller grows for as long as its disk is full, with each reply to a heartbeat.

Of the replies of a kind that wait for the disk only the last one is called, but each that was replaced left an empty element in the list of callbacks, which every operation and every attempt to write walks through.

"A backlog holds one callback of a key, however many there were" failed: 2000 elements for 1000 replies of one key and 1000 without, want 1001.

The later callback takes the place of the earlier one. All callbacks of a backlog are called together, so their order says nothing.

go test ./controller/disk/... passes. In ./controller/node two tests failed in their clean-up, as before: the folder is not empty, since the writer still runs.

--- a/controller/disk/backlog.go
+++ b/controller/disk/backlog.go
@@ -20,7 +20,7 @@
 	// snapshotIndex is the index of the last snapshot, saved or to be saved.
 	snapshotIndex uint64
 	callbacks     []After
-	// keys holds the positions of the callbacks that a later one replaces.
+	// keys holds the positions of the callbacks that a later one of their key replaces.
 	keys map[string]int
 }
 
@@ -59,10 +59,11 @@
 }
 
 func (b backlog) withCallback(op After) backlog {
+	if i, ok := b.keys[op.Key]; ok {
+		b.callbacks[i] = op
+		return b
+	}
 	if op.Key != "" {
-		if i, ok := b.keys[op.Key]; ok {
-			b.callbacks[i] = After{}
-		}
 		b.keys[op.Key] = len(b.callbacks)
 	}
 	b.callbacks = append(b.callbacks, op)
