--- a/controller/disk/backlog.go
+++ b/controller/disk/backlog.go
@@ -22,7 +22,7 @@
 	// saved are called once the snapshot is durable, whatever is left of the log.
 	saved     []func()
 	callbacks []After
-	// keys holds the positions of the callbacks that a later one replaces.
+	// keys holds the positions of the callbacks that a later one of their key replaces.
 	keys map[string]int
 }
 
@@ -61,10 +61,11 @@
 }
 
 func (b backlog) withCallback(op After) backlog {
+	if i, ok := b.keys[op.Key]; ok {
+		b.callbacks[i] = op
+		return b
+	}
 	if op.Key != "" {
-		if i, ok := b.keys[op.Key]; ok {
-			b.callbacks[i] = After{}
-		}
 		b.keys[op.Key] = len(b.callbacks)
 	}
 	b.callbacks = append(b.callbacks, op)
