Store a vote of the file in the log as well at the next start

A version before the file of votes reads the log only. If such a version was started after writes had waited on a full disk, and the disk had room by then, it could vote a second time in a term (found by the review). A start that takes a term and vote from the file appends them to the log if there is room.

--- a/controller/disk/vote.go
+++ b/controller/disk/vote.go
@@ -141,7 +141,17 @@
 		return nil
 	}
 	l.content.Hard = hard
-	return l.vote.write(l.vote.last)
+	if err = l.vote.write(l.vote.last); err != nil {
+		return err
+	}
+	// A version that does not know the file reads only the log.
+	if err = l.Append(hard, nil); err == nil {
+		err = l.Sync()
+	}
+	if full := (*FullError)(nil); errors.As(err, &full) {
+		return nil
+	}
+	return err
 }
 
 // keepVoteFile creates the vote file if there was no room for it before.
--- a/controller/disk/vote_test.go
+++ b/controller/disk/vote_test.go
@@ -1,6 +1,8 @@
 package disk_test
 
 import (
+	"os"
+	"path/filepath"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -59,4 +61,20 @@
 		l.settle()
 		Expect(l.reopened().StoredState.Hard).To(Equal(later))
 	})
+
+	// An older version would vote again in the same term.
+	It("is in the log for a version that knows nothing else once a start finds room", func() {
+		path := newFilledFolder(20)
+		l := startLimited(path, nil)
+		l.settle()
+		l.quota.leave(0)
+		l.enqueue(appendOf(vote, nil))
+		Eventually(func() *consensus.HardState { return l.hard.Load() }).Should(HaveValue(Equal(vote)))
+		Expect(l.reopened().StoredState.Hard).To(Equal(vote))
+		Expect(os.Remove(filepath.Join(path, "vote"))).To(Succeed())
+		_, log, r, err := open(path)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(log.Close)
+		Expect(r.StoredState.Hard).To(Equal(vote))
+	})
 })
