--- a/controller/disk/writer.go
+++ b/controller/disk/writer.go
@@ -41,8 +41,8 @@
 	// KeepAfter is the index of the last entry to remove; KeepNone removes all that were
 	// queued before. Entries that the snapshot covers are removed in any case.
 	KeepAfter uint64
-	// Done is called once the snapshot is durable and what it covers is removed from the
-	// log, also if nothing had to be written. It must not block.
+	// Done is called once the snapshot is durable, with KeepNone also the log, and if
+	// nothing had to be written. It must not block.
 	Done func()
 }
 
@@ -93,6 +93,11 @@
 	syncedHard    consensus.HardState
 	usage         usage
 	reserve       *reserve
+	// coveredIndex is the last entry of the log that a snapshot covers and that found no
+	// room to be removed; zero for none.
+	coveredIndex uint64
+	// reserveTimer fires when the reserve is to grow.
+	reserveTimer *time.Timer
 	// hasReserveFailed is true once ReserveFailed was called.
 	hasReserveFailed bool
 }
@@ -125,11 +130,14 @@
 // not durable, and the process must exit. The end of ctx on a full disk is no failure.
 func (w *Writer) Run(ctx context.Context) (err error) {
 	defer util.Annotate(&err, "disk: run writer")
-	w.keepReserve()
+	w.reserveTimer = time.NewTimer(reserveDelay)
+	defer w.reserveTimer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-w.reserveTimer.C:
+			w.growReserve()
 		case op := <-w.operations:
 			if err = w.perform(ctx, w.collectQueued(op)); err != nil {
 				return err
@@ -172,7 +180,7 @@
 		}
 		w.acknowledge(b, time.Since(startedAt))
 		if w.snapshotIndex > before {
-			w.keepReserve()
+			w.reserveTimer.Reset(reserveDelay)
 		}
 	}
 	return nil
@@ -193,21 +201,36 @@
 	return i
 }
 
-// write makes a backlog durable, and returns what is left of it if the disk is full. The
-// snapshot comes first, then the removal of what it covers from the log, since these may
-// free the room for the rest.
+// write makes a backlog durable, and returns what is left of it if the disk is full. It
+// gives up the reserve if a snapshot or the room that it frees depends on that.
 func (w *Writer) write(b backlog) (left backlog, err error) {
-	if b.snapshot != nil {
-		err = w.writeSnapshot(b)
-		if full := (*FullError)(nil); errors.As(err, &full) && w.reserve.bytes > 0 {
-			if err = w.reserve.release(); err == nil {
-				err = w.writeSnapshot(b)
-			}
-		}
-		if err != nil {
+	left, err = w.attempt(b)
+	full := (*FullError)(nil)
+	if !errors.As(err, &full) || w.reserve.bytes == 0 || left.snapshot == nil && left.keepAfter == 0 {
+		return left, err
+	}
+	if err = w.reserve.release(); err != nil {
+		return left, err
+	}
+	return w.attempt(left)
+}
+
+// attempt writes the snapshot of a backlog first, then removes what it covers from the
+// log, since these may free the room for the rest.
+func (w *Writer) attempt(b backlog) (left backlog, err error) {
+	if b.snapshot != nil && b.snapshotIndex > w.snapshotIndex {
+		if err = w.cfg.Folder.SaveSnapshot(*b.snapshot); err != nil {
 			return b, err
 		}
-		b.snapshot, b.keepAfter = nil, 0
+		w.snapshotIndex = b.snapshotIndex
+	}
+	b.snapshot = nil
+	for _, callback := range b.saved {
+		callback()
+	}
+	b.saved = nil
+	if b, err = w.compact(b); err != nil {
+		return b, err
 	}
 	if b.appends == 0 || len(b.entries) == 0 && w.cfg.Log.isDurable(b.hard) {
 		return b, nil
@@ -218,24 +241,51 @@
 	return b, w.cfg.Log.Sync()
 }
 
-// writeSnapshot saves the snapshot of a backlog and removes what it covers from the log.
-func (w *Writer) writeSnapshot(b backlog) (err error) {
-	if b.snapshotIndex > w.snapshotIndex {
-		if err = w.cfg.Folder.SaveSnapshot(*b.snapshot); err != nil {
-			return err
-		}
-		w.snapshotIndex = b.snapshotIndex
+// maxRestShare is the part of the log, as a divisor, that may be left after a snapshot for
+// the log to be written anew without what the snapshot covers.
+const maxRestShare = 4
+
+// compact removes what the snapshot of a backlog covers from the log. It puts that off to the
+// next snapshot if much would have to be written again, and until an append needs the room
+// if the disk is full: the log may be far longer than the room beside it. What a received
+// snapshot replaces must go.
+func (w *Writer) compact(b backlog) (left backlog, err error) {
+	if b.keepAfter == 0 {
+		return b, nil
+	}
+	rest := entriesAfter(w.cfg.Log.content.Entries, b.keepAfter)
+	if maxRestShare*dataBytes(rest) <= w.cfg.Log.size {
+		err = w.cfg.Log.Replace(b.hard, rest)
 	}
-	return w.cfg.Log.Replace(b.hard, entriesAfter(w.cfg.Log.content.Entries, b.keepAfter))
+	full := (*FullError)(nil)
+	if errors.As(err, &full) && b.keepAfter != KeepNone {
+		w.coveredIndex = b.keepAfter
+		return b, nil
+	}
+	if err == nil {
+		b.keepAfter, w.coveredIndex = 0, 0
+	}
+	return b, err
 }
 
-// keepReserve keeps room for the next snapshot and for votes if there is enough.
-func (w *Writer) keepReserve() {
-	err := errors.Join(w.reserve.keep(w.cfg.Folder.snapshotBytes), w.cfg.Log.keepVoteFile())
+// The reserve grows from reserveDelay after a start or a snapshot on, with a pause after each
+// chunk: what is queued goes first.
+const (
+	reserveDelay = 200 * time.Millisecond
+	reservePause = 50 * time.Millisecond
+)
+
+// growReserve keeps room for the next snapshot and for votes if there is enough.
+func (w *Writer) growReserve() {
+	isMoreDue, err := w.reserve.grow(w.cfg.Folder.snapshotBytes)
+	err = errors.Join(err, w.cfg.Log.keepVoteFile())
 	if err != nil && w.cfg.ReserveFailed != nil && !w.hasReserveFailed {
 		w.hasReserveFailed = true
 		w.cfg.ReserveFailed(err)
 	}
+	if isMoreDue && err == nil {
+		w.reserveTimer.Reset(reservePause)
+	}
 }
 
 // acknowledge reports that a backlog is durable.
@@ -250,16 +300,16 @@
 	if b.appends > 0 {
 		w.reportHardState(b.hard)
 	}
-	b.call(func(callback) bool { return true })
+	for _, callback := range b.callbacks {
+		if callback.Run != nil {
+			callback.Run()
+		}
+	}
 }
 
-// reportDone reports what of a backlog is durable although the rest finds no room. A
-// snapshot that is saved may have to be followed by a later one.
-func (w *Writer) reportDone(b backlog) (err error) {
-	if b.snapshot == nil {
-		b.call(func(c callback) bool { return c.snapshotIndex > 0 })
-		w.updateUsage()
-	}
+// storeVote makes the last term and vote of a backlog durable although the log has no
+// room, and calls the callbacks that need nothing else.
+func (w *Writer) storeVote(b backlog) (err error) {
 	err = w.cfg.Log.StoreHardState(b.hard)
 	if full := (*FullError)(nil); errors.As(err, &full) {
 		return nil
@@ -268,7 +318,12 @@
 		return err
 	}
 	w.reportHardState(b.hard)
-	b.call(func(c callback) bool { return c.needsOnlyHardState })
+	for i, callback := range b.callbacks {
+		if callback.NeedsOnlyHardState && callback.Run != nil {
+			b.callbacks[i] = After{}
+			callback.Run()
+		}
+	}
 	return nil
 }
 
@@ -285,19 +340,21 @@
 const fullRetryInterval = 100 * time.Millisecond
 
 // waitForRoom repeats a write that found the disk full until it succeeds or ctx ends. It
-// does not give up: a new process would have to write as well. It takes operations from the queue meanwhile: one of them may be the
-// snapshot that frees room, and those who queue them must not have to wait.
+// does not give up: a new process would have to write as well. It takes operations from
+// the queue meanwhile: one of them may be the snapshot that frees room, and those who queue
+// them must not have to wait.
 func (w *Writer) waitForRoom(ctx context.Context, b backlog, full *FullError) (err error) {
 	w.reportFull(FullReport{
 		Err:     full,
 		Entries: len(b.entries),
 		Bytes:   dataBytes(b.entries),
 	})
+	b.keepAfter = max(b.keepAfter, w.coveredIndex)
 	startedAt := time.Now()
 	retry := time.NewTimer(fullRetryInterval)
 	defer retry.Stop()
 	for err = full; errors.As(err, &full); {
-		if err = w.reportDone(b); err != nil {
+		if err = w.storeVote(b); err != nil {
 			return err
 		}
 		select {
@@ -322,7 +379,7 @@
 		Waited: time.Since(startedAt),
 	})
 	w.acknowledge(b, time.Since(startedAt))
-	w.keepReserve()
+	w.reserveTimer.Reset(reserveDelay)
 	return nil
 }
 
--- a/controller/node/node_suite_test.go
+++ b/controller/node/node_suite_test.go
@@ -57,8 +57,8 @@
 	DeferCleanup(func() {
 		close(stopping)
 		cancel()
-		// The disk writer may still end what it was writing.
-		Eventually(func() error { return os.RemoveAll(path) }).WithTimeout(5 * time.Second).Should(Succeed())
+		// The folder is removed next.
+		Eventually(n.Written()).WithTimeout(5 * time.Second).Should(BeClosed())
 		// Each controller registers its metrics with the process.
 		metrics.UnregisterAllMetrics()
 	})
@@ -137,18 +137,19 @@
 
 	// The snapshot that frees the disk is not due, and was queued behind what found no room.
 	It("frees the disk by itself with a snapshot, and goes on", func() {
+		const changes = 2000
 		path := GinkgoT().TempDir()
 		n, stopped := startLeader(path, 1_000_000)
-		const before, more = 3000, 2000
-		fillLog(n, before)
+		fillLog(n, 3000)
 		full := largestLog(path)
 		restore := limitFileSize(full + 10)
 		DeferCleanup(restore)
-		for i := range more {
+		last := n.Core().Replica().Log().LastIndex() + changes
+		for i := range changes {
 			Expect(submit(context.Background(), n, i%2 == 0)).To(Succeed())
 		}
 		Eventually(func() uint64 { return n.Core().Replica().CommitIndex() }).WithTimeout(10 * time.Second).
-			Should(BeNumerically(">=", before+more))
+			Should(BeNumerically(">=", last))
 		Expect(largestLog(path)).To(BeNumerically("<", full))
 		Expect(stopped).NotTo(Receive())
 	})
