--- a/controller/disk/backlog.go
+++ b/controller/disk/backlog.go
@@ -17,6 +17,8 @@
 	// keepAfter stay.
 	snapshot  *Snapshot
 	keepAfter uint64
+	// isWaiting is true once a write has found the disk full.
+	isWaiting bool
 	// snapshotIndex is the index of the last snapshot, saved or to be saved.
 	snapshotIndex uint64
 	// saved are called once the snapshot is durable, whatever is left of the log.
--- a/controller/disk/log.go
+++ b/controller/disk/log.go
@@ -41,6 +41,9 @@
 	// what is durable.
 	isUnsynced bool
 	isBroken   bool
+	// coveredIndex is the index of the snapshot that was there when the log was opened; a
+	// process that was killed may have left the entries up to it in the log.
+	coveredIndex uint64
 	// replaced holds the segments to remove once the name of the newest one is durable.
 	replaced []string
 }
--- a/controller/disk/quota_test.go
+++ b/controller/disk/quota_test.go
@@ -316,6 +316,37 @@
 		Expect(l.reopened().StoredState.Entries).To(Equal(longEntries(21, 28, entryBytes)))
 	})
 
+	// With room, a log is not written anew while much of it would stay. If nothing can be
+	// committed, no later snapshot follows.
+	It("frees the room later if the log was not worth compacting at first", func() {
+		l := startLimited(GinkgoT().TempDir(), nil)
+		l.enqueue(appendOf(hard, longEntries(1, 20, entryBytes)))
+		saved := make(chan struct{})
+		l.enqueue(snapshotOf(10, 0, func() { close(saved) }))
+		Eventually(saved).Should(BeClosed())
+		l.settle()
+		l.quota.leave(11 * entryBytes)
+		l.enqueue(appendOf(hard, longEntries(21, 15, entryBytes)))
+		l.settle()
+		Expect(l.synced.Load()).To(Equal(uint64(35)))
+		Expect(l.reopened().StoredState.Entries).To(Equal(longEntries(11, 25, entryBytes)))
+	})
+
+	It("that a process has saved that was killed before it compacted the log frees it too", func() {
+		path := newFilledFolder(1000)
+		f, log, _, err := open(path)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(f.SaveSnapshot(snapshotOf(990, 0, nil).Snapshot)).To(Succeed())
+		Expect(log.Close()).To(Succeed())
+		Expect(f.Close()).To(Succeed())
+		l := startLimited(path, nil)
+		l.settle()
+		l.quota.leave(entryBytes / 2)
+		l.enqueue(appendOf(hard, longEntries(1001, 5, entryBytes)))
+		l.settle()
+		Expect(l.synced.Load()).To(Equal(uint64(1005)))
+	})
+
 	It("that covers entries that wait makes it needless to write them", func() {
 		l := startLimited(GinkgoT().TempDir(), nil)
 		l.enqueue(appendOf(hard, longEntries(1, 20, entryBytes)))
--- a/controller/disk/recover.go
+++ b/controller/disk/recover.go
@@ -38,6 +38,7 @@
 	if err = l.openVote(); err != nil {
 		return nil, r, errors.Join(err, l.Close())
 	}
+	l.coveredIndex = snapshot.Meta.Index
 	r = Recovered{
 		StoredState: consensus.StoredState{
 			Hard:     l.content.Hard,
--- a/controller/disk/writer.go
+++ b/controller/disk/writer.go
@@ -93,8 +93,8 @@
 	syncedHard    consensus.HardState
 	usage         usage
 	reserve       *reserve
-	// coveredIndex is the last entry of the log that a snapshot covers and that found no
-	// room to be removed; zero for none.
+	// coveredIndex is the last entry that a snapshot covers and that may still be in the
+	// log; zero for none.
 	coveredIndex uint64
 	// reserveTimer fires when the reserve is to grow.
 	reserveTimer *time.Timer
@@ -105,9 +105,10 @@
 // NewWriter returns a Writer; Run starts it.
 func NewWriter(cfg WriterConfig) *Writer {
 	w := &Writer{
-		cfg:        cfg,
-		operations: make(chan Operation, cfg.QueueLength),
-		reserve:    newReserve(cfg.Folder, cfg.ReserveBytes),
+		cfg:          cfg,
+		coveredIndex: cfg.Log.coveredIndex,
+		operations:   make(chan Operation, cfg.QueueLength),
+		reserve:      newReserve(cfg.Folder, cfg.ReserveBytes),
 	}
 	w.updateUsage()
 	return w
@@ -245,20 +246,21 @@
 // the log to be written anew without what the snapshot covers.
 const maxRestShare = 4
 
-// compact removes what the snapshot of a backlog covers from the log. It puts that off to the
-// next snapshot if much would have to be written again, and until an append needs the room
-// if the disk is full: the log may be far longer than the room beside it. What a received
-// snapshot replaces must go.
+// compact removes what the snapshot of a backlog covers from the log. With room, it puts that
+// off while much would have to be written again; if the disk is full, until the rest fits
+// beside the log, which may be far longer. What a received snapshot replaces must go.
 func (w *Writer) compact(b backlog) (left backlog, err error) {
 	if b.keepAfter == 0 {
 		return b, nil
 	}
 	rest := entriesAfter(w.cfg.Log.content.Entries, b.keepAfter)
-	if maxRestShare*dataBytes(rest) <= w.cfg.Log.size {
-		err = w.cfg.Log.Replace(b.hard, rest)
+	if !b.isWaiting && maxRestShare*dataBytes(rest) > w.cfg.Log.size {
+		w.coveredIndex = b.keepAfter
+		b.keepAfter = 0
+		return b, nil
 	}
-	full := (*FullError)(nil)
-	if errors.As(err, &full) && b.keepAfter != KeepNone {
+	err = w.cfg.Log.Replace(b.hard, rest)
+	if full := (*FullError)(nil); errors.As(err, &full) && b.keepAfter != KeepNone {
 		w.coveredIndex = b.keepAfter
 		return b, nil
 	}
@@ -349,7 +351,7 @@
 		Entries: len(b.entries),
 		Bytes:   dataBytes(b.entries),
 	})
-	b.keepAfter = max(b.keepAfter, w.coveredIndex)
+	b.keepAfter, b.isWaiting = max(b.keepAfter, w.coveredIndex), true
 	startedAt := time.Now()
 	retry := time.NewTimer(fullRetryInterval)
 	defer retry.Stop()
