--- a/controller/disk/disk_suite_test.go
+++ b/controller/disk/disk_suite_test.go
@@ -170,7 +170,8 @@
 			EntriesSynced: func(consensus.Entry) {},
 			QueueLength:   16,
 		})
-		go func() { _ = w.Run(ctx) }()
+		ended := make(chan error, 1)
+		go func() { ended <- w.Run(ctx) }()
 		done := make(chan struct{})
 		w.Enqueue(ctx, disk.Append{
 			Persist: consensus.Persist{
@@ -191,6 +192,7 @@
 		})
 		Eventually(done).Should(BeClosed())
 		cancel()
+		Eventually(ended).Should(Receive(BeNil()))
 		Expect(l.Close()).To(Succeed())
 		Expect(f.Close()).To(Succeed())
 		_, _, r, err := open(path)
