Play random histories of a folder whose disk is full at times

Writes, syncs of files and syncs of the folder find no room at random, also while the writer waits, between kills at any operation and losses of power. What was reported to be durable must be there at the next start, and the folder must not be damaged. A sync that finds no room leaves by chance some of the writes, and no further sync writes the rest.

Only entries and votes of one folder are compared; the random test of a group has the rest.

--- a/controller/disk/powerloss/lossy_disk_test.go
+++ b/controller/disk/powerloss/lossy_disk_test.go
@@ -35,8 +35,11 @@
 	// syncFails is true while syncs of files fail.
 	syncFails bool
 	// isFull is true while files can be neither created nor extended.
-	isFull    bool
-	tempFiles int
+	isFull bool
+	// fullSyncs and fullFolderSyncs are the numbers of the next syncs of files and of
+	// folders that find no room.
+	fullSyncs, fullFolderSyncs int
+	tempFiles                  int
 }
 
 // A lossyFile is the content of a file, whatever its names. A folder has none.
@@ -273,6 +276,10 @@
 	if err := d.survivesOperation(); err != nil {
 		return err
 	}
+	if d.fullFolderSyncs > 0 {
+		d.fullFolderSyncs--
+		return syscall.ENOSPC
+	}
 	var left []nameChange
 	for _, c := range d.changes {
 		if filepath.Dir(max(c.added, c.removed)) != path {
@@ -363,6 +370,11 @@
 	if err := h.disk.survivesOperation(); err != nil {
 		return err
 	}
+	if h.disk.fullSyncs > 0 {
+		h.disk.fullSyncs--
+		h.content.synced, h.content.writes = h.content.survived(h.disk.random, false), nil
+		return syscall.ENOSPC
+	}
 	writes := h.content.writes
 	h.content.writes = nil
 	if h.disk.syncFails {
