Try a full disk that is slow again soon

What was seen: five full disks whose syncs took 0.6 s more; once they had room and were fast, the next change was acknowledged 7.1 s later (a trial with real processes; the bound is 1 s). The writer waited ten times as long as its last attempt had taken, without a limit: an attempt that hangs for 3 s would have meant 30 s.

Change: it waits as long as the last attempt took, at least 0.1 s and at most 0.5 s.

"Is used soon after it has room and is fast again" (controller/disk) timed out after 2 s before.

--- a/controller/disk/quota_test.go
+++ b/controller/disk/quota_test.go
@@ -27,6 +27,8 @@
 	limit *atomic.Int64
 	// refused is the operation that finds the disk full whatever is free; "" for none.
 	refused *atomic.Value
+	// syncDelay is how long the sync of a file takes.
+	syncDelay *atomic.Int64
 	// mu keeps writes from using the same room.
 	mu *sync.Mutex
 }
@@ -37,6 +39,8 @@
 		limit:   &atomic.Int64{},
 		refused: &atomic.Value{},
 		mu:      &sync.Mutex{},
+
+		syncDelay: &atomic.Int64{},
 	}
 	q.limit.Store(1 << 40)
 	q.refused.Store("")
@@ -132,6 +136,7 @@
 }
 
 func (f quotaFile) Sync() error {
+	time.Sleep(time.Duration(f.quota.syncDelay.Load()))
 	if err := f.quota.refuses("file sync"); err != nil {
 		return err
 	}
@@ -573,6 +578,21 @@
 		Entry("but the syncs of folders", "folder sync"),
 	)
 
+	// An attempt takes long on a slow disk, and the next one must not wait for a multiple of it.
+	It("is used soon after it has room and is fast again", func() {
+		l := startLimited(GinkgoT().TempDir(), nil)
+		l.enqueue(appendOf(hard, entries(1, 20)))
+		l.settle()
+		l.quota.syncDelay.Store(int64(400 * time.Millisecond))
+		l.quota.refused.Store("file sync")
+		l.enqueue(appendOf(hard, entries(21, 10)))
+		Eventually(l.full).WithTimeout(10 * time.Second).Should(Receive())
+		time.Sleep(time.Second)
+		l.quota.syncDelay.Store(0)
+		l.quota.refused.Store("")
+		Eventually(l.synced.Load).WithTimeout(2 * time.Second).Should(Equal(uint64(30)))
+	})
+
 	It("makes the transfer of a snapshot fail, and is reported as full", func() {
 		q := newQuota(GinkgoT().TempDir())
 		f, err := disk.OpenFolder(disk.FolderConfig{
--- a/controller/disk/writer.go
+++ b/controller/disk/writer.go
@@ -338,8 +338,12 @@
 
 // fullRetryInterval is the time between two attempts to write to a full disk. It
 // is short because a failed attempt costs little, while a full disk stalls this
-// controller.
-const fullRetryInterval = 100 * time.Millisecond
+// controller. After a slow attempt the time is as long as that took, up to
+// maxFullRetryInterval: a disk may be both full and slow, and have room again.
+const (
+	fullRetryInterval    = 100 * time.Millisecond
+	maxFullRetryInterval = 500 * time.Millisecond
+)
 
 // waitForRoom repeats a write that found the disk full until it succeeds or ctx ends. It
 // does not give up: a new process would have to write as well. It takes operations from
@@ -372,7 +376,7 @@
 		}
 		attemptedAt := time.Now()
 		b, err = w.write(b)
-		retry.Reset(max(fullRetryInterval, attemptsShare*time.Since(attemptedAt)))
+		retry.Reset(min(max(fullRetryInterval, time.Since(attemptedAt)), maxFullRetryInterval))
 	}
 	if err != nil {
 		return err
@@ -385,10 +389,6 @@
 	return nil
 }
 
-// attemptsShare is how many times as long as the last attempt to write a long backlog the
-// Writer waits for the next one.
-const attemptsShare = 10
-
 func (w *Writer) reportFull(r FullReport) {
 	w.usage.isFull.Store(r.Err != nil)
 	if w.cfg.FullChanged != nil {
