Append a vote that only its file holds to the log at the next start

What could happen: a vote that was stored while the disk was full is in the vote file only until the next entry. A version without that file, started on the folder meanwhile, would vote a second time in the term.

A start that finds a later vote in the file appends it to the log if there is room. While the disk stays full, the file remains the only place.

--- a/controller/disk/vote.go
+++ b/controller/disk/vote.go
@@ -140,8 +140,18 @@
 	if hard == l.content.Hard {
 		return nil
 	}
+	if err = l.vote.write(l.vote.last); err != nil {
+		return err
+	}
+	// Versions without the file know only the log.
+	if err = l.Append(hard, nil); err == nil {
+		err = l.Sync()
+	}
 	l.content.Hard = hard
-	return l.vote.write(l.vote.last)
+	if full := (*FullError)(nil); errors.As(err, &full) {
+		return nil
+	}
+	return err
 }
 
 // keepVoteFile creates the vote file if there was no room for it before.
--- a/controller/disk/vote_test.go
+++ b/controller/disk/vote_test.go
@@ -59,4 +59,22 @@
 		l.settle()
 		Expect(l.reopened().StoredState.Hard).To(Equal(later))
 	})
+
+	// A version that does not know the file would vote again in the term.
+	It("is in the log as well once a process starts with room", func() {
+		path := newFilledFolder(20)
+		l := startLimited(path, nil)
+		l.settle()
+		l.quota.leave(0)
+		l.enqueue(appendOf(vote, nil))
+		Eventually(func() *consensus.HardState { return l.hard.Load() }).Should(HaveValue(Equal(vote)))
+		Expect(l.reopened().StoredState.Hard).To(Equal(vote))
+		log, content, err := disk.OpenLog(disk.FolderConfig{
+			Path: path,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(log.Close()).To(Succeed())
+		Expect(content.Hard).To(Equal(vote))
+		Expect(content.Entries).To(Equal(entries(1, 20)))
+	})
 })
