Hand the leadership over if the leader's disk is too far behind

What callers could see: the disk of a leader hangs, the others commit without it, and once 16 MB are not on its own disk it refuses every proposal as long as the disk hangs (found by the review; took 8,192 entries of any size). Only a leader whose disk reports that it is full handed over.

Change: a leader whose disk is too far behind hands over as well, if another reachable voter holds all that is committed.

"Hands the leadership over if its disk hangs and is too far behind" (control) still had the old leader after 4 s before. The simulation of machines has the bound of 32 KiB for that, which its other histories may reach too.

--- a/consensus/flow.go
+++ b/consensus/flow.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// isDiskBehind reports whether the entries that are not yet durable here exceed their bound.
-func (r Replica) isDiskBehind() bool {
+// IsDiskBehind reports whether the entries that are not yet durable here exceed their bound.
+func (r Replica) IsDiskBehind() bool {
 	return r.cfg.MaxUncommittedBytes > 0 && r.log.BytesAfter(r.syncedIndex) > r.cfg.MaxUncommittedBytes
 }
 
@@ -34,7 +34,7 @@
 		isHeld := e.Index <= r.log.BaseIndex() || ok && term == e.Term
 		if !isHeld {
 			cut := r.truncated(e.Index)
-			if cut.isDiskBehind() {
+			if cut.IsDiskBehind() {
 				return r, taken, match
 			}
 			r = cut.withEntry(e)
@@ -57,7 +57,7 @@
 		// Entries of an earlier request may not be durable yet.
 		AfterSync: match > r.syncedIndex,
 	}
-	isBehind := r.isDiskBehind()
+	isBehind := r.IsDiskBehind()
 	isBusy := now.Sub(r.syncBeganAt) >= r.cfg.Heartbeat
 	if !reply.AfterSync || !isBusy && !isBehind {
 		return []Effect{
--- a/control/core.go
+++ b/control/core.go
@@ -108,7 +108,7 @@
 		out = append(out, more...)
 		c, more = c.snapshotIfDiskFull(now)
 		out = append(out, more...)
-		c, more = c.handOverIfDiskFull(now)
+		c, more = c.handOverIfDiskFails(now)
 		out = append(out, more...)
 		c, more = c.logStandstill(now, e)
 		return c, append(out, more...)
--- a/control/first_start_suite_test.go
+++ b/control/first_start_suite_test.go
@@ -105,6 +105,9 @@
 }
 
 // boot starts a machine with what its disk holds.
+// maxUncommittedBytes is reached by some hundred commands.
+const maxUncommittedBytes = 1 << 15
+
 func (s *firstStart) boot(m *machine) {
 	m.isUp = true
 	stored := m.log
@@ -127,6 +130,8 @@
 		MaxUncommitted:  8192,
 		MaxApplyEntries: 64,
 		MaxApplyBytes:   1 << 16,
+
+		MaxUncommittedBytes: maxUncommittedBytes,
 	}, stored), plantainladder.NewState()).WithFormation(formation.New(s.now, formation.Config{
 		Self:   m.self(),
 		Voters: 2*s.tolerated + 1,
--- a/control/full_disk.go
+++ b/control/full_disk.go
@@ -42,9 +42,9 @@
 	return d
 }
 
-// isHandOverDue reports whether a leader may try to hand the leadership over.
-func (d fullDisk) isHandOverDue(now time.Time) bool {
-	return d.isFull() && now.Sub(d.since) > handOverPatience && now.Sub(d.handedOverAt) > handOverInterval
+// isFullForLong reports whether the disk has been full for longer than a leader tolerates.
+func (d fullDisk) isFullForLong(now time.Time) bool {
+	return d.isFull() && now.Sub(d.since) > handOverPatience
 }
 
 func (c Core) stepDiskFullChanged(now time.Time, e DiskFullChanged) (Core, []Effect) {
@@ -65,15 +65,17 @@
 	return c, out
 }
 
-// handOverIfDiskFull hands the leadership over if the disk of this leader has been full for
-// some time and the group commits without it.
-func (c Core) handOverIfDiskFull(now time.Time) (Core, []Effect) {
-	if !c.fullDisk.isHandOverDue(now) || !c.replica.IsOutrun(now) {
+// handOverIfDiskFails hands the leadership over if the disk of this leader has been full for
+// some time, or is so far behind that the leader refuses proposals, and the group commits
+// without it.
+func (c Core) handOverIfDiskFails(now time.Time) (Core, []Effect) {
+	isFailing := c.fullDisk.isFullForLong(now) || c.replica.IsDiskBehind()
+	if !isFailing || now.Sub(c.fullDisk.handedOverAt) <= handOverInterval || !c.replica.IsOutrun(now) {
 		return c, nil
 	}
 	c.fullDisk.handedOverAt = now
 	c, out := c.stepReplica(now, consensus.TransferLeadership{})
 	return c, append(out, LogMessage{
-		Text: "Leadership is handed over, since the disk is full.",
+		Text: "Leadership is handed over, since the disk is full or too far behind.",
 	})
 }
--- a/control/full_disk_test.go
+++ b/control/full_disk_test.go
@@ -91,6 +91,25 @@
 		}
 	})
 
+	// It refuses all proposals while its own disk hangs, although the others commit them.
+	It("hands the leadership over if its disk hangs and is too far behind", func() {
+		s := newFirstStart(5, 2, catchUpTime, 1)
+		old, ok := s.awaitGroup()
+		Expect(ok).To(BeTrue())
+		old.isFull = true
+		for range 400 {
+			s.submit()
+		}
+		Expect(old.core.Replica().IsDiskBehind()).To(BeTrue())
+		s.submitFor(4 * time.Second)
+		next, ok := s.completeLeader()
+		Expect(ok).To(BeTrue())
+		Expect(next).NotTo(Equal(old))
+		s.acknowledged = map[string]bool{}
+		s.submitFor(4 * time.Second)
+		Expect(s.acknowledged).NotTo(BeEmpty())
+	})
+
 	// A transfer that no voter can take costs an election.
 	It("keeps the leadership while no voter has room", func() {
 		s := newFirstStart(5, 2, catchUpTime, 1)
