Create the vote file again if its folder could not be synced

What could happen: a vote that was answered on a full disk is lost with a loss of power, and the replica votes twice in a term.

If the sync of the folder finds no room after the vote file was renamed into place, the log goes on without the file. The next attempt finds it there, takes its name for durable and does not sync the folder.

"A vote file whose folder could not be synced is not used before that was done" failed: 1 sync of the folder, want 2.

The file is removed again, so that the next attempt creates it and syncs the folder. Syncing the folder each time would cost a start a sync more ("is not delayed by more than two syncs in a row").

--- a/controller/disk/vote.go
+++ b/controller/disk/vote.go
@@ -71,7 +71,11 @@
 	if err != nil {
 		return errors.Join(err, files.Remove(path+tempSuffix))
 	}
-	return files.SyncFolder(folder)
+	if err = files.SyncFolder(folder); err != nil {
+		// The next attempt would take its name for durable.
+		return errors.Join(err, files.Remove(path))
+	}
+	return nil
 }
 
 // lastSlot returns the slot that was written last. A slot whose write was cut short by a
