--- a/controller/node/sync_report.go
+++ b/controller/node/sync_report.go
@@ -8,8 +8,8 @@
 )
 
 // A syncReporter passes what became durable last, or whether the disk is full, from the
-// disk writer to the event loop. The writer must not wait for the loop, which waits for the writer while
-// the writer's queue is full.
+// disk writer to the event loop. The writer must not wait for the loop, which waits for
+// the writer while the writer's queue is full.
 type syncReporter[T any] struct {
 	// latest holds the last value that was not reported yet.
 	latest chan T
