Show that a burst of wide jobs stops all service

Cause: a pass of the leader takes a time that grows with the square of the runs on one worker, and small tasks are packed on one. The pass outlasts the election timeout, and the next leader begins with the same.

From 14 s after that on no job that is asked for gets an answer in five tries (LOST).

--- a/review/standin-2/callers.go
+++ b/review/standin-2/callers.go
@@ -46,16 +46,20 @@
 	return a
 }
 
-// submit hands a job in, at the fronts in turn, until it has a clear answer.
+// submit hands a job in and tries again four times at other fronts, a second later each
+// time, if it was not accepted or has no clear answer.
 func (c *cluster) submit(key, steps string) (id string, a answer) {
 	id = fmt.Sprintf("%016x", rand.Uint64())
 	body := fmt.Sprintf(`{"taskSpec":"review","steps":[%s]}`, steps)
-	for i := range 4 {
-		a = c.send(c.fronts[i%len(c.fronts)], http.MethodPost, prefix+id, key, body)
+	first := rand.IntN(len(c.fronts))
+	for i := range 5 {
+		if i > 0 {
+			time.Sleep(time.Second)
+		}
+		a = c.send(c.fronts[(first+i)%len(c.fronts)], http.MethodPost, prefix+id, key, body)
 		if a.status != 0 && a.status != http.StatusBadGateway && a.status != http.StatusGatewayTimeout && a.status != http.StatusServiceUnavailable {
 			break
 		}
-		time.Sleep(300 * time.Millisecond)
 	}
 	return id, a
 }
--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -5,14 +5,18 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
+	"sync"
 	"time"
 )
 
 func cases() map[string]caseConfig {
 	labels := [][]string{{"a", "r1-1"}, {"a", "r1-1"}, {"a", "r1-1"}, {"a", "r1-2"}, {"a", "r1-2"}, {"a", "r1-3"}}
+	twice := append(append([][]string{}, labels...), labels...)
 	return map[string]caseConfig{
 		"revoked-on-public":  {cores: 5, fronts: 3, labels: labels, run: revokedOnPublic},
 		"pending-behind-cut": {cores: 5, fronts: 3, labels: labels, run: pendingBehindCut},
+		"burst-of-wide-jobs": {cores: 5, fronts: 3, labels: twice, run: burstOfWideJobs},
 	}
 }
 
@@ -21,6 +25,7 @@
 	configApply = 2000 * time.Millisecond
 	cancelBound = 3000 * time.Millisecond
 	visible     = 3000 * time.Millisecond
+	finish      = 14 * time.Second
 )
 
 // errNotAccepted is why a case could not run.
@@ -135,3 +140,96 @@
 	}
 	return broken, nil
 }
+
+// Figures of two bursts in a row: 2.4 times the usual 3.33 jobs a second for 6 s each.
+const (
+	burstJobs     = 96
+	burstDuration = 12 * time.Second
+	// askedFor is for how long jobs are asked for, from finish after the last job on.
+	askedFor = 20 * time.Second
+)
+
+// burstOfWideJobs hands in jobs of three steps of 72 small tasks within 12 s, and asks for
+// the accepted ones once the traffic has ended.
+func burstOfWideJobs(c *cluster, isTroubled bool) (string, error) {
+	small, a := c.submit(firstKey, `{"count":4,"cpu":2800,"memMb":15000,"gpu":1,"estMs":2500}`)
+	if a.status/100 != 2 {
+		return "", errNotAccepted
+	}
+	time.Sleep(5 * time.Second)
+	if a = c.send(c.fronts[0], http.MethodGet, prefix+small, firstKey, ""); !strings.Contains(a.body, "completed") {
+		return "", fmt.Errorf("the first job is not completed: %v", a)
+	}
+	accepted := []string{small}
+	if isTroubled {
+		accepted = append(accepted, c.burst()...)
+	}
+	c.rec.write("judge", "the traffic has ended; %d jobs are accepted", len(accepted))
+	time.Sleep(finish)
+	answered, asked, silent := 0, 0, ""
+	for from := time.Now(); time.Since(from) < askedFor; asked++ {
+		id := accepted[asked%len(accepted)]
+		if c.isAnswered(id) {
+			answered++
+			continue
+		}
+		silent = id
+	}
+	c.rec.write("judge", "%d of %d jobs were answered for; %d tasks have begun", answered, asked, c.allStarts())
+	if silent == "" {
+		return "", nil
+	}
+	return fmt.Sprintf("LOST: from %s after the end of the traffic on, %d of %d accepted jobs that were asked for got no answer in %d tries, such as %s",
+		finish, asked-answered, asked, tries, silent), nil
+}
+
+// tries is how often a consumer asks: once, and four times again.
+const tries = 5
+
+// isAnswered asks for a job at the fronts in turn until there is an answer.
+func (c *cluster) isAnswered(id string) bool {
+	for n := range tries {
+		sentAt := time.Now()
+		if a := c.send(c.fronts[n%len(c.fronts)], http.MethodGet, prefix+id, firstKey, ""); a.status == http.StatusOK {
+			time.Sleep(time.Second - time.Since(sentAt))
+			return true
+		}
+		time.Sleep(time.Second - time.Since(sentAt))
+	}
+	return false
+}
+
+// burst hands in the jobs of the burst and returns the accepted ones.
+func (c *cluster) burst() (accepted []string) {
+	step := `{"count":72,"cpu":10,"memMb":10,"estMs":2500}`
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for range burstJobs {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if id, a := c.submit(firstKey, step+","+step+","+step); a.status/100 == 2 {
+				mu.Lock()
+				accepted = append(accepted, id)
+				mu.Unlock()
+			}
+		}()
+		time.Sleep(burstDuration / burstJobs)
+	}
+	wg.Wait()
+	return accepted
+}
+
+// allStarts returns how many tasks the minions have begun.
+func (c *cluster) allStarts() (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.minions {
+		m.mu.Lock()
+		for _, begun := range m.begun {
+			n += begun
+		}
+		m.mu.Unlock()
+	}
+	return n
+}
