--- a/review/standin-2/callers.go
+++ b/review/standin-2/callers.go
@@ -34,13 +34,18 @@
 	if key != "" {
 		req.Header.Set("X-Credential", key)
 	}
-	client := &http.Client{Timeout: 3 * time.Second}
+	client := &http.Client{
+		Timeout: 3 * time.Second,
+	}
 	a := answer{}
 	resp, err := client.Do(req)
 	if err == nil {
 		b, _ := io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
-		a = answer{status: resp.StatusCode, body: strings.TrimSpace(string(b))}
+		a = answer{
+			status: resp.StatusCode,
+			body:   strings.TrimSpace(string(b)),
+		}
 	}
 	c.rec.write("consumer", "%s %s at %s with key %q -> %d %s", method, path, front.name, key, a.status, a.body)
 	return a
@@ -86,7 +91,9 @@
 		"limits":  map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []map[string]any{{"name": tenant, "apiKeys": d.keys, "priority": 1, "guaranteedGpus": map[string]int{"gpu": 8}}},
 	})
-	client := &http.Client{Timeout: time.Second}
+	client := &http.Client{
+		Timeout: time.Second,
+	}
 	for i := range 60 {
 		core := c.cores[i%len(c.cores)]
 		req, err := http.NewRequest(http.MethodPut, "http://"+c.address(core.ip, portControl)+"/plantainladder/config", bytes.NewReader(body))
--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -14,9 +14,24 @@
 	labels := [][]string{{"a", "r1-1"}, {"a", "r1-1"}, {"a", "r1-1"}, {"a", "r1-2"}, {"a", "r1-2"}, {"a", "r1-3"}}
 	twice := append(append([][]string{}, labels...), labels...)
 	return map[string]caseConfig{
-		"revoked-on-public":  {cores: 5, fronts: 3, labels: labels, run: revokedOnPublic},
-		"pending-behind-cut": {cores: 5, fronts: 3, labels: labels, run: pendingBehindCut},
-		"burst-of-wide-jobs": {cores: 5, fronts: 3, labels: twice, run: burstOfWideJobs},
+		"revoked-on-public": {
+			cores:  5,
+			fronts: 3,
+			labels: labels,
+			run:    revokedOnPublic,
+		},
+		"pending-behind-cut": {
+			cores:  5,
+			fronts: 3,
+			labels: labels,
+			run:    pendingBehindCut,
+		},
+		"burst-of-wide-jobs": {
+			cores:  5,
+			fronts: 3,
+			labels: twice,
+			run:    burstOfWideJobs,
+		},
 	}
 }
 
@@ -43,7 +58,10 @@
 	time.Sleep(visible + time.Second)
 	keys := []string{firstKey}
 	if isTroubled {
-		if err := c.configure(desiredState{isPublic: true, keys: []string{secondKey}}); err != nil {
+		if err := c.configure(desiredState{
+			isPublic: true,
+			keys:     []string{secondKey},
+		}); err != nil {
 			return "", err
 		}
 		keys = []string{firstKey, ""}
@@ -110,7 +128,10 @@
 		if a.status/100 != 2 {
 			return "", errNotAccepted
 		}
-		jobs = append(jobs, acceptedJob{id: id, at: time.Now()})
+		jobs = append(jobs, acceptedJob{
+			id: id,
+			at: time.Now(),
+		})
 	}
 	broken := ""
 	for n, from := 0, time.Now(); time.Since(from) < 12*time.Second; n++ {
--- a/review/standin-2/cluster.go
+++ b/review/standin-2/cluster.go
@@ -179,7 +179,9 @@
 	p.cmd = exec.Command(words[0], words[1:]...)
 	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + p.folder, "PLANTAINLADDER_BOOT=" + settings}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{
+		Pdeathsig: syscall.SIGKILL,
+	}
 	if err = p.cmd.Start(); err != nil {
 		return err
 	}
@@ -255,7 +257,10 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(map[string]any{"machines": rows, "nextToken": nil})
 	})
-	c.cloud = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	c.cloud = &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: time.Second,
+	}
 	go func() { _ = c.cloud.Serve(l) }()
 	return nil
 }
@@ -302,7 +307,9 @@
 
 // awaitReady waits until all fronts report that they are ready.
 func (c *cluster) awaitReady(timeout time.Duration) error {
-	client := &http.Client{Timeout: time.Second}
+	client := &http.Client{
+		Timeout: time.Second,
+	}
 	deadline := time.Now().Add(timeout)
 	for _, p := range c.fronts {
 		for {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -75,7 +75,10 @@
 			return "", err
 		}
 	}
-	if err = c.configure(desiredState{isPublic: true, keys: []string{firstKey, secondKey}}); err != nil {
+	if err = c.configure(desiredState{
+		isPublic: true,
+		keys:     []string{firstKey, secondKey},
+	}); err != nil {
 		return "", err
 	}
 	if err = c.awaitReady(20 * time.Second); err != nil {
--- a/review/standin-2/minion.go
+++ b/review/standin-2/minion.go
@@ -68,7 +68,11 @@
 
 func startMinion(c *cluster, id, zone, address string, labels []string) (*minion, error) {
 	m := &minion{
-		c: c, id: id, zone: zone, address: address, labels: labels,
+		c:        c,
+		id:       id,
+		zone:     zone,
+		address:  address,
+		labels:   labels,
 		capacity: map[string]int{"cpu": 32_000, "memMb": 131_072, "gpu": 8},
 		bootedAt: time.Now(),
 		ended:    make(chan struct{}),
@@ -86,7 +90,10 @@
 	mux.HandleFunc("POST /plantainladder/run-start", m.order(m.start))
 	mux.HandleFunc("POST /plantainladder/run-stop", m.order(m.stop))
 	mux.HandleFunc("POST /plantainladder/hold", m.order(m.hold))
-	m.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	m.server = &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: time.Second,
+	}
 	go func() { _ = m.server.Serve(l) }()
 	go m.tick()
 	go m.ping()
@@ -188,7 +195,11 @@
 		return rejected("old")
 	}
 	now := time.Now()
-	m.running[o.Task] = &activeRun{run: o.Run, startedAt: now, endsAt: now.Add(runTime)}
+	m.running[o.Task] = &activeRun{
+		run:       o.Run,
+		startedAt: now,
+		endsAt:    now.Add(runTime),
+	}
 	m.begun[jobOf(o.Task)]++
 	m.c.rec.write(m.id, "started task %s run %d", o.Task, o.Run)
 	return http.StatusOK, map[string]any{}
@@ -271,7 +282,12 @@
 	delete(m.running, task)
 	m.closed[task] = max(m.closed[task], t.run)
 	m.number++
-	m.listed = append(m.listed, endedRun{number: m.number, task: task, run: t.run, how: how})
+	m.listed = append(m.listed, endedRun{
+		number: m.number,
+		task:   task,
+		run:    t.run,
+		how:    how,
+	})
 	close(m.changed)
 	m.changed = make(chan struct{})
 	m.c.rec.write(m.id, "task %s run %d ended %s", task, t.run, how)
@@ -279,7 +295,9 @@
 
 // ping announces the minion to the cores in turn until one acknowledges.
 func (m *minion) ping() {
-	client := &http.Client{Timeout: pingTimeout}
+	client := &http.Client{
+		Timeout: pingTimeout,
+	}
 	for i := 0; ; i++ {
 		m.seq++
 		for try := range len(m.c.cores) {
--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -11,9 +11,17 @@
 )
 
 // task needs a quarter of a minion.
-var small = resources{CPU: 4000, MemMb: 8000, GPU: 2}
+var small = resources{
+	CPU:   4000,
+	MemMb: 8000,
+	GPU:   2,
+}
 
-var whole = resources{CPU: 32000, MemMb: 131072, GPU: 8}
+var whole = resources{
+	CPU:   32000,
+	MemMb: 131072,
+	GPU:   8,
+}
 
 func step(count int, estMs int, dependsOn ...int) map[string]any {
 	m := map[string]any{"count": count, "cpu": small.CPU, "memMb": small.MemMb, "gpu": small.GPU, "estMs": estMs}
@@ -42,8 +50,16 @@
 		return unable
 	}
 	time.Sleep(3 * time.Second)
-	moved := job{id: "00000000000000a1", prefix: "/moved/", steps: []map[string]any{step(4, 8000), step(4, 2000, 0)}}
-	late := job{id: "00000000000000b2", prefix: "/late/", steps: []map[string]any{step(2, 2000)}}
+	moved := job{
+		id:     "00000000000000a1",
+		prefix: "/moved/",
+		steps:  []map[string]any{step(4, 8000), step(4, 2000, 0)},
+	}
+	late := job{
+		id:     "00000000000000b2",
+		prefix: "/late/",
+		steps:  []map[string]any{step(2, 2000)},
+	}
 	if !s.submit(moved, 8*time.Second, 2*time.Second) || !s.submit(late, 2*time.Second) {
 		return unable
 	}
@@ -54,7 +70,11 @@
 		}
 		time.Sleep(configApply)
 	}
-	after := job{id: "00000000000000c3", prefix: "/moved/", steps: []map[string]any{step(2, 1000)}}
+	after := job{
+		id:     "00000000000000c3",
+		prefix: "/moved/",
+		steps:  []map[string]any{step(2, 1000)},
+	}
 	if !s.submit(after, time.Second) {
 		return unable
 	}
@@ -104,14 +124,25 @@
 		return unable
 	}
 	go func() {
-		_ = (&http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: time.Second}).Serve(listener)
+		_ = (&http.Server{
+			Handler:           http.NotFoundHandler(),
+			ReadHeaderTimeout: time.Second,
+		}).Serve(listener)
 	}()
 	if !s.putConfig(3, []map[string]any{route("r-main", "/main/", "main")}, []map[string]any{service("main", false)}) {
 		return unable
 	}
 	time.Sleep(3 * time.Second)
-	first := job{id: "00000000000000a1", prefix: "/main/", steps: []map[string]any{step(1, 8000)}}
-	second := job{id: "00000000000000b2", prefix: "/main/", steps: []map[string]any{step(1, 8000)}}
+	first := job{
+		id:     "00000000000000a1",
+		prefix: "/main/",
+		steps:  []map[string]any{step(1, 8000)},
+	}
+	second := job{
+		id:     "00000000000000b2",
+		prefix: "/main/",
+		steps:  []map[string]any{step(1, 8000)},
+	}
 	if !s.submit(first, 8*time.Second) {
 		return unable
 	}
@@ -185,7 +216,11 @@
 		return unable
 	}
 	time.Sleep(8 * time.Second)
-	first := job{id: "00000000000000a1", prefix: "/main/", steps: []map[string]any{step(2, 3000), step(2, 3000, 0)}}
+	first := job{
+		id:     "00000000000000a1",
+		prefix: "/main/",
+		steps:  []map[string]any{step(2, 3000), step(2, 3000, 0)},
+	}
 	if !s.submit(first, 3*time.Second, 3*time.Second) {
 		return unable
 	}
--- a/review/standin-3/cluster.go
+++ b/review/standin-3/cluster.go
@@ -47,8 +47,15 @@
 }
 
 var (
-	oneZone    = layout{cores: []string{"z1", "z1", "z1"}, fronts: []string{"z1", "z1"}}
-	threeZones = layout{cores: []string{"z1", "z1", "z2", "z2", "z3"}, fronts: []string{"z2", "z3"}, lostZones: 1}
+	oneZone = layout{
+		cores:  []string{"z1", "z1", "z1"},
+		fronts: []string{"z1", "z1"},
+	}
+	threeZones = layout{
+		cores:     []string{"z1", "z1", "z2", "z2", "z3"},
+		fronts:    []string{"z2", "z3"},
+		lostZones: 1,
+	}
 )
 
 // maxSeeds is the number of seeds that the settings name.
@@ -187,7 +194,9 @@
 	p.cmd.Env = []string{"PLANTAINLADDER_BOOT=" + filepath.Join(p.folder, "settings.conf"), "PATH=" + os.Getenv("PATH"), "HOME=" + p.folder}
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	// The processes end with the stand-in, also if that is killed.
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{
+		Pdeathsig: syscall.SIGKILL,
+	}
 	if err = p.cmd.Start(); err != nil {
 		_ = out.Close()
 		return err
--- a/review/standin-3/extra.go
+++ b/review/standin-3/extra.go
@@ -26,7 +26,11 @@
 		return unable
 	}
 	time.Sleep(3 * time.Second)
-	j := job{id: "00000000000000b2", prefix: "/two/", steps: []map[string]any{step(1, 3000)}}
+	j := job{
+		id:     "00000000000000b2",
+		prefix: "/two/",
+		steps:  []map[string]any{step(1, 3000)},
+	}
 	if !s.submit(j, 3*time.Second) {
 		return unable
 	}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -36,13 +36,31 @@
 }
 
 var cases = map[string]play{
-	"crashed-twice": {layout: oneZone, run: crashedTwice},
-	"odd-ping":      {layout: oneZone, run: oddPing},
+	"crashed-twice": {
+		layout: oneZone,
+		run:    crashedTwice,
+	},
+	"odd-ping": {
+		layout: oneZone,
+		run:    oddPing,
+	},
+	"moved-route": {
+		layout: oneZone,
+		run:    movedRoute,
+	},
+	"lost-zone": {
+		layout: threeZones,
+		run:    lostZone,
+	},
 	// The following are no cases of the review; REPORT-2.md tells of them.
-	"moved-route":   {layout: oneZone, run: movedRoute},
-	"lost-zone":     {layout: threeZones, run: lostZone},
-	"same-name":     {layout: oneZone, run: sameName},
-	"unread-config": {layout: oneZone, run: unreadConfig},
+	"same-name": {
+		layout: oneZone,
+		run:    sameName,
+	},
+	"unread-config": {
+		layout: oneZone,
+		run:    unreadConfig,
+	},
 }
 
 func main() {
@@ -59,7 +77,11 @@
 		fmt.Println(err)
 		return unable
 	}
-	s := &scene{rec: rec, f: newFleet(rec), trouble: os.Getenv("TROUBLE") != "0"}
+	s := &scene{
+		rec:     rec,
+		f:       newFleet(rec),
+		trouble: os.Getenv("TROUBLE") != "0",
+	}
 	rec.line("the disruption is played: %v", s.trouble)
 	s.c, err = newCluster(rec, p.layout)
 	defer s.c.close()
--- a/review/standin-3/suspects.go
+++ b/review/standin-3/suspects.go
@@ -20,7 +20,11 @@
 	time.Sleep(3 * time.Second)
 	var long []job
 	for i := range minions {
-		j := job{id: fmt.Sprintf("00000000000000a%d", i), prefix: "/main/", steps: []map[string]any{oneGPU(3_600_000)}}
+		j := job{
+			id:     fmt.Sprintf("00000000000000a%d", i),
+			prefix: "/main/",
+			steps:  []map[string]any{oneGPU(3_600_000)},
+		}
 		long = append(long, j)
 		if !s.submit(j, time.Hour) {
 			return unable
@@ -35,7 +39,11 @@
 			time.Sleep(5 * time.Second)
 		}
 	}
-	small := job{id: "00000000000000b7", prefix: "/main/", steps: []map[string]any{oneGPU(1000)}}
+	small := job{
+		id:     "00000000000000b7",
+		prefix: "/main/",
+		steps:  []map[string]any{oneGPU(1000)},
+	}
 	if !s.submit(small, time.Second) {
 		return unable
 	}
@@ -44,7 +52,11 @@
 	for _, j := range long {
 		s.rec.line("job %s has %d runs at work", j.id, s.running(j))
 	}
-	if s.watch([]job{small}, "main", resources{CPU: 3700, MemMb: 11000, GPU: 1}, trafficEndedAt, 20*time.Second) {
+	if s.watch([]job{small}, "main", resources{
+		CPU:   3700,
+		MemMb: 11000,
+		GPU:   1,
+	}, trafficEndedAt, 20*time.Second) {
 		return held
 	}
 	return broken
