Isolate a suspect for two seconds after the crash, not for as long as it runs

Cause: a task under which two workers have crashed is a suspect, and no other workflow was placed on a worker with a run of one, for as long as the run went on. Nothing ended that for a suspect that does not crash its worker. A suspect that had waited for its two seconds still found no worker if each had another one, the suspects of one step ran one after the other, and preemption and reservations left these workers out.

Change: isolation is a state of the task and ends two seconds after its last crash, or after the verdict that makes a silent loss a crash. The next suspect of a step waits for two seconds of the one before. Why this works: crashes that a task causes come at its start, and every wait for isolation now ends before the 3 s of the rule.

--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -24,8 +24,8 @@
 	allocations []allocation
 	// tenancy is the workflows with runs or new placements here.
 	tenancy tenancy
-	// hasNewSuspect is true if this pass has placed a suspect here.
-	hasNewSuspect bool
+	// hasNewIsolated is true if this pass has placed an isolated suspect here.
+	hasNewIsolated bool
 	// reservedUntil is when a gang is expected to start here. Until then the
 	// node only takes tasks that are expected to end before. The zero time
 	// means no reservation.
@@ -45,8 +45,8 @@
 	loss float64
 	// isStopping is true if the run is already being stopped.
 	isStopping bool
-	// isSuspect is true if the run is that of a suspect.
-	isSuspect bool
+	// isIsolated is true if the run is that of an isolated suspect.
+	isIsolated bool
 }
 
 // A fleet is the schedulable nodes of one pool.
@@ -84,7 +84,7 @@
 			worker:      w,
 			free:        w.Capacity,
 			allocations: s.allocations(x, w, v),
-			tenancy:     tenancyOf(x, w.ID),
+			tenancy:     tenancyOf(s.now, x, w.ID),
 		}
 		for _, alloc := range n.allocations {
 			n.free = n.free.Minus(alloc.task.StepSpec.PerTask)
@@ -200,7 +200,7 @@
 			isMeasured: isMeasured,
 			loss:       s.lostWork(v, t),
 			isStopping: v.runs[t.RunKey].pendingStop != "" || !t.IsNeeded,
-			isSuspect:  x.isSuspect(t),
+			isIsolated: x.isIsolated(s.now, t),
 		}
 	}
 	return list
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -100,7 +100,7 @@
 		return
 	}
 	p.blocked[g.requirement()] = true
-	if g.isExclusive {
+	if g.isIsolated {
 		p.wait(g, waitsForIsolation)
 		return
 	}
@@ -121,7 +121,7 @@
 		return
 	}
 	p.blocked[g.requirement()] = true
-	if g.isExclusive {
+	if g.isIsolated {
 		p.wait(g, waitsForIsolation)
 		return
 	}
@@ -232,8 +232,8 @@
 	})
 	for _, assignment := range list {
 		assignment.node.free = assignment.node.free.Minus(g.step.PerTask.Times(assignment.tasks))
-		assignment.node.tenancy = assignment.node.tenancy.withRun(g.wf.Spec.ID, g.isSuspect)
-		assignment.node.hasNewSuspect = assignment.node.hasNewSuspect || g.isSuspect
+		assignment.node.tenancy = assignment.node.tenancy.withRun(g.wf.Spec.ID, g.isIsolated)
+		assignment.node.hasNewIsolated = assignment.node.hasNewIsolated || g.isIsolated
 		g.perWorker[assignment.node.worker.ID] += assignment.tasks
 		for range assignment.tasks {
 			p.placements = append(p.placements, g.placement(g.waiting[next], assignment.node.worker))
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -184,17 +184,17 @@
 }
 
 // usable returns the capacity of a node that is available to the task group: none
-// while a suspect of another workflow stays there.
+// while an isolated suspect of another workflow stays there.
 func (e *preemptionSearch) usable(n *node) pool.ResourceVector {
-	if !n.tenancy.isSuspect || n.tenancy.isOwnedBy(e.taskGroup) {
+	if !n.tenancy.isIsolated || n.tenancy.isOwnedBy(e.taskGroup) {
 		return e.available[n.worker.ID]
 	}
 	for _, alloc := range n.allocations {
-		if alloc.isSuspect && !alloc.isStopping && !e.stopped[gangRunOf(alloc.task)] {
+		if alloc.isIsolated && !alloc.isStopping && !e.stopped[gangRunOf(alloc.task)] {
 			return pool.ResourceVector{}
 		}
 	}
-	if n.hasNewSuspect {
+	if n.hasNewIsolated {
 		return pool.ResourceVector{}
 	}
 	return e.available[n.worker.ID]
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -77,15 +77,15 @@
 // never fits. Nodes that are reserved already are left out.
 func (p *placer) earliestFit(nodes []*node, g taskGroup) ([]assignment, time.Time) {
 	type release struct {
-		node      *node
-		capacity  pool.ResourceVector
-		at        time.Time
-		isSuspect bool
+		node       *node
+		capacity   pool.ResourceVector
+		at         time.Time
+		isIsolated bool
 	}
 	var releases []release
 	capacity := map[*node]pool.ResourceVector{}
-	// suspects counts the runs on a node after which it admits the gang.
-	suspects := map[*node]int{}
+	// isolated counts the runs on a node after which it admits the gang.
+	isolated := map[*node]int{}
 	for _, n := range nodes {
 		if !n.reservedUntil.IsZero() {
 			continue
@@ -93,13 +93,13 @@
 		capacity[n] = n.free
 		for _, alloc := range n.allocations {
 			releases = append(releases, release{
-				node:      n,
-				capacity:  alloc.task.StepSpec.PerTask,
-				at:        alloc.endsAt,
-				isSuspect: alloc.isSuspect,
+				node:       n,
+				capacity:   alloc.task.StepSpec.PerTask,
+				at:         alloc.endsAt,
+				isIsolated: alloc.isIsolated,
 			})
-			if alloc.isSuspect {
-				suspects[n]++
+			if alloc.isIsolated {
+				isolated[n]++
 			}
 		}
 	}
@@ -107,7 +107,7 @@
 		return a.at.Compare(b.at)
 	})
 	free := func(n *node) pool.ResourceVector {
-		if suspects[n] > 0 || n.hasNewSuspect {
+		if isolated[n] > 0 || n.hasNewIsolated {
 			return pool.ResourceVector{}
 		}
 		return capacity[n]
@@ -125,8 +125,8 @@
 	}
 	for _, r := range releases {
 		capacity[r.node] = capacity[r.node].Plus(r.capacity)
-		if r.isSuspect {
-			suspects[r.node]--
+		if r.isIsolated {
+			isolated[r.node]--
 		}
 		count(r.node)
 		if total < g.step.Tasks {
--- a/dispatch/taskgroup.go
+++ b/dispatch/taskgroup.go
@@ -27,9 +27,9 @@
 	// isGuaranteed is true for work of the highest priority within the
 	// guarantee of its organisation.
 	isGuaranteed bool
-	// isSuspect is true if workers have crashed under the tasks. They should share a
-	// worker with no other workflow; isExclusive is true while they may not.
-	isSuspect, isExclusive bool
+	// isSuspect is true if workers have crashed under the tasks. isIsolated is true
+	// while they may share a worker with no other workflow.
+	isSuspect, isIsolated bool
 	// isFirstFit is true if the first nodes that fit are taken, not the
 	// fullest.
 	isFirstFit bool
@@ -101,14 +101,15 @@
 
 // split returns g with the waiting tasks of its step: one task group for a suspect
 // and one for the tasks that are none. A gang with a suspect is a suspect as a whole.
-// Other suspects are placed one after the other, since the next crash under any of
-// them ends the workflow. Tasks that await a verdict, and gangs with one, are left out.
+// Other suspects are placed one after the other, each once the one before has been on
+// trial, since the next crash under any of them ends the workflow. Tasks that await a
+// verdict, and gangs with one, are left out.
 func (g taskGroup) split(now time.Time, r workflow.StepState) (list []taskGroup) {
 	isWhole := g.step.IsGang && r.HasSuspect()
-	isBusy := !g.step.IsGang && r.HasPlacedSuspect()
+	isBusy := !g.step.IsGang && r.HasSuspectOnTrial(now)
 	isHeld := g.step.IsGang && slices.ContainsFunc(r.Tasks, workflow.Task.AwaitsVerdict)
 	suspects := g
-	suspects.isSuspect, suspects.isExclusive = true, now.Sub(r.LastCrash()) < isolationWait
+	suspects.isSuspect, suspects.isIsolated = true, isWhole && r.IsIsolated(now)
 	for n, t := range r.Tasks {
 		switch {
 		case !t.IsWaiting() || isHeld || t.AwaitsVerdict():
@@ -118,6 +119,7 @@
 			g.waiting = append(g.waiting, n)
 		case !isBusy:
 			suspects.waiting = append(suspects.waiting, n)
+			suspects.isIsolated = t.IsIsolated(now)
 			isBusy = true
 		}
 	}
@@ -189,7 +191,7 @@
 	label           string
 	dataRack        string
 	priority        int
-	isExclusive     bool
+	isIsolated      bool
 	// group is set if the fit also depends on the tasks that the step or the workflow
 	// already has placed; empty otherwise.
 	group workflow.TaskKey
@@ -207,7 +209,7 @@
 		label:           g.step.RequiredLabel,
 		dataRack:        g.step.DataRack,
 		priority:        g.wf.QueueSettings.Priority,
-		isExclusive:     g.isExclusive,
+		isIsolated:      g.isIsolated,
 	}
 	if g.step.IsGang {
 		r.tasks = g.step.Tasks
--- a/dispatch/waits.go
+++ b/dispatch/waits.go
@@ -55,12 +55,25 @@
 	if !g.step.IsGang {
 		g = g.withTasks(1)
 	}
-	if p.reportsWaits && hasRack && p.isWorthWaiting(f, g) {
+	switch {
+	case p.reportsWaits && hasRack && p.isWorthWaiting(f, g):
 		return waitsForRack
+	case p.reportsWaits && g.withTasks(1).fitsOn(f.closedTo(g)):
+		return waitsForIsolation
 	}
 	return waitsForCapacity
 }
 
+// closedTo returns the nodes on which isolation keeps a task group from being placed.
+func (f *fleet) closedTo(g taskGroup) (nodes []*node) {
+	for _, n := range f.nodes {
+		if !n.tenancy.admits(g) {
+			nodes = append(nodes, n)
+		}
+	}
+	return nodes
+}
+
 // since returns from when a task group counts as waiting: its due time, or the
 // submission of its workflow.
 func (g taskGroup) since() time.Time {
--- a/workflow/crash_test.go
+++ b/workflow/crash_test.go
@@ -1,6 +1,8 @@
 package workflow_test
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -41,6 +43,14 @@
 		}))
 	})
 
+	It("is isolated for 2 s after the crash, and not by a crash that is yet to come", func() {
+		w := afterCrash(afterCrash(newWorkflow(newStep(1)), false, 0), false, 0)
+		Expect(onlyTask(w).IsIsolated(now)).To(BeTrue())
+		Expect(onlyTask(w).IsIsolated(now.Add(2*time.Second - time.Millisecond))).To(BeTrue())
+		Expect(onlyTask(w).IsIsolated(now.Add(2 * time.Second))).To(BeFalse())
+		Expect(onlyTask(w).IsIsolated(now.Add(-time.Millisecond))).To(BeFalse())
+	})
+
 	It("is not given up before two crashes under runs that had certainly begun", func() {
 		w := newWorkflow(newStep(1))
 		for run := range 3 {
--- a/workflow/loss.go
+++ b/workflow/loss.go
@@ -96,7 +96,7 @@
 	wasAlone := slices.ContainsFunc(t.UnresolvedLosses, func(l SilentLoss) bool {
 		return v.isAbout(l) && l.WasAlone
 	})
-	t = t.withLossVerdict(v)
+	t = t.withLossVerdict(now, v)
 	w = w.withTask(v.TaskKey, func(Task) Task {
 		return t
 	})
@@ -118,7 +118,7 @@
 // withLossVerdict returns a copy of t with the loss counted by the fate of its worker:
 // not at all, as a crash, which is confirmed if the run had certainly begun, or as
 // before.
-func (t Task) withLossVerdict(v LossVerdict) Task {
+func (t Task) withLossVerdict(now time.Time, v LossVerdict) Task {
 	var rest []SilentLoss
 	for _, l := range t.UnresolvedLosses {
 		if !v.isAbout(l) {
@@ -132,6 +132,7 @@
 			t.SilentLosses--
 		case FateCrashed:
 			t.SilentLosses--
+			t.CrashedAt = now
 			if l.HasBegun {
 				t.UnconfirmedCrashes--
 			}
--- a/workflow/loss_test.go
+++ b/workflow/loss_test.go
@@ -1,6 +1,8 @@
 package workflow_test
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -48,6 +50,19 @@
 		}
 	})
 
+	It("is isolated from when a verdict makes it a suspect", func() {
+		w := afterSilentLoss(afterSilentLoss(newWorkflow(newStep(1)), true), true)
+		Expect(onlyTask(w).IsIsolated(now)).To(BeFalse())
+		later := now.Add(time.Minute)
+		w = w.WithLossVerdict(later, workflow.LossVerdict{
+			TaskKey:     taskKey(0, 0),
+			Worker:      newPlacement(taskKey(0, 0), 1).Worker,
+			Incarnation: 1,
+			Fate:        workflow.FateCrashed,
+		})
+		Expect(onlyTask(w).IsIsolated(later)).To(BeTrue())
+	})
+
 	It("awaits a verdict after the fifth, and none once a worker was only cut off", func() {
 		w := newWorkflow(newStep(1))
 		for run := range 5 {
--- a/workflow/occurrence.go
+++ b/workflow/occurrence.go
@@ -60,9 +60,15 @@
 	return slices.ContainsFunc(r.Tasks, Task.IsSuspect)
 }
 
-// LastCrash returns when a worker last crashed under any task. It is the zero time
+// IsIsolated reports whether a gang is kept apart from other workflows, as Task's
+// IsIsolated says of a single task. A gang with a suspect is a suspect as a whole.
+func (r StepState) IsIsolated(now time.Time) bool {
+	return r.HasSuspect() && isRecent(now, r.lastCrash())
+}
+
+// lastCrash returns when a worker last crashed under any task. It is the zero time
 // for never.
-func (r StepState) LastCrash() (last time.Time) {
+func (r StepState) lastCrash() (last time.Time) {
 	for _, t := range r.Tasks {
 		if t.CrashedAt.After(last) {
 			last = t.CrashedAt
@@ -71,11 +77,10 @@
 	return last
 }
 
-// HasPlacedSuspect reports whether any task is a suspect that is placed.
-func (r StepState) HasPlacedSuspect() bool {
+// HasSuspectOnTrial reports whether any task is a suspect that was placed recently.
+func (r StepState) HasSuspectOnTrial(now time.Time) bool {
 	return slices.ContainsFunc(r.Tasks, func(t Task) bool {
-		_, isPlaced := t.CurrentPlacement()
-		return isPlaced && t.IsSuspect()
+		return t.isOnTrial(now)
 	})
 }
 
--- a/workflow/task.go
+++ b/workflow/task.go
@@ -63,7 +63,8 @@
 	UnresolvedLosses   []SilentLoss
 	// Stalls counts the runs that were stopped since they made no progress.
 	Stalls int
-	// CrashedAt is when the last of the crashes was recorded.
+	// CrashedAt is when the last of the crashes, or a verdict that one of them was a
+	// crash, was recorded.
 	CrashedAt time.Time
 	// Checkpoint names the last saved checkpoint. It is empty if there is none.
 	Checkpoint string
@@ -125,6 +126,31 @@
 	return t.Crashes >= suspectCrashes && t.Crashes > t.SilentLosses
 }
 
+// isolationPeriod is how long after a crash a suspect is kept apart from other
+// workflows. Source: the platform's rules, by which a task that could run may wait for
+// 3 s.
+const isolationPeriod = 2 * time.Second
+
+// IsIsolated reports whether the task is a suspect that is kept apart from other
+// workflows, so that a further crash shows whether it is the cause and harms nothing
+// else. The isolation is limited in time, since the others wait for it.
+func (t Task) IsIsolated(now time.Time) bool {
+	return t.IsSuspect() && isRecent(now, t.CrashedAt)
+}
+
+// isOnTrial reports whether the task is a suspect that was placed recently.
+func (t Task) isOnTrial(now time.Time) bool {
+	p, isPlaced := t.CurrentPlacement()
+	return isPlaced && t.IsSuspect() && isRecent(now, p.At)
+}
+
+// isRecent reports whether a time is less than isolationPeriod ago. One that is yet to
+// come, by the clock of an earlier leader, is not.
+func isRecent(now, at time.Time) bool {
+	age := now.Sub(at)
+	return age >= 0 && age < isolationPeriod
+}
+
 // mustGiveUp reports whether the task may not be started again after the worker
 // crashed under it. Which of several workflows made a worker crash is unknown, so
 // a run that was alone there weighs more.
