Ignore announcements of workers for pools that are not configured

Cause: a ping was checked for its form alone. Its later start time made it the next incarnation of the minion, whose own pings were those of an earlier one from then on.

Evidence: the leader logs "Worker announced a new incarnation." for i-1, after 9 ms "Another worker answered at the worker's address.", and ends the run 0.6 ms later; the minion's record has no restart.

Change: the leader accepts an announcement only if its pool is configured, or was removed since and the worker is known in it; the rule holds again when the announcement is committed. Before the first configuration all are accepted, and it removes those it does not name; leaders drop what they knew of them. Why this works: what no configuration names cannot replace what is known of a worker.

The test of refused commands announces a worker of a configured pool now; its checks are the same.

--- a/apply_workflow.go
+++ b/apply_workflow.go
@@ -37,7 +37,8 @@
 	Token string `json:"token"`
 }
 
-// Announce records the announcement of a worker, unless a later one is known.
+// Announce records the announcement of a worker, unless a later one is known. It is
+// refused if AcceptsAnnouncement of State is false for it.
 type Announce struct {
 	// Worker is the worker as it announced itself.
 	Worker pool.Worker `json:"worker"`
@@ -132,6 +133,18 @@
 	return s.poolWorkers.get(id)
 }
 
+// AcceptsAnnouncement reports whether an announcement names a worker to use. Another
+// program may announce itself under a worker's identifier, with a pool that is not
+// configured. Such an announcement is accepted only if the known worker is in this pool,
+// which was removed since, and before there is a configuration.
+func (s State) AcceptsAnnouncement(w pool.Worker) bool {
+	if s.configuration.IsZero() || s.configuration.HasPool(w.Pool) {
+		return true
+	}
+	known, ok := s.poolWorkers.get(w.ID)
+	return ok && w.Pool == known.Pool
+}
+
 // LastRound returns the identifier of the last round that was applied.
 func (s State) LastRound() uint64 {
 	return s.lastRound
@@ -142,7 +155,11 @@
 		return s, refuseField(err)
 	}
 	if c.Document.Version > s.configuration.Version {
+		isFirst := s.configuration.IsZero()
 		s.configuration = c.Document
+		if isFirst {
+			s = s.withoutUnconfiguredWorkers()
+		}
 	}
 	return s, Outcome{
 		Revision: s.configuration.Version,
@@ -226,7 +243,21 @@
 	return s.withWorkflow(w.WithCancelled(now)), Outcome{}
 }
 
+// withoutUnconfiguredWorkers returns s without the workers of pools that are not
+// configured. Before the first configuration any announcement was accepted.
+func (s State) withoutUnconfiguredWorkers() State {
+	for _, w := range s.PoolWorkers() {
+		if !s.configuration.HasPool(w.Pool) {
+			s.poolWorkers = s.poolWorkers.without(w.ID)
+		}
+	}
+	return s
+}
+
 func (s State) applyAnnounce(c Announce) (State, Outcome) {
+	if !s.AcceptsAnnouncement(c.Worker) {
+		return s, refuse(RefusedNotFound, "pool", "there is no such pool")
+	}
 	current, ok := s.poolWorkers.get(c.Worker.ID)
 	if !ok || c.Worker.Supersedes(current) {
 		s.poolWorkers = s.poolWorkers.with(c.Worker.ID, c.Worker)
--- a/configuration/document.go
+++ b/configuration/document.go
@@ -3,7 +3,10 @@
 // whole by one with a higher version.
 package configuration
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // A Document is a complete configuration.
 type Document struct {
@@ -34,6 +37,13 @@
 	return Queue{}, false
 }
 
+// HasPool reports whether there is a pool with the given name.
+func (d Document) HasPool(name string) bool {
+	return slices.ContainsFunc(d.Pools, func(p Pool) bool {
+		return p.Name == name
+	})
+}
+
 // MatchQueue returns the queue at the given host whose prefix is the longest
 // one that the path begins with.
 func (d Document) MatchQueue(host, path string) (best Queue, ok bool) {
--- a/controller/gateway/refused_test.go
+++ b/controller/gateway/refused_test.go
@@ -29,7 +29,8 @@
 		Expect(submitted.Body.Detail).To(Equal("the limit is 1 byte"))
 		announced := call[wire.WorkerAnnouncement, wire.Result](c, wire.MethodAnnounceWorker, wire.WorkerAnnouncement{
 			Worker: pool.Worker{
-				ID: "w",
+				ID:   "w",
+				Pool: "p",
 			},
 		})
 		Expect(announced.Leader).To(BeTrue())
--- a/controller/gateway/workflow.go
+++ b/controller/gateway/workflow.go
@@ -115,6 +115,8 @@
 		res.Kind = wire.ResultDone
 	case o.Reason == plantainladder.RefusedNotFound && o.Field == "queue":
 		res.Kind = wire.ResultNoQueue
+	case o.Reason == plantainladder.RefusedNotFound && o.Field == "pool":
+		res.Kind = wire.ResultNoPool
 	case o.Reason == plantainladder.RefusedNotFound:
 		res.Kind = wire.ResultNoWorkflow
 	case ok:
@@ -240,13 +242,19 @@
 }
 
 // announceWorker handles a worker's announcement. An announcement with new content
-// is committed before it is acknowledged, so that every later leader knows it.
+// is committed before it is acknowledged, so that every later leader knows it. One that
+// names no worker to use has no effect.
 func (g *Server) announceWorker(ctx context.Context, r wire.WorkerAnnouncement) (reply wire.LeaderReply[wire.Result], err error) {
 	core, redirect, ok := g.leaderCore()
 	if !ok {
 		reply.Redirect = redirect
 		return reply, nil
 	}
+	if !core.State().AcceptsAnnouncement(r.Worker) {
+		return leaderReply(wire.Result{
+			Kind: wire.ResultNoPool,
+		}), nil
+	}
 	r.Worker.Sequence = r.Sequence
 	known, ok := core.State().PoolWorker(r.Worker.ID)
 	if !ok || r.Worker.Supersedes(known) {
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -81,6 +81,7 @@
 	}
 	s.plan.DecisionRecords = notes
 	s.settleRound()
+	s.dropRemovedWorkers()
 	for _, id := range s.activeWorkerIDs() {
 		s.reconcileWorker(id)
 	}
@@ -134,6 +135,17 @@
 	}
 }
 
+// dropRemovedWorkers drops the views of workers without placed tasks whose
+// announcements are not in the committed state any more.
+func (s *reconciliation) dropRemovedWorkers() {
+	for itr := s.dispatcher.views.Iterator(); !itr.Done(); {
+		id, _, _ := itr.Next()
+		if _, isCommitted := s.index.workers[id]; !isCommitted && len(s.index.placedByWorker[id]) == 0 {
+			s.dispatcher.views = s.dispatcher.views.Delete(id)
+		}
+	}
+}
+
 // activeWorkerIDs returns, sorted, the workers with placed tasks or with
 // anything left to tell them or to commit.
 func (s *reconciliation) activeWorkerIDs() []string {
--- a/wire/consumer.go
+++ b/wire/consumer.go
@@ -69,6 +69,8 @@
 	ResultBadToken ResultKind = "bad-token"
 	// ResultNoWorkflow means that there is no such workflow.
 	ResultNoWorkflow ResultKind = "no-workflow"
+	// ResultNoPool means that a worker's pool is not configured.
+	ResultNoPool ResultKind = "no-pool"
 	// ResultBadField means that a field has an invalid value.
 	ResultBadField ResultKind = "bad-field"
 	// ResultTaken means that the identifier belongs to a workflow of another
