Let callers of a public queue reach their workflows without their token

Cause: a workflow belonged to the organisation of the token that it was submitted with, and was shown to and cancelled by this organisation alone, on public queues too. A token that is not known any more stands for no organisation.

Evidence: the same GET is answered "running" with the organisation's second key and 410 with the withdrawn one, by the same fronts.

Change: one rule of the workflow for lookups, cancellations and repeated submissions. The workflows of a public queue are accessible there without an organisation, and what was submitted without one to all callers of its queue, which need not be public any more. Another organisation, and a caller without one through another queue, still learn nothing. Why this works: who may call is decided by the queue, as before; whose workflow it is matters only to callers that have an organisation.

Tests: "A workflow of a public queue" (5 cases failed before), "A lookup of a workflow of a public queue" (2 failed before), "A workflow is accessible".

--- a/apply_workflow.go
+++ b/apply_workflow.go
@@ -27,7 +27,8 @@
 	Token string `json:"token"`
 }
 
-// CancelWorkflow cancels a workflow of the organisation that the token belongs to.
+// CancelWorkflow cancels a workflow that is accessible to the organisation that the token
+// belongs to.
 type CancelWorkflow struct {
 	// ID is the workflow's identifier.
 	ID string `json:"id"`
@@ -199,7 +200,7 @@
 		return s, refuse(RefusedUnknownOrganisation, "token", "no organisation holds this token")
 	}
 	if w, taken := s.workflows.get(c.Spec.ID); taken {
-		return s, resubmissionOutcome(w, owner.Name)
+		return s, resubmissionOutcome(w, q.Name, owner.Name)
 	}
 	if err := c.Spec.Check(); err != nil {
 		return s, refuseField(err)
@@ -218,10 +219,10 @@
 }
 
 // resubmissionOutcome returns the outcome of a submission whose identifier is
-// already in use. A submission by the owner of the workflow is taken to be sent
-// again and is accepted without effect.
-func resubmissionOutcome(w workflow.Workflow, organisation string) Outcome {
-	if w.Spec.Organisation != organisation {
+// already in use. A submission by a caller to whom the workflow is accessible is taken
+// to be sent again and is accepted without effect.
+func resubmissionOutcome(w workflow.Workflow, queue, organisation string) Outcome {
+	if !w.IsAccessible(queue, organisation) {
 		return refuse(RefusedNotOwner, "id", "the identifier belongs to another organisation's workflow")
 	}
 	return Outcome{}
@@ -237,7 +238,7 @@
 		return s, refuse(RefusedUnknownOrganisation, "token", "no organisation holds this token")
 	}
 	w, ok := s.workflows.get(c.ID)
-	if !ok || w.Spec.Organisation != owner.Name {
+	if !ok || !w.IsAccessible(q.Name, owner.Name) {
 		return s, refuse(RefusedNotFound, "id", "there is no such workflow")
 	}
 	return s.withWorkflow(w.WithCancelled(now)), Outcome{}
--- a/controller/gateway/workflow.go
+++ b/controller/gateway/workflow.go
@@ -90,7 +90,7 @@
 	}
 	org, _ := s.Configuration().OrganisationByToken(req.Token)
 	w, ok := s.Workflow(res.ID)
-	if !ok || w.Spec.Organisation != org.Name {
+	if !ok || !w.IsAccessible(res.Queue, org.Name) {
 		res.Kind = wire.ResultNoWorkflow
 		return res
 	}
--- a/workflow/workflow.go
+++ b/workflow/workflow.go
@@ -83,6 +83,16 @@
 	}
 }
 
+// IsAccessible reports whether a caller may read and cancel the workflow through a queue
+// that admits the caller. The organisation is empty for a caller without one, whom only a
+// public queue admits. The workflows of a public queue are accessible there without an
+// organisation. Those that were submitted without one are accessible to all callers of
+// their queue, which need not be public any more.
+func (w Workflow) IsAccessible(queue, organisation string) bool {
+	hasNone := organisation == "" || w.Spec.Organisation == ""
+	return w.Spec.Organisation == organisation || hasNone && w.Spec.Queue == queue
+}
+
 // IsOpen reports whether the workflow is not finished.
 func (w Workflow) IsOpen() bool {
 	_, ok := w.Phase.(Open)
