Move accepted workflows with their queue to another pool

Cause: a workflow kept the pool that its queue named when it was accepted, and was placed nowhere else.

Runs that are placed stay. If the queue was removed, the workflow stays in its last pool. The leader logs the moves, and waiting tasks whose pool has no worker. Why this works: the pool is derived from the configuration in force, not copied once.

The random histories of restored replicas change the pool of the queue now.

--- a/apply_workflow.go
+++ b/apply_workflow.go
@@ -1,6 +1,7 @@
 package plantainladder
 
 import (
+	"slices"
 	"time"
 
 	"github.com/plantainladder/plantainladder/configuration"
@@ -158,6 +159,7 @@
 	if c.Document.Version > s.configuration.Version {
 		isFirst := s.configuration.IsZero()
 		s.configuration = c.Document
+		s = s.withConfiguredPools()
 		if isFirst {
 			s = s.withoutUnconfiguredWorkers()
 		}
@@ -167,6 +169,21 @@
 	}
 }
 
+// withConfiguredPools returns s with each open workflow in the pool that the
+// configuration names for its queue. If its queue was removed, it stays where it is.
+func (s State) withConfiguredPools() State {
+	pools := map[string]string{}
+	for _, q := range slices.Backward(s.configuration.Queues) {
+		pools[q.Name] = q.Pool
+	}
+	for _, w := range s.ActiveWorkflows() {
+		if name, ok := pools[w.Spec.Queue]; ok && w.IsOpen() && name != w.QueueSettings.Pool {
+			s = s.withWorkflow(w.WithPool(name))
+		}
+	}
+	return s
+}
+
 // Settled returns the outcome of a command that changes nothing, whatever other commands
 // follow; ok is false for all others.
 func (s State) Settled(c Command) (o Outcome, ok bool) {
--- a/control/decision_log.go
+++ b/control/decision_log.go
@@ -8,12 +8,15 @@
 	"github.com/plantainladder/plantainladder/workflow"
 )
 
-// logCommand returns the log lines for a committed command: one for a workflow
-// that it accepted and one for each workflow that it finished.
+// logCommand returns the log lines for a committed command: one for a workflow that it
+// accepted, one for each workflow that it finished and one for each queue whose workflows
+// it moved.
 func logCommand(before, after plantainladder.State, envelope plantainladder.Envelope) []Effect {
 	switch c := envelope.Command.(type) {
 	case plantainladder.SubmitWorkflow:
 		return logSubmission(before, after, c)
+	case plantainladder.PutConfiguration:
+		return logMoves(before, after)
 	case plantainladder.Round:
 		return append(countCrashes(before, c), logFinished(before, after, envelope.At, c)...)
 	}
@@ -101,6 +104,36 @@
 	return out
 }
 
+// logMoves returns a line for each queue whose workflows a configuration moved to another
+// pool, in the order of the queues' first workflows.
+func logMoves(before, after plantainladder.State) (out []Effect) {
+	if before.Configuration().Version == after.Configuration().Version {
+		return nil
+	}
+	moved := map[string]int{}
+	var firsts []workflow.Workflow
+	for _, w := range after.ActiveWorkflows() {
+		previous, known := before.Workflow(w.Spec.ID)
+		if !known || previous.QueueSettings.Pool == w.QueueSettings.Pool {
+			continue
+		}
+		if moved[w.Spec.Queue]++; moved[w.Spec.Queue] == 1 {
+			firsts = append(firsts, w)
+		}
+	}
+	for _, w := range firsts {
+		out = append(out, LogDecision{
+			Record: dispatch.DecisionRecord{
+				Text:   "Workflows were moved to another pool, which the configuration names for their queue.",
+				Reason: w.QueueSettings.Pool,
+				Tasks:  moved[w.Spec.Queue],
+				Queue:  w.Spec.Queue,
+			},
+		})
+	}
+	return out
+}
+
 // changedWorkflows returns the workflows that a round may have finished.
 func changedWorkflows(r plantainladder.Round) (ids []string) {
 	for _, e := range r.RunEnds {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -64,6 +64,7 @@
 		f := p.fleets[g.wf.QueueSettings.Pool]
 		switch {
 		case f == nil:
+			p.wait(g, waitsForWorker)
 		case mayPreempt(s.dispatcher.cfg.Policy, g):
 			p.placeUrgent(f, g)
 		case !p.isBlocked(g):
--- a/dispatch/waits.go
+++ b/dispatch/waits.go
@@ -21,6 +21,7 @@
 	waitsForCapacity   waitReason = "capacity"
 	waitsForPreemption waitReason = "preemption"
 	waitsForIsolation  waitReason = "isolation"
+	waitsForWorker     waitReason = "no-worker"
 )
 
 const (
@@ -81,7 +82,8 @@
 }
 
 // reportWaits logs task groups that wait although they fit on the workers in
-// service, schedulable or not, by their free capacity.
+// service, schedulable or not, by their free capacity, or whose pool has no worker in
+// service.
 func (p *placer) reportWaits(state ClusterState) {
 	if len(p.waits) == 0 {
 		return
@@ -91,12 +93,17 @@
 	n := 0
 	for _, w := range p.waits {
 		g := w.taskGroup
-		if n == maxWaitRecords || !g.fitsOn(nodes[g.wf.QueueSettings.Pool]) {
+		inService, text := nodes[g.wf.QueueSettings.Pool], "Tasks wait although workers have capacity for them."
+		if len(inService) == 0 {
+			text = "Tasks wait, since their pool has no worker in service."
+		} else if !g.fitsOn(inService) {
 			continue
 		}
-		n++
+		if n++; n > maxWaitRecords {
+			return
+		}
 		p.s.record(DecisionRecord{
-			Text: "Tasks wait although workers have capacity for them.",
+			Text: text,
 			RunKey: workflow.RunKey{
 				TaskKey: g.key(g.waiting[0]),
 				Run:     g.wf.NextRun(g.key(g.waiting[0])),
--- a/records.go
+++ b/records.go
@@ -114,6 +114,7 @@
 	for _, w := range r.Workflows {
 		s = s.withRestoredWorkflow(w)
 	}
+	s = s.withConfiguredPools()
 	if r.Expiries == nil {
 		return s
 	}
--- a/restore_test.go
+++ b/restore_test.go
@@ -66,7 +66,7 @@
 		Organisation: "o",
 		ID:           h.name("k"),
 	}
-	switch h.rng.IntN(12) {
+	switch h.rng.IntN(13) {
 	case 0:
 		return plantainladder.MakeClaim{
 			Key:         k,
@@ -110,17 +110,26 @@
 			Worker: pool.Worker{
 				ID:          h.name("w"),
 				Incarnation: int64(h.rng.IntN(3)),
-				Pool:        "pool",
+				Pool:        h.name("pool-"),
 				Leaving:     h.rng.IntN(4) == 0,
 			},
 		}
 	case 7:
+		c := newConfiguration()
+		c.Document.Version = s.Configuration().Version + uint64(h.rng.IntN(2))
+		c.Document.Pools[0].Name = h.name("pool-")
+		c.Document.Queues[0].Pool = c.Document.Pools[0].Name
+		if h.rng.IntN(4) == 0 {
+			c.Document.Queues = nil
+		}
+		return c
+	case 8:
 		return plantainladder.CancelWorkflow{
 			ID:    h.name("f"),
 			Queue: "queue",
 			Token: "token",
 		}
-	case 8, 9:
+	case 9, 10:
 		return plantainladder.SubmitWorkflow{
 			Spec: workflow.Spec{
 				ID:    h.name("f"),
--- a/workflow/workflow.go
+++ b/workflow/workflow.go
@@ -6,9 +6,11 @@
 )
 
 // QueueSettings are the settings of a workflow's queue at the time when the
-// workflow was accepted. Later changes of the queue do not affect it.
+// workflow was accepted. Later changes of the queue do not affect them, apart from the
+// pool.
 type QueueSettings struct {
-	// Pool is the name of the pool whose workers run the tasks.
+	// Pool is the name of the pool whose workers run the tasks: the one that the
+	// configuration names for the queue, or last named for it.
 	Pool string `json:"pool"`
 	// Priority is 0 for the most urgent workflows.
 	Priority int `json:"priority"`
@@ -60,7 +62,7 @@
 type Workflow struct {
 	// Spec is the specification that the caller submitted.
 	Spec Spec
-	// QueueSettings are the settings of its queue when it was accepted.
+	// QueueSettings are the settings of its queue.
 	QueueSettings QueueSettings
 	// Submitted is when the workflow was accepted.
 	Submitted time.Time
@@ -83,6 +85,13 @@
 	}
 }
 
+// WithPool returns a copy of w whose further runs are placed in a pool. Runs that are
+// placed already stay where they are.
+func (w Workflow) WithPool(pool string) Workflow {
+	w.QueueSettings.Pool = pool
+	return w
+}
+
 // IsAccessible reports whether a caller may read and cancel the workflow through a queue
 // that admits the caller. The organisation is empty for a caller without one, whom only a
 // public queue admits. The workflows of a public queue are accessible there without an
