Fence off orders that are meant for an earlier incarnation of a worker

Two runs of a task go on at once.

Cause: a worker that is back under its identifier carries out orders for its former incarnation, also seconds late, and leaders used one fencing token for both. Such an order has a time on the former clock, which the worker shortens to its longest lease, counted from the arrival. Leaders counted only the leases that they ask for, 1.5 s shorter.

Nothing but a time far ahead of the clock is shortened to that.

Change: each incarnation has a fence, the index of the log entry that made it known, and the token is the term plus the fence. A run is started only on a worker that has answered an order with the present token, and up to that answer the longest lease counts as in force, for new leaders too. Why this works: what arrives after that answer is rejected, and what arrived before ends with the longest lease that counts from it.

--- a/apply_workflow.go
+++ b/apply_workflow.go
@@ -277,9 +277,15 @@
 		return s, refuse(RefusedNotFound, "pool", "there is no such pool")
 	}
 	current, ok := s.poolWorkers.get(c.Worker.ID)
-	if !ok || c.Worker.Supersedes(current) {
-		s.poolWorkers = s.poolWorkers.with(c.Worker.ID, c.Worker)
+	if ok && !c.Worker.Supersedes(current) {
+		return s, Outcome{}
+	}
+	fence := current.Fence
+	if !ok || c.Worker.Incarnation != current.Incarnation {
+		// Log indexes rise, also while the worker is not known.
+		fence = s.index
 	}
+	s.poolWorkers = s.poolWorkers.with(c.Worker.ID, c.Worker.WithFence(fence))
 	return s, Outcome{}
 }
 
--- a/configured_pool_test.go
+++ b/configured_pool_test.go
@@ -21,6 +21,15 @@
 	}
 	var r *replica
 
+	// committed returns the worker as its present record has it, without what was added
+	// when it was committed.
+	committed := func() pool.Worker {
+		GinkgoHelper()
+		w, ok := r.state.PoolWorker("w")
+		Expect(ok).To(BeTrue())
+		return w.WithFence(0)
+	}
+
 	announce := func(w pool.Worker) plantainladder.Outcome {
 		return r.apply("", plantainladder.Announce{
 			Worker: w,
@@ -53,9 +62,7 @@
 		odd.Pool = "telemetry"
 		change(&odd)
 		Expect(announce(odd).Reason).To(Equal(plantainladder.RefusedNotFound))
-		w, ok := r.state.PoolWorker("w")
-		Expect(ok).To(BeTrue())
-		Expect(w).To(Equal(known))
+		Expect(committed()).To(Equal(known))
 	},
 		Entry("as a later incarnation", func(w *pool.Worker) { w.Incarnation++ }),
 		Entry("as the same incarnation", func(w *pool.Worker) { w.Sequence = 9 }),
@@ -75,7 +82,8 @@
 		Expect(announce(known).IsAccepted()).To(BeTrue())
 		Expect(announce(odd).IsAccepted()).To(BeTrue())
 		configure("pool")
-		Expect(r.state.PoolWorkers()).To(Equal([]pool.Worker{known}))
+		Expect(r.state.PoolWorkers()).To(HaveLen(1))
+		Expect(committed()).To(Equal(known))
 	})
 
 	DescribeTable("is accepted from a worker whose pool was removed since", func(change func(w *pool.Worker)) {
@@ -85,9 +93,7 @@
 		changed := known
 		change(&changed)
 		Expect(announce(changed).IsAccepted()).To(BeTrue())
-		w, ok := r.state.PoolWorker("w")
-		Expect(ok).To(BeTrue())
-		Expect(w).To(Equal(changed))
+		Expect(committed()).To(Equal(changed))
 	},
 		Entry("that leaves", func(w *pool.Worker) { w.Leaving = true }),
 		Entry("that has restarted", func(w *pool.Worker) { w.Incarnation++ }),
--- a/controller/gateway/odd_announcement_test.go
+++ b/controller/gateway/odd_announcement_test.go
@@ -35,6 +35,8 @@
 		syncs := g.syncs
 		Expect(announce(odd)).To(Equal(wire.ResultNoPool))
 		Expect(g.syncs).To(Equal(syncs), "nothing is written")
-		Expect(g.leader().core.State().PoolWorkers()).To(Equal([]pool.Worker{known}))
+		w, ok := g.leader().core.State().PoolWorker("w")
+		Expect(ok).To(BeTrue())
+		Expect(w.WithFence(0)).To(Equal(known))
 	})
 })
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -108,7 +108,25 @@
 	v.unanswered = 0
 	v.lastAnsweredAt, v.lastContact = now, now
 	v.aliveAt = later(v.aliveAt, a.SentAt)
-	return v.withClockReading(now, cfg, a.ClockMS, true)
+	token := targetOf(a.Order).FencingToken
+	isFirst := isCarriedOut(a.Result) && token > v.answeredToken
+	if isFirst {
+		v.answeredToken = token
+	}
+	return v.withClockReading(now, cfg, a.ClockMS, true, isFirst)
+}
+
+// isCarriedOut reports whether a worker has accepted the fencing token of an order, even
+// if it rejected the order for another reason.
+func isCarriedOut(r Result) bool {
+	switch r := r.(type) {
+	case Acknowledged:
+		return true
+	case Rejected:
+		return r.Reason != RejectedStaleLeader && r.Reason != RejectedOther
+	case Unhealthy, Replaced, Unanswered:
+	}
+	return false
 }
 
 func (v workerView) withStartAnswer(now time.Time, ref workflow.RunKey, result Result) workerView {
--- a/dispatch/cluster_internal_test.go
+++ b/dispatch/cluster_internal_test.go
@@ -29,6 +29,9 @@
 	isSilent map[string]bool
 	// answer returns the result of an order.
 	answer func(o Order) Result
+	// withholds selects orders that stay on their way, in inFlight; nil for none.
+	withholds func(o Order) bool
+	inFlight  []Order
 	// isHanging is true while no run makes progress.
 	isHanging bool
 	// hasMore is true while the workers list only some of their ended runs.
@@ -52,6 +55,7 @@
 		now: epoch,
 		dispatcher: NewDispatcher(epoch, Config{
 			LeaseDuration:    10 * time.Second,
+			MaxLeaseDuration: 11500 * time.Millisecond,
 			AnnounceInterval: 500 * time.Millisecond,
 			MaxStopDuration:  900 * time.Millisecond,
 			CrossRackFactor:  3,
@@ -130,6 +134,10 @@
 		c.proposed = plan.Round
 	}
 	for _, o := range plan.Orders {
+		if c.withholds != nil && c.withholds(o) {
+			c.inFlight = append(c.inFlight, o)
+			continue
+		}
 		c.deliver(o)
 	}
 }
@@ -202,6 +210,25 @@
 	return list
 }
 
+// fence lets workers announce themselves and answer an order of the leader that is about
+// none of their runs.
+func (c *cluster) fence(workers ...string) {
+	c.announce()
+	for _, w := range c.machines {
+		if !slices.Contains(workers, w.ID) {
+			continue
+		}
+		c.deliver(Stop{
+			Target: Target{
+				Worker:       w.ID,
+				Incarnation:  w.Incarnation,
+				Address:      w.Address,
+				FencingToken: c.dispatcher.term + w.Fence,
+			},
+		})
+	}
+}
+
 // commit commits the proposed round and the announcements.
 func (c *cluster) commit() {
 	if c.proposed != nil {
@@ -262,6 +289,7 @@
 	for i := range c.machines {
 		if c.machines[i].ID == worker {
 			c.machines[i].Incarnation++
+			c.machines[i].Fence++
 			c.machines[i].Leaving = false
 		}
 	}
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -119,11 +119,16 @@
 }
 
 // awaitsAnswer reports whether a run must not be started before its worker has
-// answered another order. Otherwise a start that is sent to a worker that has lost
-// power cannot be told from one that crashes the worker. It is required only of
-// tasks with a history of crashes, since it costs an order for each start.
+// answered another order: once for each incarnation and leader, so that the worker takes
+// no orders for an earlier incarnation any more, and after the placement of each task with
+// a history of crashes. Otherwise a start that is sent to a worker that has lost power
+// cannot be told from one that crashes the worker. It is not required of others, since it
+// costs an order for each start.
 func (s *reconciliation) awaitsAnswer(v workerView, t workflow.PlacedTask, r runState) bool {
-	return r.isOwnPlacement && r.startsSent == 0 && s.hasCrashHistory(t) && !v.hasAnsweredSince(r)
+	if !r.isOwnPlacement || r.startsSent > 0 {
+		return false
+	}
+	return !s.isFenced(v) || s.hasCrashHistory(t) && !v.hasAnsweredSince(r)
 }
 
 // hasCrashHistory reports whether workers have crashed, or may have crashed, under
--- a/dispatch/crash_internal_test.go
+++ b/dispatch/crash_internal_test.go
@@ -185,6 +185,7 @@
 	// connection to such a worker takes the start, which is never answered.
 	DescribeTable("may be no crash if its start has no answer and the worker was not known to be alive", func(end crash) {
 		c := newCluster(newWorkers("w"), newSound("a"))
+		c.fence("w")
 		c.answer = unanswered
 		c.stepFor(3 * stepInterval)
 		Expect(c.startsSent["a"]).To(Equal(1))
@@ -195,6 +196,7 @@
 
 	DescribeTable("is no crash if there was no connection for its start", func(end crash) {
 		c := newCluster(newWorkers("w"), newSound("a"))
+		c.fence("w")
 		c.answer = func(Order) Result {
 			return Unanswered{
 				Detail:        "connection refused",
@@ -209,6 +211,7 @@
 
 	It("is a crash if only some of its starts had no connection", func() {
 		c := newCluster(newWorkers("w"), newSound("a"))
+		c.fence("w")
 		c.answer = unanswered
 		c.stepFor(2 * stepInterval)
 		c.answer = func(o Order) Result {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -16,6 +16,9 @@
 	// hearing from a leader. Zero disables the dispatch of workflows. Source:
 	// the workers' longest lease, less the time of two renewals.
 	LeaseDuration time.Duration
+	// MaxLeaseDuration is the longest lease that workers grant. An order that is meant
+	// for an earlier incarnation may ask for any later time on the worker's clock.
+	MaxLeaseDuration time.Duration
 	// AnnounceInterval is the period of the workers' announcements.
 	AnnounceInterval time.Duration
 	// MaxStopDuration is the longest time a worker takes to stop a run.
@@ -129,6 +132,7 @@
 	if cfg.Policy == nil {
 		cfg.Policy = GuaranteeAware{}
 	}
+	cfg.MaxLeaseDuration = max(cfg.MaxLeaseDuration, cfg.LeaseDuration)
 	return Dispatcher{
 		cfg:           cfg,
 		term:          term,
@@ -216,7 +220,7 @@
 	}
 	v.sequence = r.Sequence
 	v.lastContact, v.announcedAt = now, now
-	v = v.withClockReading(now, d.cfg, r.ClockMS, false)
+	v = v.withClockReading(now, d.cfg, r.ClockMS, false, false)
 	return d.withView(v)
 }
 
@@ -228,12 +232,13 @@
 	return "registration"
 }
 
-// withClockReading returns v after a reading of the worker's clock. Before the
-// first direct reading an earlier leader may have granted a lease of full length, so
-// that reading also sets the latest lease that may be in force.
-func (v workerView) withClockReading(now time.Time, cfg Config, ms int64, direct bool) workerView {
-	if ms != 0 && (!v.clock.isKnown() || direct && !v.clock.isConfirmed) {
-		v.maxLeaseUntilMS = max(v.maxLeaseUntilMS, ms+cfg.LeaseDuration.Milliseconds()+leaseMargin.Milliseconds())
+// withClockReading returns v after a reading of the worker's clock. Up to the first
+// direct reading in answer to the present token, orders of earlier leaders and for earlier
+// incarnations may have granted the longest lease, so that reading also sets the latest
+// lease that may be in force.
+func (v workerView) withClockReading(now time.Time, cfg Config, ms int64, direct, isFirstOfToken bool) workerView {
+	if ms != 0 && (!v.clock.isKnown() || direct && !v.clock.isConfirmed || isFirstOfToken) {
+		v.maxLeaseUntilMS = max(v.maxLeaseUntilMS, ms+(cfg.MaxLeaseDuration+leaseMargin).Milliseconds())
 	}
 	v.clock = v.clock.withReading(now, ms, direct)
 	return v
--- /dev/null
+++ b/dispatch/former_incarnation_internal_test.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// A worker that is back under its identifier takes orders that were meant for its former
+// incarnation, seconds late, as its own.
+var _ = Describe("An incarnation of a worker that has restarted", func() {
+	isStart := func(o Order) bool {
+		_, ok := o.(Start)
+		return ok
+	}
+
+	It("gets orders with a higher fencing token than any incarnation before, from any leader", func() {
+		c := newCluster(newWorkers("w"), newSound("a"))
+		var tokens []uint64
+		c.withholds = func(o Order) bool {
+			tokens = append(tokens, targetOf(o).FencingToken)
+			return false
+		}
+		highest := func() (n uint64) {
+			for _, t := range tokens {
+				n = max(n, t)
+			}
+			tokens = nil
+			return n
+		}
+		c.stepFor(time.Second)
+		before := highest()
+		for range 2 {
+			c.restart("w")
+			c.stepFor(time.Second)
+			Expect(tokens[len(tokens)-1]).To(BeNumerically(">", before))
+			c.changeLeader()
+			tokens = nil
+			c.stepFor(time.Second)
+			Expect(tokens).NotTo(BeEmpty())
+			Expect(tokens).To(HaveEach(BeNumerically(">", before)))
+			before = highest()
+		}
+	})
+
+	// A start before that left a gap in which an order for the former incarnation could
+	// still extend the lease.
+	It("is told to start nothing before it has answered an order", func() {
+		c := newCluster(newWorkers("w"), newSound("a"))
+		c.answer = func(o Order) Result {
+			if isStart(o) {
+				return Acknowledged{}
+			}
+			return unanswered(o)
+		}
+		c.stepFor(time.Second)
+		Expect(c.startsSent["a"]).To(BeZero())
+		c.answer = acknowledge
+		c.stepFor(time.Second)
+		Expect(c.startsSent["a"]).To(Equal(1))
+	})
+
+	// Its lease may be the longest that workers grant, by an order for the former
+	// incarnation that arrived just before.
+	It("keeps a run for the longest lease after its first answer", func() {
+		c := newCluster(newWorkers("w"))
+		c.stepFor(time.Second)
+		c.restart("w")
+		c.submit(newSound("a"))
+		c.withholds = func(o Order) bool {
+			r, isRenewal := o.(Renew)
+			return isRenewal && r.MaxWait > 0
+		}
+		c.stepFor(500 * time.Millisecond)
+		Expect(c.startedAt).To(HaveLen(1))
+		c.isSilent["w"] = true
+		c.stepFor(c.dispatcher.cfg.MaxLeaseDuration - 500*time.Millisecond)
+		Expect(c.ends).To(BeEmpty())
+		c.stepFor(time.Second)
+		Expect(c.ends).To(HaveLen(1))
+	})
+})
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -192,7 +192,7 @@
 // can remain in force, on the leader's clock. It allows for the slowest worker
 // clock.
 func (s *reconciliation) maxInheritedLease() time.Duration {
-	return s.dispatcher.cfg.LeaseDuration*100/minClockRatePercent + leaseMargin + time.Second
+	return s.dispatcher.cfg.MaxLeaseDuration*100/minClockRatePercent + leaseMargin + time.Second
 }
 
 // endLostRuns ends the runs on a worker that is neither known nor registered.
@@ -232,13 +232,26 @@
 
 func (s *reconciliation) target(v workerView) Target {
 	return Target{
-		Worker:      v.worker.ID,
-		Incarnation: v.worker.Incarnation,
-		Address:     v.worker.Address,
-		LeaderTerm:  s.dispatcher.term,
+		Worker:       v.worker.ID,
+		Incarnation:  v.worker.Incarnation,
+		Address:      v.worker.Address,
+		FencingToken: s.fencingToken(v),
 	}
 }
 
+// fencingToken returns the token of orders to a worker. An incarnation that is not
+// committed yet gets that of the one before, so that each leader of a later term has a
+// higher token.
+func (s *reconciliation) fencingToken(v workerView) uint64 {
+	return s.dispatcher.term + s.index.workers[v.worker.ID].Fence
+}
+
+// isFenced reports whether the worker's incarnation has answered an order with the
+// present token, so that it takes no order for an earlier one any more.
+func (s *reconciliation) isFenced(v workerView) bool {
+	return v.answeredToken >= s.fencingToken(v)
+}
+
 func (s *reconciliation) send(o Order) {
 	s.plan.Orders = append(s.plan.Orders, o)
 }
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -28,6 +28,16 @@
 	// Sequence rises with each announcement of an incarnation. It is zero if it is
 	// not known.
 	Sequence uint64 `json:"sequence,omitempty"`
+	// Fence is added to a leader's term for the fencing tokens of its orders, so that an
+	// incarnation rejects orders for an earlier one. It is set when the incarnation is
+	// committed and is higher than those of all incarnations before.
+	Fence uint64 `json:"fence,omitempty"`
+}
+
+// WithFence returns w with the given Fence.
+func (w Worker) WithFence(fence uint64) Worker {
+	w.Fence = fence
+	return w
 }
 
 // WithLeaving returns w marked as shutting down.
@@ -51,7 +61,7 @@
 }
 
 // IsSame reports whether two announcements have the same content, apart from their
-// sequence numbers.
+// sequence numbers and what was added when they were committed.
 func (w Worker) IsSame(other Worker) bool {
 	return w.ID == other.ID && w.Incarnation == other.Incarnation && w.Pool == other.Pool && w.Address == other.Address &&
 		w.DataCentre == other.DataCentre && w.Capacity == other.Capacity && w.Leaving == other.Leaving &&
--- a/replay/simulation.go
+++ b/replay/simulation.go
@@ -60,6 +60,7 @@
 	networkDelay     = 5 * time.Millisecond
 	announceInterval = 1500 * time.Millisecond
 	leaseDuration    = 8500 * time.Millisecond
+	maxLeaseDuration = 10 * time.Second
 	poolName         = "pool"
 )
 
@@ -207,6 +208,7 @@
 func (sim *Simulation) newDispatcher(now time.Duration) dispatch.Dispatcher {
 	return dispatch.NewDispatcher(sim.at(now), dispatch.Config{
 		LeaseDuration:    leaseDuration,
+		MaxLeaseDuration: maxLeaseDuration,
 		AnnounceInterval: announceInterval,
 		MaxStopDuration:  sim.cfg.MaxStopDuration,
 		CrossRackFactor:  sim.cfg.CrossRackFactor,
--- a/replay/worker.go
+++ b/replay/worker.go
@@ -34,7 +34,7 @@
 	faults           []Fault
 	clockOffset      time.Duration
 	announceSequence uint64
-	leaderTerm       uint64
+	fencingToken     uint64
 	leaseUntil       int64
 	runs             map[workflow.RunKey]*execution
 	blockedRuns      map[workflow.TaskKey]int
@@ -107,7 +107,7 @@
 	w.loseRuns(now, workflow.RunKey{})
 	w.announced.Incarnation += now.Milliseconds() + 1
 	w.announced.Leaving, w.leavingSince = false, 0
-	w.announceSequence, w.leaderTerm, w.leaseUntil, w.endedSequence = 0, 0, 0, 0
+	w.announceSequence, w.fencingToken, w.leaseUntil, w.endedSequence = 0, 0, 0, 0
 	w.clockOffset = -now
 	w.blockedRuns = map[workflow.TaskKey]int{}
 	w.ended = nil
@@ -139,9 +139,15 @@
 	return a
 }
 
-func (w *simWorker) isFenced(leaderTerm uint64) bool {
-	w.leaderTerm = max(w.leaderTerm, leaderTerm)
-	return leaderTerm < w.leaderTerm
+func (w *simWorker) isFenced(fencingToken uint64) bool {
+	w.fencingToken = max(w.fencingToken, fencingToken)
+	return fencingToken < w.fencingToken
+}
+
+// extendLease extends the lease up to a time on the worker's clock, but to no more than
+// the longest lease. It never shortens it.
+func (w *simWorker) extendLease(now time.Duration, until int64) {
+	w.leaseUntil = max(w.leaseUntil, min(until, w.clock(now+maxLeaseDuration)))
 }
 
 func rejected(r dispatch.Rejection) dispatch.Result {
@@ -153,12 +159,12 @@
 func (w *simWorker) handleStart(now time.Duration, o dispatch.Start) dispatch.Result {
 	_, isRunning := w.runs[o.RunKey]
 	switch {
-	case w.isFenced(o.LeaderTerm):
+	case w.isFenced(o.FencingToken):
 		return rejected(dispatch.RejectedStaleLeader)
 	case o.LeaseUntil < w.clock(now):
 		return rejected(dispatch.RejectedLeaseExpired)
 	}
-	w.leaseUntil = max(w.leaseUntil, o.LeaseUntil)
+	w.extendLease(now, o.LeaseUntil)
 	if isRunning {
 		return dispatch.Acknowledged{}
 	}
@@ -174,7 +180,7 @@
 }
 
 func (w *simWorker) handleStop(now time.Duration, o dispatch.Stop) dispatch.Result {
-	if w.isFenced(o.LeaderTerm) {
+	if w.isFenced(o.FencingToken) {
 		return rejected(dispatch.RejectedStaleLeader)
 	}
 	w.blockedRuns[o.TaskKey] = max(w.blockedRuns[o.TaskKey], o.Run)
@@ -185,10 +191,10 @@
 }
 
 func (w *simWorker) handleRenew(now time.Duration, o dispatch.Renew) dispatch.Result {
-	if w.isFenced(o.LeaderTerm) {
+	if w.isFenced(o.FencingToken) {
 		return rejected(dispatch.RejectedStaleLeader)
 	}
-	w.leaseUntil = max(w.leaseUntil, o.LeaseUntil)
+	w.extendLease(now, o.LeaseUntil)
 	w.ended = slices.DeleteFunc(w.ended, func(f dispatch.EndedRun) bool {
 		isAcknowledged := f.Sequence <= o.AckSequence
 		if isAcknowledged && f.EndReason == workflow.EndedDone && w.leaseExpiredAt <= w.endedAt[f.Sequence] {
