Wait for starts on their way before a worker's runs count as ended

Cause, by reading and by the tests: once the list of machines lacked a worker, its runs ended at once, also those with a start on its way, and its answers were ignored. A worker that is back under its identifier carries out that start.

Change: such a run ends once the start has completed without an acknowledgement. If it was acknowledged, the run ends when the next incarnation has stopped it, or after the longest lease. An answer of the next incarnation makes it known, as it does for other workers. Why this works: the end is recorded only when no open order can start the run any more.

Tests: "may carry out a start that is on its way when the former has ended" (2 cases failed before).

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -24,10 +24,13 @@
 func (d Dispatcher) withAnswer(now time.Time, a OrderCompleted) Dispatcher {
 	t := targetOf(a.Order)
 	v, ok := d.workerView(t.Worker)
-	if !ok || v.worker.Incarnation != t.Incarnation || v.hasEnded {
+	if !ok || v.worker.Incarnation != t.Incarnation {
 		return d
 	}
 	d.isDirty = true
+	if v.hasEnded {
+		return d.withAnswerAfterEnd(now, v, a)
+	}
 	if _, replaced := a.Result.(Replaced); replaced {
 		return d.withReplacedWorker(now, v)
 	}
@@ -67,6 +70,25 @@
 	return d.withView(v)
 }
 
+// withAnswerAfterEnd returns d after an order to a worker that has ended completed. The
+// next incarnation may have carried it out, which need not be known yet and cannot tell
+// orders for the earlier one from its own.
+func (d Dispatcher) withAnswerAfterEnd(now time.Time, v workerView, a OrderCompleted) Dispatcher {
+	if _, replaced := a.Result.(Replaced); !replaced && a.Incarnation > v.worker.Incarnation {
+		return d.withNextIncarnation(now, v, a)
+	}
+	o, isStart := a.Order.(Start)
+	r, ok := v.runs[o.RunKey]
+	if !isStart || !ok {
+		return d
+	}
+	r.startsInFlight--
+	if _, acknowledged := a.Result.(Acknowledged); acknowledged {
+		r.startedAfterEndAt = now
+	}
+	return d.withView(v.withRun(o.RunKey, r))
+}
+
 // withNextIncarnation returns d after the next incarnation of a worker answered
 // an order for the known one, which has ended. The order may have been carried
 // out by the next incarnation.
--- a/dispatch/former_incarnation_internal_test.go
+++ b/dispatch/former_incarnation_internal_test.go
@@ -80,4 +80,37 @@
 		c.stepFor(time.Second)
 		Expect(c.ends).To(HaveLen(1))
 	})
+
+	DescribeTable("may carry out a start that is on its way when the former has ended", func(result Result, isRunning bool) {
+		c := newCluster(newWorkers("w", "x"), newSound("a"))
+		c.fence("w", "x")
+		c.withholds = isStart
+		c.stepFor(3 * stepInterval)
+		Expect(c.inFlight).To(HaveLen(1))
+		start := c.inFlight[0]
+		c.withholds = nil
+		worker := targetOf(start).Worker
+		isMissing(c, worker)
+		c.stepFor(3 * stepInterval)
+		Expect(c.ends).To(BeEmpty(), "the start is on its way")
+		c.dispatcher = c.dispatcher.With(c.now, OrderCompleted{
+			Order:  start,
+			SentAt: c.now,
+			Result: result,
+		})
+		c.stepFor(3 * stepInterval)
+		if !isRunning {
+			Expect(c.ends).To(HaveLen(1))
+			return
+		}
+		Expect(c.ends).To(BeEmpty(), "the next incarnation runs it")
+		c.answer = acknowledge
+		c.isSilent[worker] = false
+		c.restart(worker)
+		c.stepFor(time.Second)
+		Expect(c.ends).To(HaveLen(1))
+	},
+		Entry("which it has acknowledged", Acknowledged{}, true),
+		Entry("which got no answer", Unanswered{}, false),
+	)
 })
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -14,6 +14,9 @@
 	}
 	r := v.runs[t.RunKey]
 	if v.hasEnded {
+		if s.mayRunOnNext(r) {
+			return v
+		}
 		s.endLost(v, t, r, string(reasonWorkerEnded), s.now.Sub(v.lastAnswerAt(s.dispatcher.termStartedAt)))
 		return v
 	}
@@ -33,6 +36,14 @@
 	return s.startRun(v, t, r)
 }
 
+// mayRunOnNext reports whether the next incarnation of a worker that has ended may still
+// carry out a start of the run, or has done so and not announced itself yet. Once it has,
+// it is told to stop the run.
+func (s *reconciliation) mayRunOnNext(r runState) bool {
+	isRunning := !r.startedAfterEndAt.IsZero() && s.now.Sub(r.startedAfterEndAt) <= s.maxInheritedLease()
+	return r.startsInFlight > 0 || isRunning
+}
+
 // isLeaseExpired reports whether the worker must have killed a run that was
 // started under its lease. If no answer of the worker had its clock, the longest
 // lease that an earlier leader can have granted is the bound.
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -89,6 +89,9 @@
 	// that certainly did not reach the worker.
 	startsInFlight    int
 	startsUndelivered int
+	// startedAfterEndAt is when a start was acknowledged although the incarnation had
+	// ended, so that the next one has carried it out; the zero time for never.
+	startedAfterEndAt time.Time
 	// placedAt is when this leader learned that its placement was committed.
 	placedAt time.Time
 	// wasWorkerAlive is true if the worker was known to be alive when the last Start
