--- a/apply_workflow.go
+++ b/apply_workflow.go
@@ -280,12 +280,12 @@
 	if ok && !c.Worker.Supersedes(current) {
 		return s, Outcome{}
 	}
-	fence := current.Fence
+	generation := current.Generation
 	if !ok || c.Worker.Incarnation != current.Incarnation {
 		// Log indexes rise, also while the worker is not known.
-		fence = s.index
+		generation = s.index
 	}
-	s.poolWorkers = s.poolWorkers.with(c.Worker.ID, c.Worker.WithFence(fence))
+	s.poolWorkers = s.poolWorkers.with(c.Worker.ID, c.Worker.WithGeneration(generation))
 	return s, Outcome{}
 }
 
--- a/configured_pool_test.go
+++ b/configured_pool_test.go
@@ -27,7 +27,7 @@
 		GinkgoHelper()
 		w, ok := r.state.PoolWorker("w")
 		Expect(ok).To(BeTrue())
-		return w.WithFence(0)
+		return w.WithGeneration(0)
 	}
 
 	announce := func(w pool.Worker) plantainladder.Outcome {
--- a/controller/gateway/odd_announcement_test.go
+++ b/controller/gateway/odd_announcement_test.go
@@ -37,6 +37,6 @@
 		Expect(g.syncs).To(Equal(syncs), "nothing is written")
 		w, ok := g.leader().core.State().PoolWorker("w")
 		Expect(ok).To(BeTrue())
-		Expect(w.WithFence(0)).To(Equal(known))
+		Expect(w.WithGeneration(0)).To(Equal(known))
 	})
 })
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -130,17 +130,17 @@
 	v.unanswered = 0
 	v.lastAnsweredAt, v.lastContact = now, now
 	v.aliveAt = later(v.aliveAt, a.SentAt)
-	token := targetOf(a.Order).FencingToken
-	isFirst := isCarriedOut(a.Result) && token > v.answeredToken
+	fence := targetOf(a.Order).Fence
+	isFirst := hasAcceptedFence(a.Result) && fence > v.answeredFence
 	if isFirst {
-		v.answeredToken = token
+		v.answeredFence = fence
 	}
 	return v.withClockReading(now, cfg, a.ClockMS, true, isFirst)
 }
 
-// isCarriedOut reports whether a worker has accepted the fencing token of an order, even
-// if it rejected the order for another reason.
-func isCarriedOut(r Result) bool {
+// hasAcceptedFence reports whether a worker has accepted the fence of an order, even if it
+// rejected the order for another reason.
+func hasAcceptedFence(r Result) bool {
 	switch r := r.(type) {
 	case Acknowledged:
 		return true
--- a/dispatch/cluster_internal_test.go
+++ b/dispatch/cluster_internal_test.go
@@ -220,10 +220,10 @@
 		}
 		c.deliver(Stop{
 			Target: Target{
-				Worker:       w.ID,
-				Incarnation:  w.Incarnation,
-				Address:      w.Address,
-				FencingToken: c.dispatcher.term + w.Fence,
+				Worker:      w.ID,
+				Incarnation: w.Incarnation,
+				Address:     w.Address,
+				Fence:       c.dispatcher.term + w.Generation,
 			},
 		})
 	}
@@ -289,7 +289,7 @@
 	for i := range c.machines {
 		if c.machines[i].ID == worker {
 			c.machines[i].Incarnation++
-			c.machines[i].Fence++
+			c.machines[i].Generation++
 			c.machines[i].Leaving = false
 		}
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -233,11 +233,11 @@
 }
 
 // withClockReading returns v after a reading of the worker's clock. Up to the first
-// direct reading in answer to the present token, orders of earlier leaders and for earlier
+// direct reading in answer to the present fence, orders of earlier leaders and for earlier
 // incarnations may have granted the longest lease, so that reading also sets the latest
 // lease that may be in force.
-func (v workerView) withClockReading(now time.Time, cfg Config, ms int64, direct, isFirstOfToken bool) workerView {
-	if ms != 0 && (!v.clock.isKnown() || direct && !v.clock.isConfirmed || isFirstOfToken) {
+func (v workerView) withClockReading(now time.Time, cfg Config, ms int64, direct, isFirstOfFence bool) workerView {
+	if ms != 0 && (!v.clock.isKnown() || direct && !v.clock.isConfirmed || isFirstOfFence) {
 		v.maxLeaseUntilMS = max(v.maxLeaseUntilMS, ms+(cfg.MaxLeaseDuration+leaseMargin).Milliseconds())
 	}
 	v.clock = v.clock.withReading(now, ms, direct)
--- a/dispatch/former_incarnation_internal_test.go
+++ b/dispatch/former_incarnation_internal_test.go
@@ -15,18 +15,18 @@
 		return ok
 	}
 
-	It("gets orders with a higher fencing token than any incarnation before, from any leader", func() {
+	It("gets orders with a higher fence than any incarnation before, from any leader", func() {
 		c := newCluster(newWorkers("w"), newSound("a"))
-		var tokens []uint64
+		var fences []uint64
 		c.withholds = func(o Order) bool {
-			tokens = append(tokens, targetOf(o).FencingToken)
+			fences = append(fences, targetOf(o).Fence)
 			return false
 		}
 		highest := func() (n uint64) {
-			for _, t := range tokens {
+			for _, t := range fences {
 				n = max(n, t)
 			}
-			tokens = nil
+			fences = nil
 			return n
 		}
 		c.stepFor(time.Second)
@@ -34,12 +34,12 @@
 		for range 2 {
 			c.restart("w")
 			c.stepFor(time.Second)
-			Expect(tokens[len(tokens)-1]).To(BeNumerically(">", before))
+			Expect(fences[len(fences)-1]).To(BeNumerically(">", before))
 			c.changeLeader()
-			tokens = nil
+			fences = nil
 			c.stepFor(time.Second)
-			Expect(tokens).NotTo(BeEmpty())
-			Expect(tokens).To(HaveEach(BeNumerically(">", before)))
+			Expect(fences).NotTo(BeEmpty())
+			Expect(fences).To(HaveEach(BeNumerically(">", before)))
 			before = highest()
 		}
 	})
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -18,11 +18,11 @@
 	Incarnation int64
 	// Address is the host and port of the worker's HTTP interface.
 	Address string
-	// FencingToken rises with the term of the leader that sends the order, and with the
-	// incarnation. A worker rejects orders with a lower token than one it has seen, so
+	// Fence rises with the term of the leader that sends the order, and with the
+	// incarnation. A worker rejects orders with a lower fence than one it has seen, so
 	// that it takes none of earlier leaders, and none for its earlier incarnations, which
 	// may arrive late.
-	FencingToken uint64
+	Fence uint64
 }
 
 // An Order is a request from the leader to a worker: Start, Stop or Renew.
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -232,24 +232,24 @@
 
 func (s *reconciliation) target(v workerView) Target {
 	return Target{
-		Worker:       v.worker.ID,
-		Incarnation:  v.worker.Incarnation,
-		Address:      v.worker.Address,
-		FencingToken: s.fencingToken(v),
+		Worker:      v.worker.ID,
+		Incarnation: v.worker.Incarnation,
+		Address:     v.worker.Address,
+		Fence:       s.fenceOf(v),
 	}
 }
 
-// fencingToken returns the token of orders to a worker. An incarnation that is not
+// fenceOf returns the fence of orders to a worker. An incarnation that is not
 // committed yet gets that of the one before, so that each leader of a later term has a
-// higher token.
-func (s *reconciliation) fencingToken(v workerView) uint64 {
-	return s.dispatcher.term + s.index.workers[v.worker.ID].Fence
+// higher fence.
+func (s *reconciliation) fenceOf(v workerView) uint64 {
+	return s.dispatcher.term + s.index.workers[v.worker.ID].Generation
 }
 
 // isFenced reports whether the worker's incarnation has answered an order with the
-// present token, so that it takes no order for an earlier one any more.
+// present fence, so that it takes no order for an earlier one any more.
 func (s *reconciliation) isFenced(v workerView) bool {
-	return v.answeredToken >= s.fencingToken(v)
+	return v.answeredFence >= s.fenceOf(v)
 }
 
 func (s *reconciliation) send(o Order) {
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -24,9 +24,9 @@
 	// maxLeaseUntilMS is the latest end of a lease that any leader may have
 	// granted, in milliseconds on the worker's clock.
 	maxLeaseUntilMS int64
-	// answeredToken is the highest fencing token of the orders that this incarnation has
+	// answeredFence is the highest fence of the orders that this incarnation has
 	// carried out.
-	answeredToken uint64
+	answeredFence uint64
 	// committedSequence is the sequence of the last ended run that is committed;
 	// ackedSequence is the last one that the worker has been told of.
 	committedSequence uint64
--- a/fence_test.go
+++ b/generation_test.go
@@ -10,10 +10,10 @@
 )
 
 // Orders for a worker's former incarnation were carried out by the next one.
-var _ = Describe("The fence of a worker", func() {
+var _ = Describe("The generation of a worker", func() {
 	var r *replica
 
-	// announce commits an announcement and returns the fence that the worker has then.
+	// announce commits an announcement and returns the generation that the worker has then.
 	announce := func(incarnation int64, sequence uint64, isLeaving bool) uint64 {
 		GinkgoHelper()
 		Expect(r.apply("", plantainladder.Announce{
@@ -23,12 +23,12 @@
 				Pool:        "pool",
 				Leaving:     isLeaving,
 				Sequence:    sequence,
-				Fence:       1_000_000,
+				Generation:  1_000_000,
 			},
 		}).IsAccepted()).To(BeTrue())
 		w, ok := r.state.PoolWorker("w")
 		Expect(ok).To(BeTrue())
-		return w.Fence
+		return w.Generation
 	}
 
 	BeforeEach(func() {
@@ -53,10 +53,10 @@
 	})
 
 	It("is kept by a snapshot", func() {
-		fence := announce(5, 1, false)
+		generation := announce(5, 1, false)
 		restored, err := wire.UnmarshalState(encode(r.state))
 		Expect(err).NotTo(HaveOccurred())
 		w, _ := restored.PoolWorker("w")
-		Expect(w.Fence).To(Equal(fence))
+		Expect(w.Generation).To(Equal(generation))
 	})
 })
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -28,15 +28,15 @@
 	// Sequence rises with each announcement of an incarnation. It is zero if it is
 	// not known.
 	Sequence uint64 `json:"sequence,omitempty"`
-	// Fence is added to a leader's term for the fencing tokens of its orders, so that an
-	// incarnation rejects orders for an earlier one. It is set when the incarnation is
-	// committed and is higher than those of all incarnations before.
-	Fence uint64 `json:"fence,omitempty"`
+	// Generation is set when the incarnation is committed, and is higher than those of all
+	// incarnations before. A leader adds it to its term for the fence of its orders, so that
+	// an incarnation rejects orders for an earlier one.
+	Generation uint64 `json:"generation,omitempty"`
 }
 
-// WithFence returns w with the given Fence.
-func (w Worker) WithFence(fence uint64) Worker {
-	w.Fence = fence
+// WithGeneration returns w with the given Generation.
+func (w Worker) WithGeneration(generation uint64) Worker {
+	w.Generation = generation
 	return w
 }
 
--- a/replay/worker.go
+++ b/replay/worker.go
@@ -34,7 +34,7 @@
 	faults           []Fault
 	clockOffset      time.Duration
 	announceSequence uint64
-	fencingToken     uint64
+	fence            uint64
 	leaseUntil       int64
 	runs             map[workflow.RunKey]*execution
 	blockedRuns      map[workflow.TaskKey]int
@@ -107,7 +107,7 @@
 	w.loseRuns(now, workflow.RunKey{})
 	w.announced.Incarnation += now.Milliseconds() + 1
 	w.announced.Leaving, w.leavingSince = false, 0
-	w.announceSequence, w.fencingToken, w.leaseUntil, w.endedSequence = 0, 0, 0, 0
+	w.announceSequence, w.fence, w.leaseUntil, w.endedSequence = 0, 0, 0, 0
 	w.clockOffset = -now
 	w.blockedRuns = map[workflow.TaskKey]int{}
 	w.ended = nil
@@ -139,9 +139,9 @@
 	return a
 }
 
-func (w *simWorker) isFenced(fencingToken uint64) bool {
-	w.fencingToken = max(w.fencingToken, fencingToken)
-	return fencingToken < w.fencingToken
+func (w *simWorker) isFenced(fence uint64) bool {
+	w.fence = max(w.fence, fence)
+	return fence < w.fence
 }
 
 // extendLease extends the lease up to a time on the worker's clock, but to no more than
@@ -159,7 +159,7 @@
 func (w *simWorker) handleStart(now time.Duration, o dispatch.Start) dispatch.Result {
 	_, isRunning := w.runs[o.RunKey]
 	switch {
-	case w.isFenced(o.FencingToken):
+	case w.isFenced(o.Fence):
 		return rejected(dispatch.RejectedStaleLeader)
 	case o.LeaseUntil < w.clock(now):
 		return rejected(dispatch.RejectedLeaseExpired)
@@ -180,7 +180,7 @@
 }
 
 func (w *simWorker) handleStop(now time.Duration, o dispatch.Stop) dispatch.Result {
-	if w.isFenced(o.FencingToken) {
+	if w.isFenced(o.Fence) {
 		return rejected(dispatch.RejectedStaleLeader)
 	}
 	w.blockedRuns[o.TaskKey] = max(w.blockedRuns[o.TaskKey], o.Run)
@@ -191,7 +191,7 @@
 }
 
 func (w *simWorker) handleRenew(now time.Duration, o dispatch.Renew) dispatch.Result {
-	if w.isFenced(o.FencingToken) {
+	if w.isFenced(o.Fence) {
 		return rejected(dispatch.RejectedStaleLeader)
 	}
 	w.extendLease(now, o.LeaseUntil)
