Send no orders to an incarnation that the committed state has replaced

A server that is back under its id takes orders for its former life as its own.

The view of a worker now moves on to the committed incarnation as soon as a pass sees it, so no order to an earlier one is sent.

--- a/dispatch/former_incarnation_internal_test.go
+++ b/dispatch/former_incarnation_internal_test.go
@@ -81,6 +81,25 @@
 		Expect(c.ends).To(HaveLen(1))
 	})
 
+	// Such an order has the fence of the committed incarnation, which would carry it out as
+	// its own, also seconds late.
+	It("is not sent orders for the former incarnation once it is committed", func() {
+		c := newCluster(newWorkers("w"), newSound("a"))
+		c.stepFor(time.Second)
+		Expect(c.startedAt).To(HaveLen(1))
+		c.isSilent["w"] = true
+		c.restart("w")
+		c.commit()
+		var incarnations []int64
+		c.withholds = func(o Order) bool {
+			incarnations = append(incarnations, targetOf(o).Incarnation)
+			return false
+		}
+		c.stepFor(2 * time.Second)
+		Expect(incarnations).NotTo(BeEmpty())
+		Expect(incarnations).To(HaveEach(c.machines[0].Incarnation))
+	})
+
 	DescribeTable("may carry out a start that is on its way when the former has ended", func(result Result, isRunning bool) {
 		c := newCluster(newWorkers("w", "x"), newSound("a"))
 		c.fence("w", "x")
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -174,6 +174,7 @@
 		v = newWorkerView(s.now, w)
 		v.isChanged = true
 	}
+	v = s.withCommittedIncarnation(v)
 	v = v.withPredecessorRuns(tasks, s.index.workers[id])
 	v = v.withOnlyRuns(func(ref workflow.RunKey) bool {
 		return s.index.placedRuns[ref]
@@ -188,6 +189,26 @@
 	}
 }
 
+// withCommittedIncarnation returns the view of the committed incarnation of a worker if v is
+// that of an earlier one, which has ended. The announcement may be committed before the
+// dispatcher hears of it. An order for the earlier incarnation would have the fence of the
+// committed one, which would carry it out as its own.
+func (s *reconciliation) withCommittedIncarnation(v workerView) workerView {
+	w, ok := s.index.workers[v.worker.ID]
+	if !ok || w.Incarnation <= v.worker.Incarnation {
+		return v
+	}
+	s.record(DecisionRecord{
+		Text:   "A new incarnation of the worker was committed before it announced itself here.",
+		Worker: w.ID,
+		Reason: w.Address,
+		Age:    s.now.Sub(v.lastContact),
+	})
+	next := v.withSuccessor(newWorkerView(s.now, w))
+	next.isChanged = true
+	return next
+}
+
 // maxInheritedLease is the longest that a lease granted by an earlier leader
 // can remain in force, on the leader's clock. It allows for the slowest worker
 // clock.
