Learn how fast workers run tasks, and place by it

The leader now compares the runs of one step with each other and learns each worker's speed. Where the speeds of a pool differ beyond doubt, work that is due soon goes to workers that are fast enough, the slowest of them first, work with slack takes the slow ones, and an urgent gang that would need a slow worker stops cheaper work on a fast one. A pool of equal workers is served as before.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -258,6 +258,9 @@
 	if r.startedAt.IsZero() {
 		r.startedAt = now
 	}
+	if r.firstListedAt.IsZero() {
+		r.firstListedAt, r.firstPercent = now, listed.Percent
+	}
 	if listed.Percent != r.percent || r.progressedAt.IsZero() {
 		r = r.withProgressAt(now, listed.Percent)
 	}
--- a/dispatch/cluster_internal_test.go
+++ b/dispatch/cluster_internal_test.go
@@ -32,6 +32,8 @@
 	// withholds selects orders that stay on their way, in inFlight; nil for none.
 	withholds func(o Order) bool
 	inFlight  []Order
+	// speeds holds how fast workers run tasks, by worker ID; 1 for those that are missing.
+	speeds map[string]float64
 	// isHanging is true while no run makes progress.
 	isHanging bool
 	// hasMore is true while the workers list only some of their ended runs.
@@ -169,7 +171,7 @@
 	list.HasMore = c.hasMore
 	for _, t := range c.placedOn(o.Worker) {
 		startedAt, isRunning := c.startedAt[t.RunKey]
-		percent := int(100 * c.now.Sub(startedAt) / t.StepSpec.DeclaredRunTime)
+		percent := int(100 * c.workDone(o.Worker, startedAt) / t.StepSpec.DeclaredRunTime)
 		if c.isHanging {
 			percent = 0
 		}
@@ -199,6 +201,16 @@
 	return list
 }
 
+// workDone returns how far a worker has got with a run, as the time that a worker of speed 1
+// takes for it.
+func (c *cluster) workDone(worker string, startedAt time.Time) time.Duration {
+	elapsed := c.now.Sub(startedAt)
+	if speed, ok := c.speeds[worker]; ok {
+		return time.Duration(float64(elapsed) * speed)
+	}
+	return elapsed
+}
+
 func (c *cluster) placedOn(worker string) (list []workflow.PlacedTask) {
 	for _, w := range c.state.Workflows {
 		for _, t := range w.PlacedTasks() {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -7,6 +7,7 @@
 
 	plantainladder "github.com/plantainladder/plantainladder"
 	"github.com/plantainladder/plantainladder/pool"
+	"github.com/plantainladder/plantainladder/speed"
 	"github.com/plantainladder/plantainladder/workflow"
 )
 
@@ -101,6 +102,12 @@
 	lastRoundID   uint64
 	// runTimes predicts run times from those of earlier runs.
 	runTimes runTimes
+	// samples holds the evidence of the workers' speeds, and spreads how they differ in
+	// each pool.
+	samples          stepSamples
+	samplesDroppedAt time.Time
+	spreads          map[string]speed.Spread
+	mediansUpdatedAt time.Time
 	// isDirty is true if something has changed since the last Reconcile.
 	isDirty bool
 	// index belongs to the ClusterState of the last Reconcile.
@@ -142,6 +149,8 @@
 		isDirty:       true,
 
 		runTimes: newRunTimes(),
+		samples:  newStepSamples(),
+		spreads:  map[string]speed.Spread{},
 	}
 }
 
--- a/dispatch/estimate.go
+++ b/dispatch/estimate.go
@@ -9,7 +9,7 @@
 	"github.com/plantainladder/plantainladder/workflow"
 )
 
-// A runTimes predicts run times by queue from those of earlier runs. It
+// A runTimes predicts run times on a worker of speed 1, by queue, from those of earlier runs. It
 // corrects declared run times, which can be far off by a factor that differs
 // from queue to queue.
 type runTimes struct {
@@ -101,11 +101,21 @@
 		return
 	}
 	wf := s.index.workflows[f.Workflow]
-	declared := wf.Spec.Steps[f.Step].DeclaredRunTime
-	s.dispatcher.runTimes = s.dispatcher.runTimes.withRun(wf.Spec.Queue, declared, s.now.Sub(r.startedAt))
+	step := wf.Spec.Steps[f.Step]
+	logSpeed := s.logSpeedOf(workflow.PlacedTask{
+		RunKey: f.RunKey,
+		Placed: workflow.Placed{
+			Worker:      v.worker.ID,
+			Incarnation: v.worker.Incarnation,
+		},
+		StepSpec: step,
+	})
+	work := atSpeed(s.now.Sub(r.startedAt), -logSpeed)
+	s.dispatcher.runTimes = s.dispatcher.runTimes.withRun(wf.Spec.Queue, step.DeclaredRunTime, work)
 }
 
-// expectedRunTime returns the predicted run time of a placed task.
+// expectedRunTime returns the predicted run time of a placed task on its worker.
 func (s *reconciliation) expectedRunTime(t workflow.PlacedTask) time.Duration {
-	return s.dispatcher.runTimes.predict(s.index.workflows[t.Workflow].Spec.Queue, t.StepSpec.DeclaredRunTime)
+	work := s.dispatcher.runTimes.predict(s.index.workflows[t.Workflow].Spec.Queue, t.StepSpec.DeclaredRunTime)
+	return atSpeed(work, s.logSpeedOf(t))
 }
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/plantainladder/plantainladder/pool"
+	"github.com/plantainladder/plantainladder/speed"
 	"github.com/plantainladder/plantainladder/workflow"
 )
 
@@ -26,6 +27,8 @@
 	tenancy tenancy
 	// hasNewIsolated is true if this pass has placed an isolated suspect here.
 	hasNewIsolated bool
+	// speed is what is believed about how fast the worker runs tasks.
+	speed speed.Belief
 	// reservedUntil is when a gang is expected to start here. Until then the
 	// node only takes tasks that are expected to end before. The zero time
 	// means no reservation.
@@ -85,6 +88,7 @@
 			free:        w.Capacity,
 			allocations: s.allocations(x, w, v),
 			tenancy:     tenancyOf(s.now, x, w.ID),
+			speed:       s.dispatcher.spreads[w.Pool].Belief(v.speed),
 		}
 		for _, alloc := range n.allocations {
 			n.free = n.free.Minus(alloc.task.StepSpec.PerTask)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -118,7 +118,7 @@
 // because a guarantee has to be met in time.
 func (p *placer) placeUrgent(f *fleet, g taskGroup) {
 	isFirst := !p.blocked[g.requirement()]
-	if !p.isBlocked(g) && p.tryPlace(f, g) {
+	if !p.isBlocked(g) && (p.preemptForSpeed(f, g) || p.tryPlace(f, g)) {
 		return
 	}
 	p.blocked[g.requirement()] = true
@@ -155,7 +155,7 @@
 		return pool.ResourceVector{}
 	}
 	// DeclaredRunTime holds the predicted run time.
-	endsLate := p.s.now.Add(g.step.DeclaredRunTime).After(n.reservedUntil)
+	endsLate := p.s.now.Add(atSpeed(g.step.DeclaredRunTime, n.speed.Mean)).After(n.reservedUntil)
 	if !n.reservedUntil.IsZero() && endsLate && !p.ignoresReservations(g) {
 		return pool.ResourceVector{}
 	}
@@ -175,9 +175,9 @@
 }
 
 // assignments assigns a number of a task group's tasks to nodes and returns nil
-// if they do not all fit. It fills the fullest nodes first, so that whole nodes
-// stay free, unless the task group uses first fit. A suspect gets the emptiest
-// nodes, where a crash does the least damage.
+// if they do not all fit. It takes nodes of the best speed rank, and fills the fullest of
+// them first, so that whole nodes stay free, unless the task group uses first fit. A
+// suspect gets the emptiest nodes, where a crash does the least damage.
 func assignments(nodes []*node, g taskGroup, tasks int, available func(n *node) pool.ResourceVector) []assignment {
 	var order []*node
 	for _, n := range nodes {
@@ -191,6 +191,7 @@
 				a, b = b, a
 			}
 			return cmp.Or(
+				cmp.Compare(g.speedRank(a), g.speedRank(b)),
 				cmp.Compare(available(a).Accelerators, available(b).Accelerators),
 				cmp.Compare(available(a).MilliCores, available(b).MilliCores),
 			)
@@ -225,7 +226,7 @@
 			Run:     g.wf.NextRun(g.key(g.waiting[0])),
 		},
 		Worker:     list[0].node.worker.ID,
-		Reason:     "room",
+		Reason:     "room" + g.speedReason(list),
 		Age:        p.s.now.Sub(g.wf.Submitted),
 		Tasks:      taskCount(list),
 		Queue:      g.wf.Spec.Queue,
@@ -280,11 +281,11 @@
 	return list
 }
 
-// bestRack returns assignments in the rack with the least free capacity among
-// those that hold the whole task group. If the task group has a data rack, only
-// that one is tried.
+// bestRack returns assignments in the rack with the best speed rank, and of those with the
+// least free capacity, among the racks that hold the whole task group. If the task group
+// has a data rack, only that one is tried.
 func bestRack(f *fleet, g taskGroup, available func(n *node) pool.ResourceVector) (best []assignment) {
-	least := 0
+	least, bestRank := 0, 0
 	for _, r := range f.racks {
 		if g.step.DataRack != "" && r.name != g.step.DataRack {
 			continue
@@ -297,8 +298,9 @@
 		for _, n := range r.nodes {
 			free += available(n).Accelerators*pool.CoresPerAccelerator + available(n).MilliCores/milliPerCore
 		}
-		if best == nil || free < least {
-			best, least = list, free
+		rank := g.worstRank(list)
+		if best == nil || cmp.Or(cmp.Compare(rank, bestRank), cmp.Compare(free, least)) < 0 {
+			best, least, bestRank = list, free, rank
 		}
 	}
 	return best
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -40,12 +40,47 @@
 	if best == nil {
 		return false
 	}
-	for _, s := range best.assignments {
+	p.carryOut(best, g)
+	return true
+}
+
+// carryOut marks the runs of a preemption to be stopped, and takes the capacity out of this
+// pass for the task group.
+func (p *placer) carryOut(e *preemption, g taskGroup) {
+	for _, s := range e.assignments {
 		s.node.free = s.node.free.Minus(g.step.PerTask.Times(s.tasks))
 	}
-	for _, c := range best.candidates {
+	for _, c := range e.candidates {
 		p.markPreempted(c, g)
 	}
+}
+
+// preemptForSpeed makes capacity on workers that are fast enough for an urgent gang which
+// fits, but only on some that are too slow, if the runs that it stops lose less work than
+// the gang has. It reports whether the gang has to wait for them.
+func (p *placer) preemptForSpeed(f *fleet, g taskGroup) bool {
+	if !g.step.IsGang || g.neededSpeed == 0 || g.isSuspect {
+		return false
+	}
+	stopDuration := p.s.dispatcher.cfg.MaxStopDuration
+	list := p.gangAssignments(f, g, func(n *node) pool.ResourceVector { return p.available(n, g) })
+	if list == nil || g.worstRank(list) < insufficientRank {
+		return false
+	}
+	choosy := g.withTasks(len(g.waiting))
+	choosy.needsSpeed = true
+	choosy.neededSpeed = neededSpeed(p.s.now.Add(stopDuration), g.step.DeclaredRunTime, g.targetCompletion)
+	if choosy.neededSpeed == 0 {
+		return false
+	}
+	candidates := candidatesOf(f, g.wf.QueueSettings.Priority)
+	best := p.leastLossPreemption(f, choosy, candidates, p.endingSoon(candidates))
+	work := g.step.DeclaredRunTime.Seconds() * g.step.PerTask.WeightedCores() * float64(g.step.Tasks)
+	if best == nil || best.loss > work {
+		return false
+	}
+	p.carryOut(best, g)
+	p.wait(g, waitsForPreemption)
 	return true
 }
 
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -60,6 +60,8 @@
 	ends       []workflow.RunEnd
 	// doomed holds runs of gangs of which a member will be stopped or was lost.
 	doomed []gangRun
+	// newSamples holds the evidence of workers' speeds that was found in this pass.
+	newSamples []newSample
 }
 
 // Reconcile compares the committed state with what is known of the workers. It
@@ -91,6 +93,7 @@
 	if !s.dispatcher.HasPendingRound() {
 		s.proposeRound(after)
 	}
+	s.learnSpeeds()
 	return s.dispatcher, s.plan
 }
 
@@ -299,6 +302,7 @@
 				r.RunEnds = append(r.RunEnds, e)
 				s.recordRunEnd(id, f)
 				s.learnRunTime(*v, f)
+				s.sampleEnd(*v, f)
 			}
 		}
 	}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -26,6 +26,7 @@
 		r.pendingStop = reasonLeaseExpired
 		return v.withRun(t.RunKey, r)
 	}
+	r = s.sampleProgress(v, t, r)
 	if r.pendingStop == "" {
 		r = s.withStopReason(v, t, r)
 		v = s.withStallPenalty(v, t, r)
--- /dev/null
+++ b/dispatch/speed_internal_test.go
@@ -0,0 +1,214 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainladder/plantainladder/pool"
+	"github.com/plantainladder/plantainladder/speed"
+	"github.com/plantainladder/plantainladder/workflow"
+)
+
+// The load is that of a pool whose workers have the speeds 0.6, 1 and 1.6, which nothing but
+// their runs shows: urgent gangs with little slack beside wide steps with much.
+var _ = Describe("A pool whose workers have different speeds", func() {
+	slow := func(i int) bool { return i%3 == 0 }
+
+	newUneven := func(speeds ...float64) *cluster {
+		var ids []string
+		byID := map[string]float64{}
+		for i := range 30 {
+			id := fmt.Sprintf("w%02d", i)
+			ids = append(ids, id)
+			byID[id] = speeds[i%len(speeds)]
+		}
+		c := newCluster(newWorkers(ids...))
+		c.speeds = byID
+		return c
+	}
+	// learn runs steps with a task for each worker until the speeds are known. Work of 4 s
+	// with a stretch of 3 has slack on each of them.
+	learn := func(c *cluster) {
+		for n := range 4 {
+			c.submit(newWorkflow(fmt.Sprintf("learn-%d", n), 1, newStep(30, 8, 4*time.Second)))
+			c.stepFor(9 * time.Second)
+		}
+		Expect(c.state.Workflows).To(BeEmpty())
+	}
+	urgentGang := func(tasks, cores int) workflow.Workflow {
+		step := newGang(tasks, cores)
+		step.DeclaredRunTime = 4 * time.Second
+		w := newWorkflow("urgent", 0, step)
+		w.QueueSettings.Stretch, w.QueueSettings.Slack = 1.5, 250*time.Millisecond
+		return w
+	}
+	numbers := func(c *cluster, id string) (list []int) {
+		for _, worker := range c.placedAt(id) {
+			list = append(list, slices.IndexFunc(c.machines, func(w pool.Worker) bool { return w.ID == worker }))
+		}
+		return list
+	}
+
+	// One member on a slow worker makes the whole gang late.
+	It("places an urgent gang on none of the slow ones", func() {
+		c := newUneven(0.6, 1, 1.6)
+		learn(c)
+		c.submit(urgentGang(12, 8))
+		c.stepFor(500 * time.Millisecond)
+		Expect(numbers(c, "urgent")).To(HaveLen(12))
+		for _, n := range numbers(c, "urgent") {
+			Expect(slow(n)).To(BeFalse(), "worker %d", n)
+		}
+	})
+
+	It("leaves the fast ones to others if the slow ones meet the target", func() {
+		c := newUneven(0.6, 1, 1.6)
+		learn(c)
+		c.submit(newWorkflow("slack", 1, newStep(10, 8, 4*time.Second)))
+		c.stepFor(500 * time.Millisecond)
+		Expect(numbers(c, "slack")).To(HaveLen(10))
+		for _, n := range numbers(c, "slack") {
+			Expect(slow(n)).To(BeTrue(), "worker %d", n)
+		}
+	})
+
+	It("still places a gang that only fits with some of the slow ones", func() {
+		c := newUneven(0.6, 1, 1.6)
+		learn(c)
+		c.submit(urgentGang(25, 8))
+		c.stepFor(500 * time.Millisecond)
+		Expect(numbers(c, "urgent")).To(HaveLen(25))
+	})
+
+	It("expects runs to end later on slow workers", func() {
+		c := newUneven(0.6, 1, 1.6)
+		learn(c)
+		belief := c.dispatcher.belief(workerIncarnation{
+			id:          "w00",
+			incarnation: 1,
+		})
+		Expect(atSpeed(4*time.Second, belief.Mean)).To(BeNumerically("~", 6700*time.Millisecond, 700*time.Millisecond))
+	})
+
+	DescribeTable("stops less urgent work on a fast worker for an urgent gang, if that loses less work than the gang has", func(age time.Duration, isPreempted bool) {
+		c := newUneven(0.6, 1, 1.6)
+		learn(c)
+		// All workers but the slow ones are in use.
+		for i := range 30 {
+			if !slow(i) {
+				w := newWorkflow(fmt.Sprintf("other-%d", i), 2, newStep(1, 8, time.Minute))
+				w.Submitted = c.now
+				w.Spec.Steps[0].RequiredLabel = c.machines[i].ID
+				c.machines[i].Labels = []string{c.machines[i].ID}
+				c.submit(w)
+			}
+		}
+		c.stepFor(age)
+		c.submit(urgentGang(3, 6))
+		c.stepFor(300 * time.Millisecond)
+		Expect(c.preempted() != nil).To(Equal(isPreempted))
+		c.stepFor(2 * time.Second)
+		Expect(numbers(c, "urgent")).To(HaveLen(3))
+		for _, n := range numbers(c, "urgent") {
+			Expect(slow(n)).To(Equal(!isPreempted))
+		}
+	},
+		Entry("as work does that has just begun", 2*time.Second, true),
+		Entry("as work does not that has run for long", 20*time.Second, false),
+	)
+
+	// A restart may bring another kind of machine under the same identifier.
+	It("knows nothing of a worker that has restarted", func() {
+		c := newUneven(0.6, 1, 1.6)
+		learn(c)
+		c.restart("w00")
+		c.stepFor(time.Second)
+		Expect(c.dispatcher.belief(workerIncarnation{
+			id:          "w00",
+			incarnation: 2,
+		}).Mean).To(BeZero())
+	})
+
+	It("is uneven for a new leader only once it has seen runs there, also those of the leader before", func() {
+		c := newUneven(0.6, 1, 1.6)
+		learn(c)
+		for n := range 2 {
+			c.submit(newWorkflow(fmt.Sprintf("inherited-%d", n), 1, newStep(30, 4, 20*time.Second)))
+		}
+		c.stepFor(time.Second)
+		c.changeLeader()
+		c.step()
+		Expect(c.dispatcher.spreads["pool"].IsUneven()).To(BeFalse())
+		Expect(c.dispatcher.belief(workerIncarnation{
+			id:          "w00",
+			incarnation: 1,
+		})).To(Equal(speed.Belief{}))
+		c.stepFor(8 * time.Second)
+		c.submit(urgentGang(8, 4))
+		c.stepFor(500 * time.Millisecond)
+		for _, n := range numbers(c, "urgent") {
+			Expect(slow(n)).To(BeFalse(), "worker %d", n)
+		}
+	})
+
+	It("is treated like one with equal workers while the slowest meet each target", func() {
+		c := newUneven(0.8, 1, 1.25)
+		learn(c)
+		Expect(c.dispatcher.spreads["pool"].IsUneven()).To(BeFalse())
+		Expect(c.dispatcher.belief(workerIncarnation{
+			id:          "w00",
+			incarnation: 1,
+		})).To(Equal(speed.Belief{}))
+	})
+
+	It("keeps no samples of workflows that have ended", func() {
+		c := newUneven(0.6, 1, 1.6)
+		learn(c)
+		c.stepFor(sampleRetention + time.Second)
+		c.submit(newWorkflow("another", 1, newStep(1, 1, time.Second)))
+		c.stepFor(sampleRetention + time.Second)
+		Expect(c.dispatcher.samples.byStep.Len()).To(BeZero())
+	})
+})
+
+var _ = DescribeTable("The speed that work needs", func(work, left time.Duration, want float64) {
+	Expect(neededSpeed(epoch, work, epoch.Add(left))).To(BeNumerically("~", want, 0.01))
+},
+	Entry("leaves a tenth for what is not work", 2*time.Second, 4*time.Second, 0.55),
+	Entry("is any, since the target has passed", time.Second, -time.Second, 0.0),
+	Entry("is any, since no worker is fast enough", 4*time.Second, time.Second, 0.0),
+)
+
+// A pass over 540 workers has to end within 5 ms.
+func BenchmarkPlaceUneven(b *testing.B) {
+	var ids []string
+	for i := range 540 {
+		ids = append(ids, fmt.Sprintf("w%03d", i))
+	}
+	RegisterTestingT(b)
+	c := newCluster(newWorkers(ids...))
+	c.speeds = map[string]float64{}
+	for i, id := range ids {
+		c.speeds[id] = []float64{0.6, 1, 1.6}[i%3]
+	}
+	for n := range 20 {
+		c.submit(newWorkflow(fmt.Sprintf("learn-%d", n), 1, newStep(108, 2, time.Minute)))
+	}
+	c.stepFor(20 * time.Second)
+	for n := range 20 {
+		gang := newGang(13, 6)
+		gang.DeclaredRunTime = 4 * time.Second
+		c.submit(newWorkflow(fmt.Sprintf("gang-%d", n), 1, gang))
+	}
+	b.ResetTimer()
+	for range b.N {
+		d := c.dispatcher
+		d.placedVersion = 0
+		d.Reconcile(c.now, c.state, c.after)
+	}
+}
--- a/dispatch/taskgroup.go
+++ b/dispatch/taskgroup.go
@@ -22,6 +22,10 @@
 	perWorker map[string]int
 	// targetCompletion is the time by which the occurrence should complete.
 	targetCompletion time.Time
+	// neededSpeed is the speed of a worker on which the target can be met.
+	neededSpeed float64
+	// needsSpeed is true if only nodes are taken that are fast enough.
+	needsSpeed bool
 	// isLate is true if the target can no longer be met.
 	isLate bool
 	// isGuaranteed is true for work of the highest priority within the
@@ -94,6 +98,10 @@
 			}
 		}
 		g.isLate = s.now.Add(step.DeclaredRunTime).After(g.targetCompletion)
+		if s.dispatcher.spreads[w.QueueSettings.Pool].IsUneven() {
+			rest := w.Spec.PathAfter(i, predicted)
+			g.neededSpeed = neededSpeed(s.now, step.DeclaredRunTime, g.targetCompletion.Add(-rest))
+		}
 		list = append(list, g.split(s.now, r)...)
 	}
 	return list
@@ -226,6 +234,9 @@
 	if g.step.RequiredLabel != "" && !n.worker.HasLabel(g.step.RequiredLabel) {
 		return 0
 	}
+	if g.needsSpeed && g.speedRank(n) >= insufficientRank {
+		return 0
+	}
 	if g.step.MaxPerWorker > 0 {
 		limit = min(limit, g.step.MaxPerWorker-g.perWorker[n.worker.ID])
 	}
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/plantainladder/plantainladder/pool"
+	"github.com/plantainladder/plantainladder/speed"
 	"github.com/plantainladder/plantainladder/workflow"
 )
 
@@ -69,7 +70,9 @@
 	// consecutiveFailures counts the runs that the worker rejected or failed
 	// since one last succeeded.
 	consecutiveFailures int
-	runs                map[workflow.RunKey]runState
+	// speed is what is known of how fast the worker runs tasks.
+	speed speed.Estimate
+	runs  map[workflow.RunKey]runState
 	// isChanged is true in a working copy that differs from the stored view.
 	isChanged bool
 }
@@ -117,6 +120,12 @@
 	percent      int
 	progressedAt time.Time
 	pace         time.Duration
+	// firstListedAt and firstPercent are the time and the progress of the first listing
+	// that this leader has of the run.
+	firstListedAt time.Time
+	firstPercent  int
+	// isSampled is true once the run was taken as evidence of its worker's speed.
+	isSampled bool
 }
 
 // A stopReason is why a run is to be stopped.
--- a/workflow/spec.go
+++ b/workflow/spec.go
@@ -118,6 +118,29 @@
 	return longest
 }
 
+// PathAfter returns the sum of the run times along the longest chain of steps that depend on
+// a step, which is not included. For correct see CriticalPath.
+func (s Spec) PathAfter(step int, correct func(declared time.Duration) time.Duration) time.Duration {
+	longest := time.Duration(0)
+	paths := make(map[int]time.Duration, len(s.Steps))
+	paths[step] = 0
+	for i := step + 1; i < len(s.Steps); i++ {
+		for _, dependency := range s.Steps[i].Dependencies {
+			before, isAfter := paths[dependency]
+			if !isAfter {
+				continue
+			}
+			runTime := s.Steps[i].DeclaredRunTime
+			if correct != nil {
+				runTime = correct(runTime)
+			}
+			paths[i] = max(paths[i], before+runTime)
+			longest = max(longest, paths[i])
+		}
+	}
+	return longest
+}
+
 // Accelerators returns the maximum, over all steps, of the accelerators that
 // the tasks of one step use together.
 func (s Spec) Accelerators() int {
