--- /dev/null
+++ b/dispatch/speed_replication.go
@@ -0,0 +1,78 @@
+package dispatch
+
+import (
+	"maps"
+	"math"
+
+	plantainladder "github.com/plantainladder/plantainladder"
+	"github.com/plantainladder/plantainladder/speed"
+)
+
+const (
+	// minReplicatedChange is the change of the logarithm of a speed from which on it is
+	// replicated again: half of the difference that places work elsewhere.
+	minReplicatedChange = 0.1
+	// maxReplicatedSpeeds bounds the speeds of one round.
+	maxReplicatedSpeeds = 64
+)
+
+// changedSpeeds returns the speeds of the workers of uneven pools that differ from the
+// replicated ones, so that the next leader knows them.
+func (s *reconciliation) changedSpeeds() (list []plantainladder.WorkerSpeed) {
+	for _, w := range s.state.Workers {
+		spread := s.dispatcher.spreads[w.Pool]
+		v, ok := s.dispatcher.workerView(w.ID)
+		if !ok || !spread.IsUneven() || !v.speed.HasSamples() || v.worker.Incarnation != w.Incarnation {
+			continue
+		}
+		logSpeed, precision := spread.Relative(v.speed), v.speed.Precision()
+		if math.Abs(logSpeed-w.LogSpeed) < minReplicatedChange && precision < 2*w.SpeedPrecision {
+			continue
+		}
+		list = append(list, plantainladder.WorkerSpeed{
+			Worker:      w.ID,
+			Incarnation: w.Incarnation,
+			LogSpeed:    logSpeed,
+			Precision:   precision,
+		})
+		if len(list) == maxReplicatedSpeeds {
+			break
+		}
+	}
+	return list
+}
+
+// adoptSpeeds takes over the speeds that earlier leaders have learned, once in a term and for
+// workers of which this leader has no runs yet.
+func (s *reconciliation) adoptSpeeds() {
+	if s.dispatcher.hasAdoptedSpeeds {
+		return
+	}
+	s.dispatcher.hasAdoptedSpeeds = true
+	adopted := map[string][]speed.Estimate{}
+	for _, w := range s.state.Workers {
+		if w.SpeedPrecision <= 0 {
+			continue
+		}
+		v, ok := s.dispatcher.workerView(w.ID)
+		if !ok {
+			v = newWorkerView(s.now, w)
+		}
+		if v.worker.Incarnation != w.Incarnation || v.speed.HasSamples() {
+			continue
+		}
+		v.speed = speed.NewEstimate(w.LogSpeed, w.SpeedPrecision)
+		s.dispatcher = s.dispatcher.withView(v)
+		adopted[w.Pool] = append(adopted[w.Pool], v.speed)
+	}
+	for name, list := range adopted {
+		if len(list) >= minAdoptedSpeeds {
+			s.dispatcher.spreads = maps.Clone(s.dispatcher.spreads)
+			s.dispatcher.spreads[name] = speed.NewSpread(list)
+		}
+	}
+}
+
+// minAdoptedSpeeds is the number of workers with replicated speeds from which on a pool
+// counts as uneven for a new leader. Only speeds of uneven pools are replicated.
+const minAdoptedSpeeds = 8
