--- a/moved_queue_test.go
+++ b/moved_queue_test.go
@@ -6,7 +6,6 @@
 
 	plantainladder "github.com/plantainladder/plantainladder"
 	"github.com/plantainladder/plantainladder/configuration"
-	"github.com/plantainladder/plantainladder/workflow"
 )
 
 // Accepted workflows stayed in the pool that their queue named when they were accepted,
@@ -38,18 +37,7 @@
 	BeforeEach(func() {
 		r = newReplica()
 		configure("pool")
-		Expect(r.apply("", plantainladder.SubmitWorkflow{
-			Spec: workflow.Spec{
-				ID:    "f",
-				Queue: "queue",
-				Steps: []workflow.Step{
-					{
-						Tasks: 1,
-					},
-				},
-			},
-			Token: "token",
-		}).IsAccepted()).To(BeTrue())
+		Expect(r.apply("", newSubmission()).IsAccepted()).To(BeTrue())
 	})
 
 	It("moves with its queue to another pool and back", func() {
--- a/public_queue_test.go
+++ b/public_queue_test.go
@@ -28,18 +28,9 @@
 	}
 
 	submit := func(token string) plantainladder.Outcome {
-		return r.apply("", plantainladder.SubmitWorkflow{
-			Spec: workflow.Spec{
-				ID:    "f",
-				Queue: "queue",
-				Steps: []workflow.Step{
-					{
-						Tasks: 1,
-					},
-				},
-			},
-			Token: token,
-		})
+		c := newSubmission()
+		c.Token = token
+		return r.apply("", c)
 	}
 
 	cancel := func(token string) plantainladder.Outcome {
--- a/restore_test.go
+++ b/restore_test.go
@@ -216,6 +216,23 @@
 	}
 }
 
+// newSubmission returns the submission of a workflow of one task to the queue of
+// newConfiguration by its organisation.
+func newSubmission() plantainladder.SubmitWorkflow {
+	return plantainladder.SubmitWorkflow{
+		Spec: workflow.Spec{
+			ID:    "f",
+			Queue: "queue",
+			Steps: []workflow.Step{
+				{
+					Tasks: 1,
+				},
+			},
+		},
+		Token: "token",
+	}
+}
+
 func encode(s plantainladder.State) []byte {
 	GinkgoHelper()
 	b, err := wire.MarshalState(s)
@@ -257,18 +274,7 @@
 			r := newReplica()
 			r.putContract(newContract())
 			r.apply("", newConfiguration())
-			r.apply("", plantainladder.SubmitWorkflow{
-				Spec: workflow.Spec{
-					ID:    "f",
-					Queue: "queue",
-					Steps: []workflow.Step{
-						{
-							Tasks: 1,
-						},
-					},
-				},
-				Token: "token",
-			})
+			r.apply("", newSubmission())
 			for i := range crashes {
 				w, _ := r.state.Workflow("f")
 				Expect(w.IsOpen()).To(BeTrue(), "after %d crashes, restored after %d", i, restoredAfter)
--- a/retention_test.go
+++ b/retention_test.go
@@ -7,7 +7,6 @@
 	. "github.com/onsi/gomega"
 
 	plantainladder "github.com/plantainladder/plantainladder"
-	"github.com/plantainladder/plantainladder/workflow"
 )
 
 // The retention of a workflow is measured by the clocks of leaders. If one jumps ahead, or
@@ -23,18 +22,7 @@
 		r := newReplica()
 		r.putContract(newContract())
 		r.apply("", newConfiguration())
-		r.apply("", plantainladder.SubmitWorkflow{
-			Spec: workflow.Spec{
-				ID:    "f",
-				Queue: "queue",
-				Steps: []workflow.Step{
-					{
-						Tasks: 1,
-					},
-				},
-			},
-			Token: "token",
-		})
+		r.apply("", newSubmission())
 		Expect(r.apply("", plantainladder.CancelWorkflow{
 			ID:    "f",
 			Queue: "queue",
--- a/silent_loss_test.go
+++ b/silent_loss_test.go
@@ -14,18 +14,7 @@
 		r := newReplica()
 		r.putContract(newContract())
 		r.apply("", newConfiguration())
-		r.apply("", plantainladder.SubmitWorkflow{
-			Spec: workflow.Spec{
-				ID:    "f",
-				Queue: "queue",
-				Steps: []workflow.Step{
-					{
-						Tasks: 1,
-					},
-				},
-			},
-			Token: "token",
-		})
+		r.apply("", newSubmission())
 		k := workflow.RunKey{
 			TaskKey: workflow.TaskKey{
 				Workflow: "f",
