Report all reasons to refuse a queue, and find only the first for the leader

A queue with an unknown pool and another's prefix was reported with its pool only. All reasons are collected now. Check stops at the first entry that has one, as before, so that a refused document of 20,000 queues costs the leader no 20,000 texts. A queue that needs a placement advisor is a warning: such documents are accepted, and their other queues work.

go test ./configuration passes.

--- a/configuration/review.go
+++ b/configuration/review.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -16,7 +17,7 @@
 // Review returns the findings about the document by itself: the reasons for which it is
 // refused, entries that can never be used, and values that contradict each other.
 func (d Document) Review() []Finding {
-	return slices.Concat(d.faults(), d.reviewNames(), d.reviewQueues(), d.reviewOrganisations())
+	return slices.Concat(d.faults(math.MaxInt), d.reviewNames(), d.reviewQueues(), d.reviewOrganisations())
 }
 
 // reviewNames returns findings about entries that have the name of an earlier one in
@@ -50,7 +51,7 @@
 			report(SeverityError, "prefix", "does not begin with a slash, as all paths do")
 		}
 		if q.RequiresPlacementAdvisor {
-			report(SeverityError, "is-advised", "queues that require a placement advisor are not supported; their calls are refused")
+			report(SeverityWarning, "is-advised", "queues that require a placement advisor are not supported; their submissions are refused")
 		}
 		if q.Timeout > 0 && q.Timeout < shortestCall {
 			report(SeverityWarning, "timeout", fmt.Sprintf("no call can keep it, since a call may take %v", shortestCall))
