Count a call as not sent if the server cannot have read it

While all controllers were down, callers got 504 for jobs that had reached no server. A call was taken for sent as soon as the connection's owner had picked it, also if the server had closed the connection before or the write failed at once.

The client now asks the kernel, before it writes a call, whether the server has closed the connection, and counts the bytes that the kernel took of a call whose write failed: a server drops the beginning of a frame. Such calls, and those that cannot be encoded, fail as not sent. What the kernel took as a whole stays of unknown outcome, as does a call whose reply was lost.

--- a/rpc/client.go
+++ b/rpc/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -79,7 +81,7 @@
 		cfg: cfg,
 		http: &http.Client{
 			Transport: &http.Transport{
-				DialContext:       util.DialFrom(cfg.Source, cfg.DialTimeout),
+				DialContext:       counted(util.DialFrom(cfg.Source, cfg.DialTimeout)),
 				DisableKeepAlives: true,
 			},
 		},
@@ -103,7 +105,10 @@
 func Call[Q, A any](ctx context.Context, c *Client, method string, q Q) (a A, err error) {
 	body, err := codec.Marshal(q)
 	if err != nil {
-		return a, err
+		return a, &NoReplyError{
+			Method: method,
+			Cause:  err,
+		}
 	}
 	r := c.exchange(ctx, method, body)
 	switch {
@@ -168,12 +173,20 @@
 	case <-c.done:
 	case <-ctx.Done():
 	}
-	isUnsent := k.sendDecision.decide()
-	if !isUnsent {
-		c.abandon(k.result)
+	if k.sendDecision.decide() {
+		return result{
+			err: context.DeadlineExceeded,
+		}
 	}
+	select {
+	case r := <-k.result:
+		// It came together with the end.
+		return r
+	default:
+	}
+	c.abandon(k.result)
 	return result{
-		sent: !isUnsent,
+		sent: true,
 		err:  context.DeadlineExceeded,
 	}
 }
@@ -274,8 +287,14 @@
 }
 
 // sendCall sends a call and returns the session, or nil if the connection
-// failed. It does not send a call that its caller has given up.
+// failed. It does not send a call that its caller has given up, nor one that the server
+// would not read any more: that one fails as not sent.
 func (c *Client) sendCall(ctx context.Context, s *session, k call, id uint64) *session {
+	if s.socket != nil && s.socket.isClosedByPeer() {
+		k.fail(net.ErrClosed)
+		s.close()
+		return nil
+	}
 	if !k.sendDecision.decide() {
 		return s
 	}
@@ -283,8 +302,12 @@
 		k.frame.ID = id
 		s.pending[id] = k.result
 	}
-	n, err := writeFrame(ctx, s.conn, k.frame)
+	n, err := s.write(ctx, k.frame)
 	c.count(n, 0)
+	var incomplete *incompleteFrameError
+	if errors.As(err, &incomplete) {
+		s.fail(id, err)
+	}
 	if err != nil {
 		s.close()
 		return nil
@@ -304,12 +327,7 @@
 func (c *Client) dial(ctx context.Context) (s *session, err error) {
 	dialCtx, cancelDial := context.WithTimeout(ctx, c.cfg.DialTimeout)
 	defer cancelDial()
-	conn, _, err := websocket.Dial(dialCtx, c.cfg.URL, &websocket.DialOptions{
-		HTTPClient: c.http,
-		HTTPHeader: http.Header{
-			"Authorization": {"Bearer " + c.cfg.Token},
-		},
-	})
+	conn, below, err := c.dialSocket(dialCtx)
 	if err != nil {
 		return nil, err
 	}
@@ -317,6 +335,7 @@
 	readCtx, cancel := context.WithCancel(ctx)
 	s = &session{
 		conn:         conn,
+		socket:       below,
 		incoming:     make(chan frame, c.cfg.QueueLength),
 		pending:      map[uint64]chan result{},
 		lastReceived: time.Now(),
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -41,7 +41,10 @@
 type NoReplyError struct {
 	// Method is the method that was called.
 	Method string
-	// Sent is false if the call was certainly not sent.
+	// Sent is false if no server can have run the call: it could not be encoded, no
+	// connection came about, the caller gave up before it was written, the server had
+	// closed the connection before, or not all of it was written. It is true if the kernel
+	// took the whole call, whatever became of the connection.
 	Sent bool
 	// Cause is the underlying error, such as an expired deadline.
 	Cause error
