End a consumer's call once no leader is expected in time

While all controllers were down, each call was held to its end or for 0.9 s, although its front could know after one attempt that nothing listens. A controller that did not reply cost a read 0.9 s, and each call followed the redirects of the others to a controller that was gone.

A LeaderClient now keeps what its calls have shown of each controller, as one immutable value. Read, Change and Submit end as refused when nothing may have been accepted and no leader is expected: none of the controllers is there and the usual time of an election is over, or the call was held for 0.5 s. An election under way is waited for. A controller that was just found not to respond is passed over for 0.3 s. The first attempt of a read takes 0.35 s at most. Query, Command and polls are tried to their end as before. gateway_controller_refusals_total counts by cause.

--- a/gateway/controller/cause.go
+++ b/gateway/controller/cause.go
@@ -243,12 +243,21 @@
 // controller. The last call for a request may end sooner, together with the request.
 const minTellingWait = 100 * time.Millisecond
 
-// A finishedCall is one call to one controller that has brought no leader's answer.
+// A finishedCall is one call to one controller.
 type finishedCall struct {
-	address string
-	answer  reply
-	err     error
-	took    time.Duration
+	address   string
+	answer    reply
+	err       error
+	startedAt time.Time
+	took      time.Duration
+}
+
+// cause returns why the call has brought no leader's answer; nil if it has brought one.
+func (c finishedCall) cause() Cause {
+	if c.err == nil && c.answer.isLeaders {
+		return nil
+	}
+	return causeOf(c.answer, c.err)
 }
 
 // isCutShort reports whether the call ended before the controller can have been expected
@@ -259,7 +268,9 @@
 
 // A callRecord is what the calls to controllers for one request have shown.
 type callRecord struct {
-	calls      int
+	calls int
+	// unanswered is the number of calls that had no reply in time.
+	unanswered int
 	lastCalled string
 	isSent     bool
 	cause      Cause
@@ -270,6 +281,9 @@
 	r.calls++
 	r.lastCalled = c.address
 	r.isSent = r.isSent || wasSent(c.err)
+	if errors.Is(c.err, context.DeadlineExceeded) {
+		r.unanswered++
+	}
 	if r.calls == 1 || !c.isCutShort() {
 		r.cause = furtherCause(r.cause, causeOf(c.answer, c.err))
 	}
--- a/gateway/controller/leader.go
+++ b/gateway/controller/leader.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -62,6 +63,8 @@
 	leader  atomic.Pointer[string]
 	// ring lists the controllers that are tried in turn.
 	ring atomic.Pointer[[]string]
+	// contact is what the calls have shown.
+	contact atomic.Pointer[contact]
 }
 
 type lookup struct {
@@ -76,6 +79,7 @@
 		lookups: make(chan lookup),
 	}
 	l.leader.Store(&cfg.Addresses[0])
+	l.contact.Store(&contact{})
 	l.SetMembers(nil)
 	for _, method := range []string{wire.MethodPoll, wire.MethodCommand} {
 		retryCounter(method, retryNoAnswer)
@@ -83,6 +87,7 @@
 	}
 	for _, cause := range causeNames {
 		failureCounter(cause)
+		refusalCounter(cause)
 	}
 	return l
 }
@@ -107,17 +112,6 @@
 	}
 }
 
-// nextInRing returns the address after the given one, or the first address if the
-// given one is last or not listed.
-func nextInRing(addresses []string, address string) string {
-	for i, a := range addresses {
-		if a == address {
-			return addresses[(i+1)%len(addresses)]
-		}
-	}
-	return addresses[0]
-}
-
 // client returns the rpc client for an address.
 func (l *LeaderClient) client(ctx context.Context, address string) (*rpc.Client, error) {
 	q := lookup{
@@ -158,55 +152,64 @@
 // attempt is one call to one controller.
 type attempt func(ctx context.Context, c *rpc.Client) (reply, error)
 
-// withLeader calls controllers until a leader replies or ctx ends.
-func (l *LeaderClient) withLeader(ctx context.Context, method string, try attempt) (err error) {
+// withLeader calls controllers until a leader replies, ctx ends, or the call is hopeless.
+func (l *LeaderClient) withLeader(ctx context.Context, method string, p purpose, try attempt) (err error) {
+	beganAt := time.Now()
 	start := l.leader.Load()
-	address, ringPosition := *start, *start
-	redirects := 0
+	at := newSearch(*start, *l.ring.Load(), l.isAvoided)
 	record := callRecord{
 		cause: &NotCalledError{},
 	}
 	for ctx.Err() == nil {
-		c, err := l.client(ctx, address)
+		c, err := l.client(ctx, at.address)
 		if err != nil {
 			break
 		}
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, timeoutOf(p, record.unanswered))
 		startedAt := time.Now()
 		answer, err := try(callCtx, c)
 		cancel()
-		if err == nil && answer.isLeaders {
-			l.leader.Store(&address)
+		call := finishedCall{
+			address:   at.address,
+			answer:    answer,
+			err:       err,
+			startedAt: startedAt,
+			took:      time.Since(startedAt),
+		}
+		known := l.recordCall(call)
+		if call.cause() == nil {
+			l.leader.Store(&call.address)
 			return nil
 		}
 		countRetry(method, err)
-		record = record.withCall(finishedCall{
-			address: address,
-			answer:  answer,
-			err:     err,
-			took:    time.Since(startedAt),
-		})
-		if err != nil && address == *start && !errors.Is(ctx.Err(), context.Canceled) {
+		record = record.withCall(call)
+		if err != nil && call.address == *start && !errors.Is(ctx.Err(), context.Canceled) {
 			l.skip(start)
 		}
+		now := time.Now()
+		if ctx.Err() == nil && (outlook{
+			purpose:   p,
+			now:       now,
+			held:      now.Sub(beganAt),
+			left:      timeLeft(ctx, now),
+			addresses: *l.ring.Load(),
+			contact:   known,
+			record:    record,
+			latest:    call.cause(),
+		}).isHopeless() {
+			refusalCounter(CauseName(record.cause)).Inc()
+			break
+		}
 		if _, isStalled := answer.refusal.(*CommitStalledError); isStalled {
-			leader := address
-			l.leader.Store(&leader)
-			if isEnding(ctx, stalledBackoff+minCommitTime) {
+			l.leader.Store(&call.address)
+			if timeLeft(ctx, now) < stalledBackoff+minCommitTime {
 				break
 			}
 			// The others name the same leader until there is another one.
 			util.SleepContext(ctx, stalledBackoff)
 			continue
 		}
-		address = answer.redirect
-		if redirects++; address == "" || redirects > maxRedirects {
-			// Each call has its own position in the ring: calls that shared one
-			// could skip the same controller again and again.
-			ringPosition = nextInRing(*l.ring.Load(), ringPosition)
-			address = ringPosition
-			redirects = 0
-		}
+		at = at.withRedirect(answer.redirect, *l.ring.Load(), l.isAvoided)
 		util.SleepContext(ctx, retryBackoff)
 	}
 	failureCounter(CauseName(record.cause)).Inc()
@@ -218,11 +221,34 @@
 	}
 }
 
-// isEnding reports whether ctx ends within d. A call that it cuts short may have been
+// recordCall adds a call to what is known, and returns that.
+func (l *LeaderClient) recordCall(call finishedCall) contact {
+	for {
+		known := l.contact.Load()
+		next := known.withCall(call, time.Now())
+		if l.contact.CompareAndSwap(known, &next) {
+			return next
+		}
+	}
+}
+
+func (l *LeaderClient) isAvoided(address string) bool {
+	return l.contact.Load().isAvoided(address, time.Now())
+}
+
+// ReachesMajority reports whether the machines of most controllers have answered within
+// the given time before now, whether or not one of them leads.
+func (l *LeaderClient) ReachesMajority(now time.Time, within time.Duration) bool {
+	return l.contact.Load().reachesMajority(*l.ring.Load(), now, within)
+}
+
+// timeLeft returns the time until ctx ends. A call that it cuts short may have been
 // accepted.
-func isEnding(ctx context.Context, d time.Duration) bool {
-	deadline, ok := ctx.Deadline()
-	return ok && time.Until(deadline) < d
+func timeLeft(ctx context.Context, now time.Time) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok {
+		return deadline.Sub(now)
+	}
+	return math.MaxInt64
 }
 
 // skip makes the next call begin after a controller that has not answered, unless
@@ -249,6 +275,14 @@
 	return metrics.GetOrCreateCounter(fmt.Sprintf("gateway_controller_failures_total{cause=%q}", cause))
 }
 
+func refusalCounter(cause string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf("gateway_controller_refusals_total{cause=%q}", cause))
+}
+
+// wasSent reports whether a controller may have accepted the request of a call that ended
+// with err. A call without an error has an answer that says so: one that it does not lead,
+// or a refusal, means that it has not accepted the request. A *rpc.RemoteError, an answer
+// that cannot be decoded and an *OutcomeUnknownError are of a request that it has read.
 func wasSent(err error) bool {
 	var noReply *rpc.NoReplyError
 	return err != nil && (!errors.As(err, &noReply) || noReply.Sent)
@@ -270,7 +304,7 @@
 			Detail: fmt.Sprintf("the command has %d bytes, more than %d", len(body), rpc.MaxBody),
 		}, nil
 	}
-	err = l.withLeader(ctx, wire.MethodCommand, func(ctx context.Context, client *rpc.Client) (reply, error) {
+	err = l.withLeader(ctx, wire.MethodCommand, upkeep{}, func(ctx context.Context, client *rpc.Client) (reply, error) {
 		r, err := rpc.Call[wire.Command, wire.CommandReply](ctx, client, wire.MethodCommand, wire.Command{
 			ID:   id,
 			Body: body,
@@ -304,35 +338,6 @@
 	return nil
 }
 
-// Query sends a query to the leader and returns the reply. It returns a
-// *NoLeaderError if ctx ends before the leader replies.
-func Query[Q, A any](ctx context.Context, l *LeaderClient, method string, q Q) (a A, err error) {
-	err = l.withLeader(ctx, method, func(ctx context.Context, client *rpc.Client) (reply, error) {
-		r, err := rpc.Call[Q, wire.LeaderReply[A]](ctx, client, method, q)
-		a = r.Body
-		if err == nil && r.OutcomeUnknown {
-			err = &OutcomeUnknownError{
-				Method: method,
-			}
-		}
-		return reply{
-			isLeaders: r.Leader && !r.OutcomeUnknown,
-			redirect:  r.Redirect,
-			refusal:   refusalOf(false, r.BusyReason, false),
-		}, err
-	})
-	return a, err
-}
-
-// Submit sends a submission to the leader and returns the result. If an answer is lost,
-// the submission is sent again with the same identifier of the call, by which a leader
-// knows what it has accepted. It returns a *NoLeaderError if ctx ends before a leader
-// replies.
-func Submit(ctx context.Context, l *LeaderClient, s wire.Submission) (res wire.Result, err error) {
-	s.Spec.Call = util.NewID()
-	return Query[wire.Submission, wire.Result](ctx, l, wire.MethodSubmit, s)
-}
-
 // CallController calls the controller at an address, whether it leads or not.
 func CallController[Q, A any](ctx context.Context, l *LeaderClient, address, method string, q Q) (a A, err error) {
 	c, err := l.client(ctx, address)
--- a/gateway/controller/poller.go
+++ b/gateway/controller/poller.go
@@ -144,7 +144,7 @@
 func (p *Poller) poll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, lease.ViewDuration)
 	defer cancel()
-	err := p.cfg.LeaderClient.withLeader(ctx, wire.MethodPoll, func(ctx context.Context, c *rpc.Client) (reply, error) {
+	err := p.cfg.LeaderClient.withLeader(ctx, wire.MethodPoll, upkeep{}, func(ctx context.Context, c *rpc.Client) (reply, error) {
 		sent := p.cfg.Clock()
 		r, err := rpc.Call[control.Poll, control.PollReply](ctx, c, wire.MethodPoll, p.nextPoll(sent))
 		if err == nil && r.Leader {
