--- a/gateway/controller/contact.go
+++ b/gateway/controller/contact.go
@@ -55,13 +55,16 @@
 	return false
 }
 
-// isLinkUp reports whether the controller's machine answered: by a reply, or by refusing
-// the connection.
-func (s sighting) isLinkUp() bool {
-	if c, ok := s.cause.(*NotReachedError); ok {
+// followsNobody reports whether the controller has said that it follows no leader, or does
+// not run: its machine refused the connection.
+func (s sighting) followsNobody() bool {
+	switch c := s.cause.(type) {
+	case *NoLeaderKnownError:
+		return true
+	case *NotReachedError:
 		return errors.Is(c.Err, syscall.ECONNREFUSED)
 	}
-	return s.hasReplied()
+	return false
 }
 
 // A contact is what the calls of a process have shown of the controllers. It is immutable.
@@ -140,12 +143,12 @@
 	})
 }
 
-// reachesMajority reports whether the machines of most controllers have answered within
-// the given time.
-func (c contact) reachesMajority(addresses []string, now time.Time, within time.Duration) bool {
+// isLeaderless reports whether most of the controllers have just been found to follow
+// nobody. No leader can commit anything without a majority that follows it.
+func (c contact) isLeaderless(addresses []string, now time.Time) bool {
 	n := 0
 	for _, a := range addresses {
-		if s, ok := c.sightings[a]; ok && s.isLinkUp() && now.Sub(s.at) < within {
+		if s, ok := c.sightings[a]; ok && s.followsNobody() && now.Sub(s.at) < sightingAge {
 			n++
 		}
 	}
--- a/gateway/controller/leader.go
+++ b/gateway/controller/leader.go
@@ -236,10 +236,10 @@
 	return l.contact.Load().isAvoided(address, time.Now())
 }
 
-// ReachesMajority reports whether the machines of most controllers have answered within
-// the given time before now, whether or not one of them leads.
-func (l *LeaderClient) ReachesMajority(now time.Time, within time.Duration) bool {
-	return l.contact.Load().reachesMajority(*l.ring.Load(), now, within)
+// IsLeaderless reports whether most of the controllers have just been found to follow
+// nobody, so that there is no leader that another process could reach.
+func (l *LeaderClient) IsLeaderless(now time.Time) bool {
+	return l.contact.Load().isLeaderless(*l.ring.Load(), now)
 }
 
 // timeLeft returns the time until ctx ends. A call that it cuts short may have been
--- a/gateway/controller/outlook_test.go
+++ b/gateway/controller/outlook_test.go
@@ -173,14 +173,22 @@
 
 // If all fronts report that they are not ready, the balancer answers with 502, after which
 // callers have to take their jobs for accepted.
-var _ = Describe("A process whose controllers have no leader", func() {
-	DescribeTable("reaches most of them", func(answer reply, err error, isReached bool) {
+var _ = Describe("A group of controllers", func() {
+	DescribeTable("has no leader for any front", func(answer reply, err error, isLeaderless bool) {
 		h := history{}.withCalls(0, answer, err)
-		Expect(h.contact.reachesMajority(addresses, epoch.Add(time.Second), 4*time.Second)).To(Equal(isReached))
-		Expect(h.contact.reachesMajority(addresses, epoch.Add(5*time.Second), 4*time.Second)).To(BeFalse())
+		Expect(h.contact.isLeaderless(addresses, epoch.Add(time.Second))).To(Equal(isLeaderless))
+		Expect(h.contact.isLeaderless(addresses, epoch.Add(5*time.Second))).To(BeFalse(), "too long ago")
+		withOthers := append([]string{"d", "e", "f"}, addresses...)
+		Expect(h.contact.isLeaderless(withOthers, epoch.Add(time.Second))).To(BeFalse(), "half of them are no majority")
 	},
-		Entry("if they reply", reply{}, nil, true),
+		Entry("if they follow nobody", reply{}, nil, true),
 		Entry("if their machines refuse connections", reply{}, notSent(syscall.ECONNREFUSED), true),
-		Entry("not if it is cut off", reply{}, notSent(context.DeadlineExceeded), false),
+		Entry("not if this process is cut off", reply{}, notSent(context.DeadlineExceeded), false),
+		Entry("not if they name a leader, which only this process may not reach", reply{
+			redirect: "d",
+		}, nil, false),
+		Entry("not if one leads", reply{
+			isLeaders: true,
+		}, nil, false),
 	)
 })
--- a/gateway/controller/silent_test.go
+++ b/gateway/controller/silent_test.go
@@ -53,7 +53,7 @@
 			return time.Since(startedAt)
 		}
 		Expect(submit()).To(BeNumerically("<", 900*time.Millisecond))
-		Expect(l.ReachesMajority(time.Now(), 4*time.Second)).To(BeTrue(), "its machine refuses connections")
+		Expect(l.IsLeaderless(time.Now())).To(BeTrue(), "the machine refuses connections")
 		time.Sleep(time.Second)
 		Expect(submit()).To(BeNumerically("<", 300*time.Millisecond))
 	})
