Carry the image of a step into the workflow

The platform lets a step of a job name an image, which marks tasks that behave alike. It was read and ignored, so that nothing could tell two kinds of task of one queue apart.

--- a/workflow/spec.go
+++ b/workflow/spec.go
@@ -52,6 +52,8 @@
 	// MaxPerWorker limits the tasks of one occurrence on one worker. Zero means
 	// no limit.
 	MaxPerWorker int `json:"max-per-worker,omitempty"`
+	// Image identifies tasks that behave alike; empty if the caller names none.
+	Image string `json:"image,omitempty"`
 }
 
 // A Spec is a workflow as the caller submitted it.
