Keep kinds of task apart that slow each other down

The leader placed tasks beside others that slow them down although other nodes had room.

Each sample that the learning of speeds takes is now also kept with the kinds that ran beside it. Among nodes of one speed rank those without an interfering kind go first; what fits and what waits does not change. Known slow-downs are taken out of the samples of speeds, so that a worker is not taken for a slow one.

go test ./dispatch passes.

--- a/dispatch/cluster_internal_test.go
+++ b/dispatch/cluster_internal_test.go
@@ -34,6 +34,8 @@
 	inFlight  []Order
 	// speeds holds how fast workers run tasks, by worker ID; 1 for those that are missing.
 	speeds map[string]float64
+	// pace returns how fast a run goes in proportion to the speed of its worker; nil for 1.
+	pace func(t workflow.PlacedTask) float64
 	// isHanging is true while no run makes progress.
 	isHanging bool
 	// hasMore is true while the workers list only some of their ended runs.
@@ -171,7 +173,7 @@
 	list.HasMore = c.hasMore
 	for _, t := range c.placedOn(o.Worker) {
 		startedAt, isRunning := c.startedAt[t.RunKey]
-		percent := int(100 * c.workDone(o.Worker, startedAt) / t.StepSpec.DeclaredRunTime)
+		percent := int(100 * c.workDone(t, startedAt) / t.StepSpec.DeclaredRunTime)
 		if c.isHanging {
 			percent = 0
 		}
@@ -203,12 +205,15 @@
 
 // workDone returns how far a worker has got with a run, as the time that a worker of speed 1
 // takes for it.
-func (c *cluster) workDone(worker string, startedAt time.Time) time.Duration {
-	elapsed := c.now.Sub(startedAt)
-	if speed, ok := c.speeds[worker]; ok {
-		return time.Duration(float64(elapsed) * speed)
+func (c *cluster) workDone(t workflow.PlacedTask, startedAt time.Time) time.Duration {
+	pace := 1.0
+	if speed, ok := c.speeds[t.Worker]; ok {
+		pace = speed
 	}
-	return elapsed
+	if c.pace != nil {
+		pace *= c.pace(t)
+	}
+	return time.Duration(float64(c.now.Sub(startedAt)) * pace)
 }
 
 func (c *cluster) placedOn(worker string) (list []workflow.PlacedTask) {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -108,6 +108,8 @@
 	samplesDroppedAt time.Time
 	spreads          map[string]speed.Spread
 	mediansUpdatedAt time.Time
+	// interference is what is known about kinds of task that slow each other down.
+	interference kindInterference
 	// isDirty is true if something has changed since the last Reconcile.
 	isDirty bool
 	// index belongs to the ClusterState of the last Reconcile.
@@ -151,6 +153,8 @@
 		runTimes: newRunTimes(),
 		samples:  newStepSamples(),
 		spreads:  map[string]speed.Spread{},
+
+		interference: newKindInterference(),
 	}
 }
 
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -29,6 +29,8 @@
 	hasNewIsolated bool
 	// speed is what is believed about how fast the worker runs tasks.
 	speed speed.Belief
+	// kinds is the kinds of task here that interfere with any other.
+	kinds kindSet
 	// reservedUntil is when a gang is expected to start here. Until then the
 	// node only takes tasks that are expected to end before. The zero time
 	// means no reservation.
@@ -97,6 +99,7 @@
 			}
 		}
 		n.excess = max(-n.free.Accelerators, 0)
+		n.kinds = s.dispatcher.interference.kindsOf(x, n.allocations)
 		nodes[w.Pool] = append(nodes[w.Pool], n)
 	}
 	m := map[string]*fleet{}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -175,9 +175,9 @@
 }
 
 // assignments assigns a number of a task group's tasks to nodes and returns nil
-// if they do not all fit. It takes nodes of the best speed rank, and fills the fullest of
-// them first, so that whole nodes stay free, unless the task group uses first fit. A
-// suspect gets the emptiest nodes, where a crash does the least damage.
+// if they do not all fit. It takes nodes of the best speed rank, of these first the ones on
+// which no kind of task interferes, and fills the fullest of them first, so that whole nodes
+// stay free, unless the task group uses first fit. A suspect gets the emptiest nodes, where a crash does the least damage.
 func assignments(nodes []*node, g taskGroup, tasks int, available func(n *node) pool.ResourceVector) []assignment {
 	var order []*node
 	for _, n := range nodes {
@@ -192,6 +192,7 @@
 			}
 			return cmp.Or(
 				cmp.Compare(g.speedRank(a), g.speedRank(b)),
+				compareBool(g.interferesOn(a), g.interferesOn(b)),
 				cmp.Compare(available(a).Accelerators, available(b).Accelerators),
 				cmp.Compare(available(a).MilliCores, available(b).MilliCores),
 			)
@@ -226,7 +227,7 @@
 			Run:     g.wf.NextRun(g.key(g.waiting[0])),
 		},
 		Worker:     list[0].node.worker.ID,
-		Reason:     "room" + g.speedReason(list),
+		Reason:     "room" + g.speedReason(list) + g.interferenceReason(list),
 		Age:        p.s.now.Sub(g.wf.Submitted),
 		Tasks:      taskCount(list),
 		Queue:      g.wf.Spec.Queue,
@@ -234,6 +235,7 @@
 	})
 	for _, assignment := range list {
 		assignment.node.free = assignment.node.free.Minus(g.step.PerTask.Times(assignment.tasks))
+		assignment.node.kinds |= g.kind
 		assignment.node.tenancy = assignment.node.tenancy.withRun(g.wf.Spec.ID, g.isIsolated)
 		assignment.node.hasNewIsolated = assignment.node.hasNewIsolated || g.isIsolated
 		g.perWorker[assignment.node.worker.ID] += assignment.tasks
@@ -281,11 +283,11 @@
 	return list
 }
 
-// bestRack returns assignments in the rack with the best speed rank, and of those with the
-// least free capacity, among the racks that hold the whole task group. If the task group
+// bestRack returns assignments in the rack with the best speed rank, of those with the fewest
+// nodes on which a kind of task interferes, and of those with the least free capacity, among the racks that hold the whole task group. If the task group
 // has a data rack, only that one is tried.
 func bestRack(f *fleet, g taskGroup, available func(n *node) pool.ResourceVector) (best []assignment) {
-	least, bestRank := 0, 0
+	least, bestRank, fewest := 0, 0, 0
 	for _, r := range f.racks {
 		if g.step.DataRack != "" && r.name != g.step.DataRack {
 			continue
@@ -298,9 +300,9 @@
 		for _, n := range r.nodes {
 			free += available(n).Accelerators*pool.CoresPerAccelerator + available(n).MilliCores/milliPerCore
 		}
-		rank := g.worstRank(list)
-		if best == nil || cmp.Or(cmp.Compare(rank, bestRank), cmp.Compare(free, least)) < 0 {
-			best, least, bestRank = list, free, rank
+		rank, interfering := g.worstRank(list), g.interferingNodes(list)
+		if best == nil || cmp.Or(cmp.Compare(rank, bestRank), cmp.Compare(interfering, fewest), cmp.Compare(free, least)) < 0 {
+			best, least, bestRank, fewest = list, free, rank, interfering
 		}
 	}
 	return best
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -180,7 +180,7 @@
 			id:          v.worker.ID,
 			incarnation: v.worker.Incarnation,
 		},
-		logTime:  logTime,
+		logTime:  s.observeNeighbours(v, k, logTime, variance),
 		variance: variance,
 	})
 }
@@ -206,6 +206,7 @@
 		s.compareOldSteps()
 		s.updateMedianSpeeds()
 	}
+	s.learnInterference()
 	s.dropOldSamples()
 }
 
--- a/dispatch/taskgroup.go
+++ b/dispatch/taskgroup.go
@@ -28,6 +28,9 @@
 	needsSpeed bool
 	// isLate is true if the target can no longer be met.
 	isLate bool
+	// kind is the kind of the tasks, and avoided the kinds that they slow down or that slow
+	// them down.
+	kind, avoided kindSet
 	// isGuaranteed is true for work of the highest priority within the
 	// guarantee of its organisation.
 	isGuaranteed bool
@@ -102,6 +105,7 @@
 			rest := w.Spec.PathAfter(i, predicted)
 			g.neededSpeed = neededSpeed(s.now, step.DeclaredRunTime, g.targetCompletion.Add(-rest))
 		}
+		g.kind, g.avoided = s.dispatcher.interference.kindAndAvoided(kindOf(w, step))
 		list = append(list, g.split(s.now, r)...)
 	}
 	return list
