--- a/control/dispatch.go
+++ b/control/dispatch.go
@@ -5,6 +5,7 @@
 
 	plantainladder "github.com/plantainladder/plantainladder"
 	"github.com/plantainladder/plantainladder/dispatch"
+	"github.com/plantainladder/plantainladder/interference"
 )
 
 // ObservationReceived delivers what the dispatcher observes: an announcement or
@@ -122,3 +123,12 @@
 	c, more := c.proposeRound(now, *plan.Round, plan.RoundRecords)
 	return c, append(out, more...)
 }
+
+// Interference returns the slow-downs between kinds of task that this leader knows, sorted by
+// pair; none on other controllers.
+func (c Core) Interference() []interference.Effect {
+	if c.leadership == nil {
+		return nil
+	}
+	return c.leadership.dispatcher.Interference()
+}
--- a/controller/node/meters.go
+++ b/controller/node/meters.go
@@ -160,6 +160,11 @@
 	if h, isLeader := c.GroupHealth(now); isLeader {
 		tolerated = float64(h.Tolerated)
 	}
+	slowdown := 1.0
+	pairs := c.Interference()
+	for _, e := range pairs {
+		slowdown = max(slowdown, e.Slowdown)
+	}
 	for name, v := range map[string]float64{
 		"controller_is_leader":                leader,
 		"controller_tolerated_losses":         tolerated,
@@ -179,6 +184,8 @@
 		"controller_workflows":                float64(counts.Workflows),
 		"controller_unsettled":                float64(counts.ActiveWorkflows),
 		"controller_pool_workers":             float64(counts.PoolWorkers),
+		"controller_interference_pairs":       float64(len(pairs)),
+		"controller_interference_slowdown":    slowdown,
 	} {
 		metrics.GetOrCreateGauge(name, nil).Set(v)
 	}
--- a/interference/interference.go
+++ b/interference/interference.go
@@ -87,9 +87,9 @@
 }
 
 const (
-	// MaxPairs and MaxWorkers bound what is kept. Source: some tens of kinds, and twice the
-	// target of 2,100 workers.
-	MaxPairs   = 1_024
+	// MaxPairs bounds the pairs that are kept: all of 32 kinds.
+	MaxPairs = 1_024
+	// MaxWorkers bounds the workers that are kept: twice the target of 2,100.
 	MaxWorkers = 4_200
 	// Retention is how long a pair or a worker is kept without a new run. A pair that is
 	// kept apart shows no new runs, so this is also the time until it is tried again.
--- a/interference/reference.go
+++ b/interference/reference.go
@@ -26,11 +26,11 @@
 func (h workerHistory) ownSlowness(without Kind) (slowness, variance float64, ok bool) {
 	precision, runs := 0.0, 0
 	for _, r := range h.runs {
-		reference := r.references.without(without)
-		if r.run.isBeside(without) || reference.runs < minReference {
+		usual := r.references.without(without)
+		if r.run.isBeside(without) || usual.runs < minReference {
 			continue
 		}
-		excess := r.logTime - reference.logTime
+		excess := r.logTime - usual.logTime
 		precision += 1 / r.run.Variance
 		slowness += bounded(excess) / r.run.Variance
 		runs++
