--- a/dispatch/interference_internal_test.go
+++ b/dispatch/interference_internal_test.go
@@ -115,6 +115,20 @@
 		}
 	})
 
+	// Otherwise the worker would be taken for a slow one, and lose work that it could do in time.
+	It("does not hold a known slow-down against the worker", func() {
+		l := newInterferenceLoad(24, 1.6)
+		l.learn()
+		noisy := l.submitKind("noisy", 12, 3, time.Minute)
+		l.stepFor(300 * time.Millisecond)
+		for range 6 {
+			l.submitKind("victim", 24, 5, 3*time.Second)
+			l.stepFor(6 * time.Second)
+		}
+		Expect(l.placedAt(noisy)).To(HaveLen(12))
+		Expect(l.dispatcher.spreads["pool"].Deviation()).To(BeNumerically("<", 0.1))
+	})
+
 	It("makes no work wait for room apart from the other kind", func() {
 		l := newInterferenceLoad(24, 1.6)
 		l.learn()
