--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -110,6 +110,8 @@
 	mediansUpdatedAt time.Time
 	// hasAdoptedSpeeds is true once the speeds were taken over that earlier leaders learned.
 	hasAdoptedSpeeds bool
+	// interference is what is known about kinds of task that slow each other down.
+	interference kindInterference
 	// isDirty is true if something has changed since the last Reconcile.
 	isDirty bool
 	// index belongs to the ClusterState of the last Reconcile.
@@ -153,6 +155,8 @@
 		runTimes: newRunTimes(),
 		samples:  newStepSamples(),
 		spreads:  map[string]speed.Spread{},
+
+		interference: newKindInterference(),
 	}
 }
 
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -45,6 +45,7 @@
 		s.compareOldSteps()
 		s.updateMedianSpeeds()
 	}
+	s.learnInterference()
 	s.dropOldSamples()
 }
 
--- a/dispatch/speed_sample.go
+++ b/dispatch/speed_sample.go
@@ -163,7 +163,7 @@
 			id:          v.worker.ID,
 			incarnation: v.worker.Incarnation,
 		},
-		logTime:  logTime,
+		logTime:  s.observeNeighbours(v, k, logTime, variance),
 		variance: variance,
 	})
 }
