Read an organisation's weight and limit from the configuration

A tenant's `weight` and `maxCount` were ignored, so an operator's limits had no effect.

Nothing uses them yet.

--- a/configuration/check.go
+++ b/configuration/check.go
@@ -21,7 +21,7 @@
 	if err := d.checkQueues(); err != nil {
 		return err
 	}
-	return d.checkTokens()
+	return d.checkOrganisations()
 }
 
 func (d Document) checkQueues() *shape.FieldError {
@@ -54,11 +54,11 @@
 	return nil
 }
 
-func (d Document) checkTokens() *shape.FieldError {
+func (d Document) checkOrganisations() *shape.FieldError {
 	owners := map[string]string{}
 	for _, o := range d.Organisations {
-		if o.Name == "" {
-			return newFieldError("organisations.name", "must not be empty")
+		if err := o.check(); err != nil {
+			return err
 		}
 		for _, t := range o.Tokens {
 			if other, taken := owners[t]; taken && other != o.Name {
--- a/configuration/configuration_suite_test.go
+++ b/configuration/configuration_suite_test.go
@@ -1,6 +1,7 @@
 package configuration_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainladder/plantainladder/configuration"
+	"github.com/plantainladder/plantainladder/pool"
 )
 
 func TestConfiguration(t *testing.T) {
@@ -50,6 +52,12 @@
 	}
 }
 
+func newLimit(accelerators int) pool.ResourceVector {
+	return pool.ResourceVector{
+		Accelerators: accelerators,
+	}
+}
+
 var _ = Describe("A document", func() {
 	DescribeTable("reports the field whose value is not allowed", func(change func(d *configuration.Document), field string) {
 		d := newDocument()
@@ -73,6 +81,16 @@
 		Entry("a token of two organisations", func(d *configuration.Document) { d.Organisations[1].Tokens[0] = "t2" }, "organisations.tokens"),
 		Entry("a queue without a name", func(d *configuration.Document) { d.Queues[0].Name = "" }, "queues.name"),
 		Entry("an organisation without a name", func(d *configuration.Document) { d.Organisations[0].Name = "" }, "organisations.name"),
+		Entry("a weight and a limit", func(d *configuration.Document) {
+			d.Organisations[1].Weight, d.Organisations[1].Limit = 0.25, newLimit(pool.MaxLimitAmount)
+		}, ""),
+		Entry("a negative weight", func(d *configuration.Document) { d.Organisations[1].Weight = -0.1 }, "organisations.weight"),
+		Entry("a weight that is no number", func(d *configuration.Document) { d.Organisations[1].Weight = math.NaN() }, "organisations.weight"),
+		Entry("an infinite weight", func(d *configuration.Document) { d.Organisations[1].Weight = math.Inf(1) }, "organisations.weight"),
+		Entry("a negative limit", func(d *configuration.Document) { d.Organisations[1].Limit = newLimit(-1) }, "organisations.limit"),
+		Entry("a limit that overflows with its overage", func(d *configuration.Document) {
+			d.Organisations[1].Limit = newLimit(math.MaxInt)
+		}, "organisations.limit"),
 	)
 
 	It("finds the queue with the longest prefix", func() {
