Refuse a job that can never fit within its organisation's limit

A job with a gang or a task larger than its tenant's limit would have been accepted and would have waited for ever.

The state machine now refuses such a submission as `organisation-limit`, which consumers get with status 429: nothing has run.

--- a/apply_workflow.go
+++ b/apply_workflow.go
@@ -26,6 +26,9 @@
 	Spec workflow.Spec `json:"spec"`
 	// Token is the token that the caller sent. It may be empty for a public queue.
 	Token string `json:"token"`
+	// LimitOverage is the share by which the leader lets a gang exceed the limit of its
+	// organisation. Commands of earlier versions lack it.
+	LimitOverage float64 `json:"limit-overage,omitempty"`
 }
 
 // CancelWorkflow cancels a workflow that is accessible to the organisation that the token
@@ -222,6 +225,9 @@
 	if err := c.Spec.Check(); err != nil {
 		return s, refuseField(err)
 	}
+	if o, exceeds := checkLimit(owner, c.Spec, c.LimitOverage); exceeds {
+		return s, o
+	}
 	if s.workflows.len() >= MaxWorkflows {
 		return s, refuse(RefusedTableFull, "queue", "too many workflows")
 	}
--- a/command.go
+++ b/command.go
@@ -234,6 +234,9 @@
 	RefusedQueueFull Reason = "queue-full"
 	// RefusedTooLarge means that the command is too large to be replicated.
 	RefusedTooLarge Reason = "too-large"
+	// RefusedOverLimit means that a gang or a task of the workflow exceeds the limit of its
+	// organisation by itself.
+	RefusedOverLimit Reason = "organisation-limit"
 )
 
 // Reasons returns all reasons to refuse a command.
@@ -241,7 +244,7 @@
 	return []Reason{
 		RefusedBadField, RefusedWrongRevision, RefusedInfeasible, RefusedNotFound, RefusedUnknownOrganisation,
 		RefusedClassNotAllowed, RefusedKeyReuse, RefusedTableFull, RefusedWrongState, RefusedNotOwner,
-		RefusedQueueFull, RefusedTooLarge,
+		RefusedQueueFull, RefusedTooLarge, RefusedOverLimit,
 	}
 }
 
--- a/controller/gateway/server.go
+++ b/controller/gateway/server.go
@@ -32,6 +32,8 @@
 	Clock func() time.Time
 	// PendingRequests delivers the answers of the controller's core.
 	PendingRequests *PendingRequests
+	// LimitOverage is the share by which a gang may exceed the limit of its organisation.
+	LimitOverage float64
 	// Logger is the logger of the package.
 	Logger zerolog.Logger
 }
--- a/controller/gateway/workflow.go
+++ b/controller/gateway/workflow.go
@@ -105,6 +105,7 @@
 	plantainladder.RefusedUnknownOrganisation: wire.ResultBadToken,
 	plantainladder.RefusedNotOwner:            wire.ResultTaken,
 	plantainladder.RefusedTableFull:           wire.ResultFull,
+	plantainladder.RefusedOverLimit:           wire.ResultOverLimit,
 }
 
 // withOutcome returns a result completed by the outcome of its command.
@@ -195,8 +196,9 @@
 	}
 	s.Spec.ID, s.Spec.Queue = res.ID, res.Queue
 	return g.commitAndReply(ctx, res, plantainladder.SubmitWorkflow{
-		Spec:  s.Spec,
-		Token: s.Token,
+		Spec:         s.Spec,
+		Token:        s.Token,
+		LimitOverage: g.cfg.LimitOverage,
 	}), nil
 }
 
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -289,6 +289,7 @@
 		Core:            n.loop.State,
 		Clock:           time.Now,
 		PendingRequests: n.pending,
+		LimitOverage:    n.cfg.Dispatch.LimitOverage,
 		Logger:          util.ForComponent(n.cfg.Logger, "controller/gateway"),
 	})
 	operator.Register(s, operator.Config{
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -31,6 +31,9 @@
 	// MaxRackWait bounds how long a task group waits for its rack while workers
 	// elsewhere have capacity; zero for no bound.
 	MaxRackWait time.Duration
+	// LimitOverage is the share by which a gang that exceeds the limit of its
+	// organisation by itself may do so.
+	LimitOverage float64
 	// HasInventory is true if the platform has an inventory of machines to read.
 	HasInventory bool
 	// Policy decides on placements; nil means GuaranteeAware.
--- a/gateway/reply/reply.go
+++ b/gateway/reply/reply.go
@@ -105,7 +105,7 @@
 		return http.StatusForbidden
 	case plantainladder.RefusedInfeasible:
 		return http.StatusUnprocessableEntity
-	case plantainladder.RefusedTableFull, plantainladder.RefusedQueueFull:
+	case plantainladder.RefusedTableFull, plantainladder.RefusedQueueFull, plantainladder.RefusedOverLimit:
 		return http.StatusTooManyRequests
 	case plantainladder.RefusedTooLarge:
 		return http.StatusRequestEntityTooLarge
--- a/wire/consumer.go
+++ b/wire/consumer.go
@@ -78,6 +78,9 @@
 	ResultTaken ResultKind = "taken"
 	// ResultFull means that no further workflow can be accepted now.
 	ResultFull ResultKind = "full"
+	// ResultOverLimit means that a gang or a task of the workflow can never fit within the
+	// limit of its organisation.
+	ResultOverLimit ResultKind = "organisation-limit"
 	// ResultUnsupported means that the queue requires a feature that is not
 	// supported.
 	ResultUnsupported ResultKind = "unsupported"
--- a/workflow/spec.go
+++ b/workflow/spec.go
@@ -189,6 +189,15 @@
 	return s != "" && len(s) <= maxIDLength
 }
 
+// LeastTasks returns how many tasks of the step have to run at the same time: all of a gang,
+// otherwise one.
+func (s Step) LeastTasks() int {
+	if s.IsGang {
+		return s.Tasks
+	}
+	return 1
+}
+
 func (s Step) check(number int) *shape.FieldError {
 	field := func(name string) string {
 		return fmt.Sprintf("steps[%d].%s", number, name)
