Place and start no work above an organisation's limit

An organisation could have as much running as there was room for, whatever its limit.

A placement pass now adds up what each organisation has placed, from the committed state, and places nothing above its limit; a gang that exceeds it by itself may use the overage if nothing else of the organisation is placed. Just before a first start the limit is checked against what may be running, since it may have been lowered since: the run, or the gang as a whole, then ends unstarted. Guaranteed urgent work that only its own organisation's limit holds up stops less urgent runs of that organisation, those that lose the least work. Waiting work blocks no other work with the same requirement, and is logged once for each organisation.

Where organisations have weights, those that use the smallest part of their share go first within a priority, after work under a guarantee.

--- a/dispatch/cluster_internal_test.go
+++ b/dispatch/cluster_internal_test.go
@@ -73,6 +73,12 @@
 			GuaranteedTo: func(string) int {
 				return 100
 			},
+			LimitOf: func(string) pool.ResourceVector {
+				return pool.ResourceVector{}
+			},
+			WeightOf: func(string) float64 {
+				return 0
+			},
 		},
 		machines:   machines,
 		isSilent:   map[string]bool{},
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -270,6 +270,10 @@
 	// GuaranteedTo returns how many accelerators are guaranteed to an
 	// organisation.
 	GuaranteedTo func(organisation string) int
+	// LimitOf returns what an organisation may have running, in which 0 means that a
+	// resource is not limited, and WeightOf its share; zero for one without.
+	LimitOf  func(organisation string) pool.ResourceVector
+	WeightOf func(organisation string) float64
 	// LastRound is the ID of the last committed round.
 	LastRound uint64
 }
@@ -285,6 +289,14 @@
 			o, _ := s.Configuration().Organisation(organisation)
 			return o.GuaranteedAccelerators
 		},
+		LimitOf: func(organisation string) pool.ResourceVector {
+			o, _ := s.Configuration().Organisation(organisation)
+			return o.Limit
+		},
+		WeightOf: func(organisation string) float64 {
+			o, _ := s.Configuration().Organisation(organisation)
+			return o.Weight
+		},
 		LastRound: s.LastRound(),
 	}
 }
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -37,8 +37,9 @@
 
 // An allocation is the capacity that one run uses on a node.
 type allocation struct {
-	task     workflow.PlacedTask
-	priority int
+	task         workflow.PlacedTask
+	organisation string
+	priority     int
 	// endsAt is when the run is expected to end. isMeasured is true if that
 	// follows from the run's progress and not from its estimate alone.
 	endsAt     time.Time
@@ -71,11 +72,7 @@
 }
 
 // fleets returns the schedulable workers as nodes, by pool.
-func (s *reconciliation) fleets(state ClusterState) map[string]*fleet {
-	x := s.index
-	if x.version != state.Version {
-		x = newStateIndex(state)
-	}
+func (s *reconciliation) fleets(state ClusterState, x *stateIndex) map[string]*fleet {
 	nodes := map[string][]*node{}
 	for _, w := range state.Workers {
 		v, ok := s.dispatcher.workerView(w.ID)
@@ -197,14 +194,16 @@
 	list := make([]allocation, len(tasks))
 	for i, t := range tasks {
 		endsAt, isMeasured := s.expectedEnd(v, t)
+		w := x.workflows[t.Workflow]
 		list[i] = allocation{
-			task:       t,
-			priority:   x.workflows[t.Workflow].QueueSettings.Priority,
-			endsAt:     endsAt,
-			isMeasured: isMeasured,
-			loss:       s.lostWork(v, t),
-			isStopping: v.runs[t.RunKey].pendingStop != "" || !t.IsNeeded,
-			isIsolated: x.isIsolated(s.now, t),
+			task:         t,
+			organisation: w.Spec.Organisation,
+			priority:     w.QueueSettings.Priority,
+			endsAt:       endsAt,
+			isMeasured:   isMeasured,
+			loss:         s.lostWork(v, t),
+			isStopping:   v.runs[t.RunKey].pendingStop != "" || !t.IsNeeded,
+			isIsolated:   x.isIsolated(s.now, t),
 		}
 	}
 	return list
--- a/dispatch/index.go
+++ b/dispatch/index.go
@@ -25,6 +25,8 @@
 	isGangBroken map[workflow.RunKey]bool
 	// gangMembers holds the placed members of each run of a gang.
 	gangMembers map[gangRun][]workflow.PlacedTask
+	// used holds what the placed tasks of each organisation use.
+	used map[string]pool.ResourceVector
 }
 
 // A gangRun identifies the runs that have to be stopped together: one run of all
@@ -45,6 +47,14 @@
 	return k
 }
 
+// indexOf returns the index of a state: that of the committed one, or a new one.
+func (s *reconciliation) indexOf(state ClusterState) *stateIndex {
+	if s.index.version == state.Version {
+		return s.index
+	}
+	return newStateIndex(state)
+}
+
 func newStateIndex(state ClusterState) *stateIndex {
 	placed := make([][]workflow.PlacedTask, len(state.Workflows))
 	total := 0
@@ -66,6 +76,7 @@
 		placedRuns:     make(map[workflow.RunKey]bool, total),
 		isGangBroken:   map[workflow.RunKey]bool{},
 		gangMembers:    map[gangRun][]workflow.PlacedTask{},
+		used:           organisationUse(state.Workflows, placed),
 	}
 	for id, n := range perWorker {
 		x.placedByWorker[id] = make([]workflow.PlacedTask, 0, n)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -35,6 +35,11 @@
 	unpreemptable map[requirement]bool
 	reservations  int
 	placements    []workflow.Placement
+	limits        *organisationLimits
+	// runs holds the runs of each organisation, and nodes the nodes by worker ID; both nil
+	// until a limit makes work wait.
+	runs  map[string]*organisationRuns
+	nodes map[string]*node
 	// waits holds task groups that were not placed, if reportsWaits is true.
 	waits        []wait
 	reportsWaits bool
@@ -51,32 +56,40 @@
 	if len(groups) == 0 {
 		return nil
 	}
+	x := s.indexOf(state)
 	p := &placer{
 		s:             s,
-		fleets:        s.fleets(state),
+		fleets:        s.fleets(state, x),
+		limits:        newOrganisationLimits(state, s.dispatcher.cfg.LimitOverage, x.used),
 		blocked:       map[requirement]bool{},
 		waitsForRack:  map[requirement]bool{},
 		rackStarts:    map[rackStartKey]rackStart{},
 		unpreemptable: map[requirement]bool{},
 		reportsWaits:  s.now.Sub(s.dispatcher.waitsReportedAt) >= waitReportInterval,
 	}
-	for _, g := range groups {
-		f := p.fleets[g.wf.QueueSettings.Pool]
-		switch {
-		case f == nil:
-			p.wait(g, waitsForWorker)
-		case mayPreempt(s.dispatcher.cfg.Policy, g):
-			p.placeUrgent(f, g)
-		case !p.isBlocked(g):
-			p.placeGroup(f, g)
-		default:
-			p.wait(g, waitsBehindEqual)
+	order := newGroupOrder(groups, s.dispatcher.cfg.Policy, state.WeightOf)
+	for {
+		g, ok := order.pop(p.useInShare)
+		if !ok {
+			break
 		}
+		p.placeWithinLimit(g)
 	}
 	p.reportWaits(state)
 	return p.placements
 }
 
+func (p *placer) placeOne(f *fleet, g taskGroup) {
+	switch {
+	case mayPreempt(p.s.dispatcher.cfg.Policy, g):
+		p.placeUrgent(f, g)
+	case !p.isBlocked(g):
+		p.placeGroup(f, g)
+	default:
+		p.wait(g, waitsBehindEqual)
+	}
+}
+
 // isBlocked reports whether a task group need not be tried, since one with the same
 // requirement did not fit.
 func (p *placer) isBlocked(g taskGroup) bool {
@@ -220,11 +233,8 @@
 func (p *placer) assign(g taskGroup, list []assignment) {
 	next := 0
 	p.s.recordInRound(DecisionRecord{
-		Text: "Tasks were placed.",
-		RunKey: workflow.RunKey{
-			TaskKey: g.key(g.waiting[0]),
-			Run:     g.wf.NextRun(g.key(g.waiting[0])),
-		},
+		Text:       "Tasks were placed.",
+		RunKey:     g.firstRun(),
 		Worker:     list[0].node.worker.ID,
 		Reason:     "room" + g.speedReason(list),
 		Age:        p.s.now.Sub(g.wf.Submitted),
@@ -232,6 +242,7 @@
 		Queue:      g.wf.Spec.Queue,
 		CompleteBy: g.targetCompletion,
 	})
+	p.limits.add(g, taskCount(list))
 	for _, assignment := range list {
 		assignment.node.free = assignment.node.free.Minus(g.step.PerTask.Times(assignment.tasks))
 		assignment.node.tenancy = assignment.node.tenancy.withRun(g.wf.Spec.ID, g.isIsolated)
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -68,6 +68,17 @@
 	return true
 }
 
+// ordersByShare reports whether a policy lets the organisation go first that uses the smallest
+// part of its share, where organisations have weights.
+func ordersByShare(p Policy) bool {
+	switch p.(type) {
+	case FirstComeFirstServed, PriorityOnly:
+		return false
+	case GuaranteeAware:
+	}
+	return true
+}
+
 // usesFirstFit reports whether a policy takes the first nodes that fit instead
 // of the fullest ones.
 func usesFirstFit(p Policy) bool {
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -62,6 +62,8 @@
 	doomed []gangRun
 	// newSamples holds the evidence of workers' speeds that was found in this pass.
 	newSamples []newSample
+	// running is what the organisations may have running; nil until a limit asks for it.
+	running *runningUse
 }
 
 // Reconcile compares the committed state with what is known of the workers. It
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -126,8 +126,13 @@
 	if !r.startedAt.IsZero() || !isListingFresh || !v.clock.isKnown() || s.awaitsAnswer(v, t, r) {
 		return v.withRun(t.RunKey, r)
 	}
-	if !s.hasCapacityFor(v, t) {
+	switch {
+	case !s.hasCapacityFor(v, t):
 		r.pendingStop = reasonCapacityShrunk
+	case !s.isWithinLimit(v, t, r):
+		r.pendingStop = reasonOrganisationLimit
+	}
+	if r.pendingStop != "" {
 		s.recordStop(v, t, r)
 		s.doom(t)
 		return s.stopRun(v, t, r)
--- a/dispatch/taskgroup.go
+++ b/dispatch/taskgroup.go
@@ -176,6 +176,15 @@
 	}
 }
 
+// firstRun returns the next run of the first waiting task.
+func (g taskGroup) firstRun() workflow.RunKey {
+	k := g.key(g.waiting[0])
+	return workflow.RunKey{
+		TaskKey: k,
+		Run:     g.wf.NextRun(k),
+	}
+}
+
 func (g taskGroup) placement(index int, w pool.Worker) workflow.Placement {
 	k := g.key(index)
 	return workflow.Placement{
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -142,6 +142,7 @@
 	reasonStartRejected     stopReason = "start-refused"
 	reasonWorkerLeaving     stopReason = "worker-leaving"
 	reasonCapacityShrunk    stopReason = "capacity-shrunk"
+	reasonOrganisationLimit stopReason = "organisation-limit"
 	reasonDataCentreOut     stopReason = "data-centre-out"
 	reasonNotListed         stopReason = "not-listed"
 	reasonWorkerRestarted   stopReason = "worker-restarted"
--- a/dispatch/waits.go
+++ b/dispatch/waits.go
@@ -22,6 +22,7 @@
 	waitsForPreemption waitReason = "preemption"
 	waitsForIsolation  waitReason = "isolation"
 	waitsForWorker     waitReason = "no-worker"
+	waitsForLimit      waitReason = "organisation-limit"
 )
 
 const (
@@ -89,10 +90,14 @@
 		return
 	}
 	p.s.dispatcher.waitsReportedAt = p.s.now
+	p.reportLimitWaits()
 	nodes, excluded := p.s.nodesInService(state)
 	n := 0
 	for _, w := range p.waits {
 		g := w.taskGroup
+		if w.reason == waitsForLimit {
+			continue
+		}
 		inService, text := nodes[g.wf.QueueSettings.Pool], "Tasks wait although workers have capacity for them."
 		if len(inService) == 0 {
 			text = "Tasks wait, since their pool has no worker in service."
@@ -103,11 +108,8 @@
 			return
 		}
 		p.s.record(DecisionRecord{
-			Text: text,
-			RunKey: workflow.RunKey{
-				TaskKey: g.key(g.waiting[0]),
-				Run:     g.wf.NextRun(g.key(g.waiting[0])),
-			},
+			Text:       text,
+			RunKey:     g.firstRun(),
 			Reason:     string(w.reason) + excluded,
 			Age:        p.s.now.Sub(g.since()),
 			Tasks:      len(g.waiting),
--- a/workflow/workflow.go
+++ b/workflow/workflow.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/plantainladder/plantainladder/pool"
 )
 
 // QueueSettings are the settings of a workflow's queue at the time when the
@@ -260,6 +262,14 @@
 	return list
 }
 
+// UseOf returns the resources that placed tasks take together.
+func UseOf(list []PlacedTask) (use pool.ResourceVector) {
+	for _, t := range list {
+		use = use.Plus(t.StepSpec.PerTask)
+	}
+	return use
+}
+
 func (w Workflow) countPlacedTasks() int {
 	n := 0
 	for _, o := range w.Occurrences {
