--- a/dispatch/limit_preempt.go
+++ b/dispatch/limit_preempt.go
@@ -12,14 +12,27 @@
 // organisationRuns is the runs of one organisation on the nodes of a placement pass.
 type organisationRuns struct {
 	// candidates holds the runs that are less urgent than the highest priority and not
-	// being stopped, sorted by the work they lose.
-	candidates []preemptionCandidate
+	// being stopped.
+	candidates []limitCandidate
 	// stopping is the use of the runs that are being stopped.
 	stopping pool.ResourceVector
-	// ends holds the expected ends of all runs, the first one first.
+	// ends holds the expected ends of all runs.
 	ends []expectedRelease
 }
 
+// A limitCandidate is a preemption candidate with what stopping it leaves to its organisation.
+type limitCandidate struct {
+	members []nodeAllocation
+	loss    float64
+	use     pool.ResourceVector
+}
+
+// A nodeAllocation is an allocation with its node.
+type nodeAllocation struct {
+	node       *node
+	allocation *allocation
+}
+
 // An expectedRelease is capacity that is expected to become free at a time.
 type expectedRelease struct {
 	at  time.Time
@@ -40,44 +53,52 @@
 
 func (p *placer) collectRuns() {
 	p.runs = map[string]*organisationRuns{}
-	p.nodes = map[string]*node{}
+	// gangs holds the positions of gangs among the candidates of their organisation.
+	gangs := map[gangRun]int{}
 	for _, name := range slices.Sorted(maps.Keys(p.fleets)) {
-		f := p.fleets[name]
-		for _, n := range f.nodes {
-			p.nodes[n.worker.ID] = n
-			for _, alloc := range n.allocations {
-				r := p.runsOf(alloc.organisation)
-				use := alloc.task.StepSpec.PerTask
-				r.ends = append(r.ends, expectedRelease{
-					at:  alloc.endsAt,
-					use: use,
-				})
-				if alloc.isStopping {
-					r.stopping = r.stopping.Plus(use)
-				}
+		for _, n := range p.fleets[name].nodes {
+			for i := range n.allocations {
+				alloc := &n.allocations[i]
+				p.runsOf(alloc.organisation).add(nodeAllocation{
+					node:       n,
+					allocation: alloc,
+				}, gangs)
 			}
 		}
-		candidates := candidatesOf(f, 0)
-		for _, k := range candidatesOn(f.nodes, candidates) {
-			r := p.runsOf(candidates[k].members[0].organisation)
-			r.candidates = append(r.candidates, candidates[k])
-		}
-	}
-	for _, r := range p.runs {
-		slices.SortStableFunc(r.candidates, func(a, b preemptionCandidate) int {
-			return cmp.Compare(a.loss, b.loss)
-		})
-		slices.SortStableFunc(r.ends, func(a, b expectedRelease) int {
-			return a.at.Compare(b.at)
-		})
 	}
 }
 
-func (c preemptionCandidate) use() (use pool.ResourceVector) {
-	for _, alloc := range c.members {
-		use = use.Plus(alloc.task.StepSpec.PerTask)
+// add adds a run. The members of a gang form one candidate.
+func (r *organisationRuns) add(m nodeAllocation, gangs map[gangRun]int) {
+	alloc := m.allocation
+	use := alloc.task.StepSpec.PerTask
+	r.ends = append(r.ends, expectedRelease{
+		at:  alloc.endsAt,
+		use: use,
+	})
+	switch {
+	case alloc.isStopping:
+		r.stopping = r.stopping.Plus(use)
+		return
+	case alloc.priority == 0:
+		return
+	}
+	if alloc.task.StepSpec.IsGang {
+		k := gangRunOf(alloc.task)
+		if at, known := gangs[k]; known {
+			c := &r.candidates[at]
+			c.members = append(c.members, m)
+			c.loss += alloc.loss
+			c.use = c.use.Plus(use)
+			return
+		}
+		gangs[k] = len(r.candidates)
 	}
-	return use
+	r.candidates = append(r.candidates, limitCandidate{
+		members: []nodeAllocation{m},
+		loss:    alloc.loss,
+		use:     use,
+	})
 }
 
 // waitForLimit handles the tasks of a group that do not fit within the limit of its
@@ -104,9 +125,30 @@
 		return
 	}
 	g.waiting = g.waiting[:tasks]
+	if !g.step.IsRackSensitive && g.step.DataRack == "" {
+		// The search for a preemption takes a millisecond on a large fleet, and is not
+		// needed once enough is being released.
+		if list := assignments(f.nodes, g, tasks, p.availableSoon(g)); list != nil {
+			p.carryOut(&preemption{
+				assignments: list,
+			}, g)
+			return
+		}
+	}
 	p.unpreemptable[g.requirement()] = !p.preempt(f, g)
 }
 
+// availableSoon returns the capacity of nodes that a task group may use once the runs that
+// are being stopped have ended.
+func (p *placer) availableSoon(g taskGroup) func(n *node) pool.ResourceVector {
+	return func(n *node) pool.ResourceVector {
+		if !n.tenancy.admits(g) {
+			return pool.ResourceVector{}
+		}
+		return n.free.Plus(n.releasing)
+	}
+}
+
 // reclaimLimit stops less urgent runs of the organisation of an urgent task group, those that
 // lose the least work, so that as many of its tasks as possible fit within the limit. It
 // returns how many will; zero if its limit is not all that holds it up.
@@ -116,7 +158,7 @@
 	used := p.limits.placed[org].Plus(p.limits.held[org]).Minus(runs.stopping)
 	least := used
 	for _, c := range runs.candidates {
-		least = least.Minus(c.use())
+		least = least.Minus(c.use)
 	}
 	fit := func(used pool.ResourceVector, atLeast, atMost int) int {
 		return fitWithin(limit, p.limits.overage, used, g.step.PerTask, atLeast, atMost)
@@ -128,18 +170,21 @@
 	if !p.canMakeCapacity(f, g, n) {
 		return 0
 	}
-	var chosen []preemptionCandidate
+	slices.SortStableFunc(runs.candidates, func(a, b limitCandidate) int {
+		return cmp.Compare(a.loss, b.loss)
+	})
+	var chosen []limitCandidate
 	for _, c := range runs.candidates {
 		if fit(used, n, n) == n {
 			break
 		}
-		used = used.Minus(c.use())
+		used = used.Minus(c.use)
 		chosen = append(chosen, c)
 	}
 	// Those that turn out not to be needed go on, the most expensive first.
-	var stopped []preemptionCandidate
+	var stopped []limitCandidate
 	for _, c := range slices.Backward(chosen) {
-		if without := used.Plus(c.use()); fit(without, n, n) == n {
+		if without := used.Plus(c.use); fit(without, n, n) == n {
 			used = without
 			continue
 		}
@@ -150,36 +195,46 @@
 }
 
 // canMakeCapacity reports whether nodes have capacity for a number of tasks of an urgent
-// group, after preemption if necessary. If not, a stop for the limit would be in vain.
+// group if all less urgent runs are stopped. If not, a stop for the limit would be in vain.
 func (p *placer) canMakeCapacity(f *fleet, g taskGroup, tasks int) bool {
 	if p.unpreemptable[g.requirement()] {
 		return false
 	}
-	g = g.withTasks(tasks)
-	return p.leastLossPreemption(f, g, candidatesOf(f, g.wf.QueueSettings.Priority), nil) != nil
+	for _, n := range f.nodes {
+		tasks -= g.fitCount(n, n.free.Plus(n.releasing).Plus(n.preemptable()), tasks)
+		if tasks <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// preemptable returns the capacity of the runs that may be stopped for urgent work.
+func (n *node) preemptable() (capacity pool.ResourceVector) {
+	for _, alloc := range n.allocations {
+		if alloc.priority > 0 && !alloc.isStopping {
+			capacity = capacity.Plus(alloc.task.StepSpec.PerTask)
+		}
+	}
+	return capacity
 }
 
 // stopForLimit marks runs to be stopped for the limit of their organisation.
-func (p *placer) stopForLimit(g taskGroup, tasks int, stopped []preemptionCandidate) {
+func (p *placer) stopForLimit(g taskGroup, tasks int, stopped []limitCandidate) {
 	org := g.wf.Spec.Organisation
 	runs := p.runsOf(org)
-	isStopped := map[gangRun]bool{}
 	for _, c := range stopped {
-		isStopped[gangRunOf(c.members[0].task)] = true
-		runs.stopping = runs.stopping.Plus(c.use())
-		p.markPreempted(c, g)
-		for _, alloc := range c.members {
-			n := p.nodes[alloc.task.Worker]
-			n.releasing = n.releasing.Plus(alloc.task.StepSpec.PerTask)
-			for i := range n.allocations {
-				if n.allocations[i].task.RunKey == alloc.task.RunKey {
-					n.allocations[i].isStopping = true
-				}
-			}
+		runs.stopping = runs.stopping.Plus(c.use)
+		marked := preemptionCandidate{}
+		for _, m := range c.members {
+			marked.members = append(marked.members, *m.allocation)
+			m.node.releasing = m.node.releasing.Plus(m.allocation.task.StepSpec.PerTask)
+			m.allocation.isStopping = true
 		}
+		p.markPreempted(marked, g)
 	}
-	runs.candidates = slices.DeleteFunc(runs.candidates, func(c preemptionCandidate) bool {
-		return isStopped[gangRunOf(c.members[0].task)]
+	runs.candidates = slices.DeleteFunc(runs.candidates, func(c limitCandidate) bool {
+		return c.members[0].allocation.isStopping
 	})
 	p.s.record(DecisionRecord{
 		Text:   "Runs are stopped, since only the organisation's own limit holds up its guaranteed work.",
@@ -201,7 +256,11 @@
 	}
 	limit, n := p.limits.limitOf(org), len(g.waiting)
 	used := p.limits.placed[org].Plus(p.limits.held[org])
-	for _, e := range p.runsOf(org).ends {
+	ends := p.runsOf(org).ends
+	slices.SortStableFunc(ends, func(a, b expectedRelease) int {
+		return a.at.Compare(b.at)
+	})
+	for _, e := range ends {
 		used = used.Minus(e.use)
 		if fitWithin(limit, p.limits.overage, used, g.step.PerTask, n, n) == n {
 			p.limits.reserved[org] = limitReservation{
--- a/dispatch/limit_start.go
+++ b/dispatch/limit_start.go
@@ -12,11 +12,11 @@
 	counted map[gangRun]bool
 }
 
-// isWithinLimit reports whether a first start of t keeps what its organisation may have
-// running within its limit, which may have been lowered since t was placed. A gang counts as
-// a whole, so that it starts with all of its members or with none. A start of a listed run
-// changes nothing.
-func (s *reconciliation) isWithinLimit(v workerView, t workflow.PlacedTask, r runState) bool {
+// isWithinLimit reports whether a start of t keeps what its organisation may have running
+// within its limit, which may have been lowered since t was placed, or since a start was sent
+// that the worker has not carried out. A gang counts as a whole, so that it starts with all
+// of its members or with none. A start of a listed run changes nothing.
+func (s *reconciliation) isWithinLimit(v workerView, t workflow.PlacedTask) bool {
 	org := s.index.workflows[t.Workflow].Spec.Organisation
 	limit := s.state.LimitOf(org)
 	if _, isListed := v.listed[t.RunKey]; limit.IsZero() || isListed {
@@ -30,12 +30,11 @@
 		n = len(s.index.gangMembers[k])
 		use = use.Times(n)
 	}
-	isFirst := r.startsSent == 0 || !r.mayHaveStarted()
 	others := s.running.byOrganisation[org]
 	if s.running.counted[k] {
 		others = others.Minus(use)
 	}
-	if isFirst && fitWithin(limit, s.dispatcher.cfg.LimitOverage, others, t.StepSpec.PerTask, n, n) == 0 {
+	if fitWithin(limit, s.dispatcher.cfg.LimitOverage, others, t.StepSpec.PerTask, n, n) == 0 {
 		return false
 	}
 	s.running.counted[k] = true
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -36,10 +36,8 @@
 	reservations  int
 	placements    []workflow.Placement
 	limits        *organisationLimits
-	// runs holds the runs of each organisation, and nodes the nodes by worker ID; both nil
-	// until a limit makes work wait.
-	runs  map[string]*organisationRuns
-	nodes map[string]*node
+	// runs holds the runs of each organisation; nil until a limit makes work wait.
+	runs map[string]*organisationRuns
 	// waits holds task groups that were not placed, if reportsWaits is true.
 	waits        []wait
 	reportsWaits bool
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -129,7 +129,7 @@
 	switch {
 	case !s.hasCapacityFor(v, t):
 		r.pendingStop = reasonCapacityShrunk
-	case !s.isWithinLimit(v, t, r):
+	case !s.isWithinLimit(v, t):
 		r.pendingStop = reasonOrganisationLimit
 	}
 	if r.pendingStop != "" {
