Export what organisations with a limit use

An operator could not see how near an organisation is to its limit.

`controller_organisation_limit` and `controller_organisation_use` are computed from the replicated state when the metrics are read, for resources that are limited, and removed with the limit.

--- a/controller/node/meters_test.go
+++ b/controller/node/meters_test.go
@@ -8,8 +8,10 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	plantainladder "github.com/plantainladder/plantainladder"
 	"github.com/plantainladder/plantainladder/control"
 	"github.com/plantainladder/plantainladder/controller/disk"
+	"github.com/plantainladder/plantainladder/pool"
 )
 
 var acceptedCommand = control.IncrementCounter{
@@ -81,6 +83,36 @@
 	})
 })
 
+// An operator sees from these how near an organisation is to its limit. A name that the
+// library does not take ends the process, and one that is left over is taken for a limit.
+var _ = Describe("The gauges of organisations with a limit", func() {
+	It("hold the limit and the use of the resources that are limited, while there is a limit", func() {
+		m := newMeters()
+		DeferCleanup(metrics.UnregisterAllMetrics)
+		exported := func() string {
+			var b bytes.Buffer
+			metrics.WritePrometheus(&b, false)
+			return b.String()
+		}
+		use := plantainladder.LimitUse{
+			Organisation: "a \"b\"\n{c}",
+			Limit: pool.ResourceVector{
+				Accelerators: 8,
+			},
+			Used: pool.ResourceVector{
+				MilliCores:   1000,
+				Accelerators: 5,
+			},
+		}
+		m.updateLimitGauges([]plantainladder.LimitUse{use})
+		Expect(exported()).To(ContainSubstring(`controller_organisation_limit{organisation="a \"b\"\n{c}",resource="accelerators"} 8`))
+		Expect(exported()).To(ContainSubstring(`controller_organisation_use{organisation="a \"b\"\n{c}",resource="accelerators"} 5`))
+		Expect(exported()).NotTo(ContainSubstring("milli-cores"))
+		m.updateLimitGauges(nil)
+		Expect(exported()).NotTo(ContainSubstring("controller_organisation"))
+	})
+})
+
 func BenchmarkIncrement(b *testing.B) {
 	m := newMeters()
 	defer metrics.UnregisterAllMetrics()
--- a/limit_test.go
+++ b/limit_test.go
@@ -97,6 +97,35 @@
 		Expect(limit()).To(Equal(accelerators(4)))
 	})
 
+	It("is compared with what is placed, for metrics", func() {
+		Expect(submit("f", "token", 0, step(false, 3, 2)).IsAccepted()).To(BeTrue())
+		k := workflow.RunKey{
+			TaskKey: workflow.TaskKey{
+				Workflow: "f",
+				Index:    1,
+			},
+			Run: 1,
+		}
+		r.apply("", plantainladder.Round{
+			ID: 1,
+			Placements: []workflow.Placement{
+				{
+					RunKey: k,
+					Worker: "w",
+				},
+			},
+		})
+		Expect(r.state.LimitUses()).To(Equal([]plantainladder.LimitUse{
+			{
+				Organisation: "o",
+				Limit:        accelerators(20),
+				Used:         accelerators(2),
+			},
+		}))
+		Expect(configure(3, 0).IsAccepted()).To(BeTrue())
+		Expect(r.state.LimitUses()).To(BeEmpty())
+	})
+
 	It("is kept by snapshots", func() {
 		restored, err := wire.UnmarshalState(encode(r.state))
 		Expect(err).NotTo(HaveOccurred())
