--- a/controller/node/limit_meters.go
+++ b/controller/node/limit_meters.go
@@ -2,17 +2,22 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	plantainladder "github.com/plantainladder/plantainladder"
 )
 
+// Gauges of what an organisation may use and what it uses.
+const (
+	limitGauge = "controller_organisation_limit"
+	useGauge   = "controller_organisation_use"
+)
+
 // updateLimitGauges sets the gauges of the organisations with a limit, and removes those of
 // organisations that have none any more.
-func (m *meters) updateLimitGauges(list []plantainladder.LimitUse) {
-	m.limitMu.Lock()
-	defer m.limitMu.Unlock()
+func updateLimitGauges(list []plantainladder.LimitUse) {
 	exported := map[string]bool{}
 	set := func(name, organisation, resource string, v int) {
 		full := name + `{organisation=` + strconv.Quote(organisation) + `,resource="` + resource + `"}`
@@ -29,15 +34,15 @@
 			{"accelerators", u.Limit.Accelerators, u.Used.Accelerators},
 		} {
 			if r.limit > 0 {
-				set("controller_organisation_limit", u.Organisation, r.name, r.limit)
-				set("controller_organisation_use", u.Organisation, r.name, r.used)
+				set(limitGauge, u.Organisation, r.name, r.limit)
+				set(useGauge, u.Organisation, r.name, r.used)
 			}
 		}
 	}
-	for name := range m.limitGauges {
-		if !exported[name] {
+	for _, name := range metrics.ListMetricNames() {
+		isOurs := strings.HasPrefix(name, limitGauge) || strings.HasPrefix(name, useGauge)
+		if isOurs && !exported[name] {
 			metrics.UnregisterMetric(name)
 		}
 	}
-	m.limitGauges = exported
 }
--- a/controller/node/meters.go
+++ b/controller/node/meters.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -35,10 +34,6 @@
 	diskFull            *metrics.Counter
 	// counters holds the counters that were incremented. Only the event loop uses it.
 	counters map[control.IncrementCounter]*metrics.Counter
-	// limitGauges holds the names of the gauges of organisations with a limit. Requests
-	// for the metrics update them, under limitMu.
-	limitMu     sync.Mutex
-	limitGauges map[string]bool
 }
 
 func newMeters() *meters {
@@ -187,5 +182,5 @@
 	} {
 		metrics.GetOrCreateGauge(name, nil).Set(v)
 	}
-	m.updateLimitGauges(c.State().LimitUses())
+	updateLimitGauges(c.State().LimitUses())
 }
--- a/controller/node/meters_test.go
+++ b/controller/node/meters_test.go
@@ -87,7 +87,6 @@
 // library does not take ends the process, and one that is left over is taken for a limit.
 var _ = Describe("The gauges of organisations with a limit", func() {
 	It("hold the limit and the use of the resources that are limited, while there is a limit", func() {
-		m := newMeters()
 		DeferCleanup(metrics.UnregisterAllMetrics)
 		exported := func() string {
 			var b bytes.Buffer
@@ -104,11 +103,11 @@
 				Accelerators: 5,
 			},
 		}
-		m.updateLimitGauges([]plantainladder.LimitUse{use})
+		updateLimitGauges([]plantainladder.LimitUse{use})
 		Expect(exported()).To(ContainSubstring(`controller_organisation_limit{organisation="a \"b\"\n{c}",resource="accelerators"} 8`))
 		Expect(exported()).To(ContainSubstring(`controller_organisation_use{organisation="a \"b\"\n{c}",resource="accelerators"} 5`))
 		Expect(exported()).NotTo(ContainSubstring("milli-cores"))
-		m.updateLimitGauges(nil)
+		updateLimitGauges(nil)
 		Expect(exported()).NotTo(ContainSubstring("controller_organisation"))
 	})
 })
--- a/dispatch/limit_internal_test.go
+++ b/dispatch/limit_internal_test.go
@@ -27,9 +27,9 @@
 	c.state.Version++
 }
 
-// coresPlaced returns how many cores the placed tasks of an organisation take.
-func (c *cluster) coresPlaced(organisation string) int {
-	return organisationUseOf(c.state.Workflows)[organisation].MilliCores / milliPerCore
+// coresOfMill returns how many cores the placed tasks of the organisation mill take.
+func (c *cluster) coresOfMill() int {
+	return organisationUseOf(c.state.Workflows)["mill"].MilliCores / milliPerCore
 }
 
 func organisationUseOf(list []workflow.Workflow) map[string]pool.ResourceVector {
@@ -63,7 +63,7 @@
 		c.step()
 		Expect(c.placedAt("small")).To(HaveLen(4))
 		for range 80 {
-			Expect(c.coresPlaced("mill")).To(BeNumerically("<=", 10))
+			Expect(c.coresOfMill()).To(BeNumerically("<=", 10))
 			c.step()
 		}
 		Expect(c.placedAt("crowd")).To(BeEmpty(), "all of it has run")
@@ -109,7 +109,7 @@
 		for range 3 {
 			c.changeLeader()
 			c.stepFor(time.Second)
-			Expect(c.coresPlaced("mill")).To(Equal(8))
+			Expect(c.coresOfMill()).To(Equal(8))
 			Expect(c.startsSent["f"]).To(Equal(4))
 		}
 	})
@@ -135,12 +135,12 @@
 		Expect(c.startsSent["lost"]).To(BeNumerically(">=", 2))
 		c.submit(of("mill", newWorkflow("next", 1, newStep(4, 2, time.Minute))))
 		c.placeOnly()
-		Expect(c.coresPlaced("mill")).To(Equal(8))
+		Expect(c.coresOfMill()).To(Equal(8))
 		c.setLimits(map[string]int{
 			"mill": 4,
 		})
 		c.stepFor(5 * time.Second)
-		Expect(c.coresPlaced("mill")).To(Equal(4))
+		Expect(c.coresOfMill()).To(Equal(4))
 		Expect(c.startsSent["next"]).To(BeZero())
 	})
 
@@ -151,10 +151,10 @@
 		})
 		c.submit(of("mill", newWorkflow("f", 1, newStep(6, 2, time.Minute))))
 		c.step()
-		Expect(c.coresPlaced("mill")).To(Equal(4))
+		Expect(c.coresOfMill()).To(Equal(4))
 		c.setLimits(nil)
 		c.step()
-		Expect(c.coresPlaced("mill")).To(Equal(12))
+		Expect(c.coresOfMill()).To(Equal(12))
 	})
 
 	DescribeTable("runs a gang that exceeds the limit by itself", func(beside int, overage float64, isPlaced bool) {
@@ -209,7 +209,7 @@
 		}
 		c.submit(of("mill", newWorkflow("f", 1, newStep(16, 2, time.Minute))))
 		c.step()
-		Expect(c.coresPlaced("mill")).To(Equal(32))
+		Expect(c.coresOfMill()).To(Equal(32))
 	})
 })
 
@@ -226,7 +226,7 @@
 		c.submit(of("mill", newWorkflow("new", 2, newStep(2, 2, time.Minute))))
 		c.submit(of("farm", newWorkflow("other", 2, newStep(2, 2, time.Minute))))
 		c.stepFor(500 * time.Millisecond)
-		Expect(c.coresPlaced("mill")).To(Equal(8))
+		Expect(c.coresOfMill()).To(Equal(8))
 		return c
 	}
 
@@ -236,7 +236,7 @@
 		c.stepFor(1700 * time.Millisecond)
 		Expect(c.startsSent["urgent"]).To(Equal(2))
 		Expect(c.preempted()).To(Equal([]string{"new"}))
-		Expect(c.coresPlaced("mill")).To(BeNumerically("<=", 8))
+		Expect(c.coresOfMill()).To(BeNumerically("<=", 8))
 		Expect(c.records).To(ContainElement(HaveField("Reason", "mill milli-cores=8000/8000")))
 	})
 
@@ -290,15 +290,15 @@
 		Expect(c.preempted()).To(BeEmpty())
 		Expect(c.startsSent["urgent"]).To(BeZero())
 	},
-		Entry("if it is beyond the guarantee", func(c *cluster, w *workflow.Workflow) {
+		Entry("if it is beyond the guarantee", func(c *cluster, _ *workflow.Workflow) {
 			c.state.GuaranteedTo = func(string) int {
 				return -1
 			}
 		}),
-		Entry("if no worker could run it", func(c *cluster, w *workflow.Workflow) {
+		Entry("if no worker could run it", func(_ *cluster, w *workflow.Workflow) {
 			w.Spec.Steps[0].RequiredLabel = "none"
 		}),
-		Entry("if it can never fit within the limit", func(c *cluster, w *workflow.Workflow) {
+		Entry("if it can never fit within the limit", func(_ *cluster, w *workflow.Workflow) {
 			w.Spec.Steps[0].Tasks = 5
 		}),
 	)
