--- a/configuration/check.go
+++ b/configuration/check.go
@@ -29,7 +29,7 @@
 		return append(faults, newDocumentFault("queues", fmt.Sprintf("more than %d", MaxQueues)))
 	}
 	faults = append(faults, d.queueFaults(limit-len(faults))...)
-	return append(faults, d.tokenFaults(limit-len(faults))...)
+	return append(faults, d.organisationFaults(limit-len(faults))...)
 }
 
 func (d Document) queueFaults(limit int) (faults []Finding) {
@@ -72,15 +72,13 @@
 	return faults
 }
 
-func (d Document) tokenFaults(limit int) (faults []Finding) {
+func (d Document) organisationFaults(limit int) (faults []Finding) {
 	owners := map[string]string{}
 	for i, o := range d.Organisations {
 		if len(faults) >= limit {
 			break
 		}
-		if o.Name == "" {
-			faults = append(faults, newFinding(SeverityError, ListOrganisations, i, o.Name, "name", "must not be empty"))
-		}
+		faults = append(faults, o.faults(i)...)
 		for _, t := range o.Tokens {
 			other, taken := owners[t]
 			if taken && other != o.Name {
--- a/configuration/difference.go
+++ b/configuration/difference.go
@@ -1,6 +1,7 @@
 package configuration
 
 import (
+	"fmt"
 	"slices"
 	"strconv"
 )
@@ -133,6 +134,8 @@
 		name: o.Name,
 		fields: []field{
 			{"guaranteed-accelerators", strconv.Itoa(o.GuaranteedAccelerators)},
+			{"weight", strconv.FormatFloat(o.Weight, 'g', -1, 64)},
+			{"limit", fmt.Sprintf("%d milli-cores, %d MB, %d accelerators", o.Limit.MilliCores, o.Limit.MemoryMB, o.Limit.Accelerators)},
 		},
 		tokens: o.Tokens,
 	}
--- a/configuration/review.go
+++ b/configuration/review.go
@@ -86,6 +86,9 @@
 		if o.GuaranteedAccelerators < 0 {
 			report("guaranteed-accelerators", fmt.Sprintf("is %d and guarantees nothing", o.GuaranteedAccelerators))
 		}
+		if most := o.Limit.Accelerators; most > 0 && o.GuaranteedAccelerators > most {
+			report("guaranteed-accelerators", fmt.Sprintf("is %d and above the organisation's limit of %d", o.GuaranteedAccelerators, most))
+		}
 		if o.GuaranteedAccelerators > 0 && !hasUrgentQueue {
 			report("guaranteed-accelerators", "is for queues of priority 0, and there is none")
 		}
--- a/configuration/review_test.go
+++ b/configuration/review_test.go
@@ -66,6 +66,11 @@
 		d.Organisations[0].Tokens, d.Organisations[1].Tokens = nil, []string{"t3", ""}
 	}, "warning organisations.tokens mill", "warning organisations.tokens farm"),
 	Entry("a negative guarantee", func(d *configuration.Document) { d.Organisations[0].GuaranteedAccelerators = -1 }, "warning organisations.guaranteed-accelerators mill"),
+	Entry("a guarantee above the organisation's own limit", func(d *configuration.Document) { d.Organisations[0].Limit.Accelerators = 5 }, "warning organisations.guaranteed-accelerators mill"),
+	Entry("no guarantee within it", func(d *configuration.Document) { d.Organisations[0].Limit.Accelerators = 6 }),
+	Entry("a weight and a limit that are refused", func(d *configuration.Document) {
+		d.Organisations[0].Weight, d.Organisations[0].Limit.MemoryMB = math.NaN(), -1
+	}, "error organisations.weight mill", "error organisations.limit mill"),
 	Entry("guarantees that no queue can use", func(d *configuration.Document) {
 		d.Queues[0].Priority, d.Queues[1].Priority = 1, 1
 	}, "warning organisations.guaranteed-accelerators mill", "warning organisations.guaranteed-accelerators farm"),
--- a/controller/node/meters.go
+++ b/controller/node/meters.go
@@ -189,4 +189,5 @@
 	} {
 		metrics.GetOrCreateGauge(name, nil).Set(v)
 	}
+	updateLimitGauges(c.State().LimitUses())
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -31,6 +31,9 @@
 	// MaxRackWait bounds how long a task group waits for its rack while workers
 	// elsewhere have capacity; zero for no bound.
 	MaxRackWait time.Duration
+	// LimitOverage is the share by which a gang that exceeds the limit of its
+	// organisation by itself may do so.
+	LimitOverage float64
 	// HasInventory is true if the platform has an inventory of machines to read.
 	HasInventory bool
 	// Policy decides on placements; nil means GuaranteeAware.
@@ -273,6 +276,10 @@
 	// GuaranteedTo returns how many accelerators are guaranteed to an
 	// organisation.
 	GuaranteedTo func(organisation string) int
+	// LimitOf returns what an organisation may have running, in which 0 means that a
+	// resource is not limited, and WeightOf its share; zero for one without.
+	LimitOf  func(organisation string) pool.ResourceVector
+	WeightOf func(organisation string) float64
 	// LastRound is the ID of the last committed round.
 	LastRound uint64
 }
@@ -288,6 +295,14 @@
 			o, _ := s.Configuration().Organisation(organisation)
 			return o.GuaranteedAccelerators
 		},
+		LimitOf: func(organisation string) pool.ResourceVector {
+			o, _ := s.Configuration().Organisation(organisation)
+			return o.Limit
+		},
+		WeightOf: func(organisation string) float64 {
+			o, _ := s.Configuration().Organisation(organisation)
+			return o.Weight
+		},
 		LastRound: s.LastRound(),
 	}
 }
