Bound bodies, connections and unread answers of HTTP servers

Clients that stop just short of the end of a body, or that do not read answers, kept their connections, their memory and a stop for as long as they liked.

http1.Config gets limits and a budget. A body that does not fit or arrives too slowly is answered with 503 and Retry-After in place of what the handler answers: handlers act only on whole bodies, so nothing has run. The charge is released when the handler returns or panics. At the limit of connections one without progress is closed. Sockets have fixed buffers, answers are written in pieces that must make progress, and a stop gives bodies and answers 0.5 s. Without limits nothing changes. The tests of package http1 pass with -race.

--- a/http1/connection_test.go
+++ b/http1/connection_test.go
@@ -20,7 +20,6 @@
 		Expect(err).NotTo(HaveOccurred())
 		conn := &connection{
 			TCPConn:   accepted.(*net.TCPConn),
-			isIdle:    true,
 			isClosing: true,
 		}
 		DeferCleanup(conn.Close)
--- a/http1/connections.go
+++ b/http1/connections.go
@@ -6,13 +6,16 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/plantainladder/plantainladder/intake"
 )
 
-// connections tracks the connections of a server. Its zero value is ready for use.
+// connections tracks the connections of a server.
 type connections struct {
-	mu sync.Mutex
-	// isIdle tells for each open connection whether it waits for a call.
-	isIdle map[*connection]bool
+	server *Server
+	mu     sync.Mutex
+	// open holds the connections of net/http and those that handlers have taken over.
+	open map[*connection]bool
 	// received counts the calls whose headers were read, malformed ones included.
 	received int
 	// isClosing is true if connections without a call are being closed.
@@ -26,26 +29,67 @@
 	conn := tcp.(*connection)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isIdle == nil {
-		c.isIdle = map[*connection]bool{}
+	if c.open == nil {
+		c.open = map[*connection]bool{}
 	}
 	switch state {
 	case http.StateNew, http.StateIdle:
-		c.isIdle[conn] = true
+		c.open[conn] = true
 		conn.setIdle(true)
 		if c.isClosing {
 			conn.closeIdle(time.Now())
 		}
+		if state == http.StateNew {
+			c.closeSurplus(time.Now())
+		}
 	case http.StateActive:
-		c.isIdle[conn] = false
 		c.received++
 		conn.setIdle(false)
-	case http.StateClosed, http.StateHijacked:
-		delete(c.isIdle, conn)
-		if len(c.isIdle) == 0 && c.noneOpen != nil {
-			close(c.noneOpen)
-			c.noneOpen = nil
+	case http.StateHijacked:
+		conn.setPhase(intake.TakenOver)
+	case http.StateClosed:
+		c.remove(conn)
+	}
+}
+
+// remove forgets a connection that is closed.
+func (c *connections) remove(conn *connection) {
+	delete(c.open, conn)
+	if len(c.open) == 0 && c.noneOpen != nil {
+		close(c.noneOpen)
+		c.noneOpen = nil
+	}
+}
+
+// takenOverClosed is called when a connection is closed that a handler has taken over.
+func (c *connections) takenOverClosed(conn *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.remove(conn)
+}
+
+// closeSurplus closes a connection if there are too many. If all others are busy, it is the one
+// that was accepted last.
+func (c *connections) closeSurplus(now time.Time) {
+	limit := c.server.cfg.Limits.MaxConnections
+	if limit == 0 || len(c.open) <= limit {
+		return
+	}
+	list := make([]*connection, 0, len(c.open))
+	states := make([]intake.Connection, 0, len(c.open))
+	for conn := range c.open {
+		if conn.isCut.Load() {
+			continue
 		}
+		list = append(list, conn)
+		states = append(states, conn.state())
+	}
+	if len(list) <= limit {
+		return
+	}
+	if victim := intake.Victim(states, now); victim >= 0 {
+		list[victim].cut()
+		c.server.countRefusal(TooManyConnections, now)
 	}
 }
 
@@ -53,12 +97,12 @@
 func (c *connections) count() (open, idle, received int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, isIdle := range c.isIdle {
-		if isIdle {
+	for conn := range c.open {
+		if conn.state().Phase == intake.Waiting {
 			idle++
 		}
 	}
-	return len(c.isIdle), idle, c.received
+	return len(c.open), idle, c.received
 }
 
 // closeIdle closes the connections on which no call arrives within idleGrace, also
@@ -67,7 +111,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isClosing = true
-	for conn := range c.isIdle {
+	for conn := range c.open {
 		conn.closeIdle(now)
 	}
 }
@@ -76,7 +120,7 @@
 // ends first.
 func (c *connections) awaitNone(ctx context.Context) error {
 	c.mu.Lock()
-	if len(c.isIdle) == 0 {
+	if len(c.open) == 0 {
 		c.mu.Unlock()
 		return nil
 	}
--- a/http1/listener.go
+++ b/http1/listener.go
@@ -19,6 +19,7 @@
 // those that it finds there.
 type listener struct {
 	*net.TCPListener
+	newConnection func(*net.TCPConn) *connection
 	// isStopping is true once the listener is to be closed.
 	isStopping atomic.Bool
 	// drained holds the connections that were in the queue and that Accept has not
@@ -32,13 +33,38 @@
 	closeOnce sync.Once
 }
 
-func newListener(l *net.TCPListener) *listener {
+func newListener(l *net.TCPListener, newConnection func(*net.TCPConn) *connection) *listener {
 	return &listener{
-		TCPListener: l,
-		ended:       make(chan struct{}),
+		TCPListener:   l,
+		newConnection: newConnection,
+		ended:         make(chan struct{}),
 	}
 }
 
+// listenTCP listens at an address. The connections inherit the sizes of the socket buffers;
+// zero for those of the system.
+func listenTCP(address string, socketBytes int) (*net.TCPListener, error) {
+	cfg := net.ListenConfig{
+		Control: func(_, _ string, raw syscall.RawConn) (err error) {
+			if socketBytes == 0 {
+				return nil
+			}
+			controlErr := raw.Control(func(fd uintptr) {
+				err = errors.Join(
+					syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, socketBytes),
+					syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, socketBytes),
+				)
+			})
+			return errors.Join(controlErr, err)
+		},
+	}
+	l, err := cfg.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return l.(*net.TCPListener), nil
+}
+
 // Accept returns the next connection. Once the listener is to be closed, it closes it
 // and returns net.ErrClosed after the connections that were in the queue.
 func (l *listener) Accept() (net.Conn, error) {
@@ -51,9 +77,7 @@
 		if len(l.drained) > 0 {
 			conn := l.drained[0]
 			l.drained = l.drained[1:]
-			return &connection{
-				TCPConn: conn,
-			}, nil
+			return l.newConnection(conn), nil
 		}
 		if l.isClosed {
 			l.endOnce.Do(func() { close(l.ended) })
@@ -61,9 +85,7 @@
 		}
 		conn, err := l.AcceptTCP()
 		if err == nil {
-			return &connection{
-				TCPConn: conn,
-			}, nil
+			return l.newConnection(conn), nil
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, err
--- a/http1/listener_test.go
+++ b/http1/listener_test.go
@@ -15,7 +15,11 @@
 		const queued = 40
 		tcp, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
-		l := newListener(tcp.(*net.TCPListener))
+		l := newListener(tcp.(*net.TCPListener), func(conn *net.TCPConn) *connection {
+			return &connection{
+				TCPConn: conn,
+			}
+		})
 		for range queued {
 			conn, err := net.Dial("tcp", l.Addr().String())
 			Expect(err).NotTo(HaveOccurred())
--- a/http1/server.go
+++ b/http1/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/plantainladder/plantainladder/intake"
 	"github.com/plantainladder/plantainladder/util"
 )
 
@@ -26,9 +27,18 @@
 	// MaxHeaderBytes is the largest size of the headers; zero for the default of
 	// net/http.
 	MaxHeaderBytes int
+	// Limits bounds connections and the time of bodies and answers. Headers have HeaderTimeout
+	// and MaxHeaderBytes.
+	Limits intake.Limits
+	// Budget bounds the bytes of bodies; nil for no bound. The servers of a process share it.
+	// A handler must read a body to its end before it does anything: a call whose body does not
+	// fit or arrives too slowly is answered with 503 whatever the handler answers.
+	Budget *intake.Budget
+	// CountRefusal counts a refusal; nil for none.
+	CountRefusal func(reason Refusal)
 	// CountCalls counts n calls with an outcome.
 	CountCalls func(o Outcome, n int)
-	// Logger receives the lines about stops and about handlers that panic.
+	// Logger receives the lines about stops, refusals and handlers that panic.
 	Logger zerolog.Logger
 }
 
@@ -39,7 +49,9 @@
 	listener    *listener
 	connections connections
 	calls       calls
+	refusals    refusals
 	isStopping  atomic.Bool
+	startedAt   time.Time
 	// cancelCalls ends the contexts of the calls under way.
 	cancelCalls context.CancelFunc
 }
@@ -47,22 +59,25 @@
 // Listen returns a Server that listens on a TCP address. Serve answers calls.
 func Listen(address string, cfg Config) (s *Server, err error) {
 	defer util.Annotate(&err, "http1: listen on "+address)
-	l, err := net.Listen("tcp", address)
+	l, err := listenTCP(address, cfg.Limits.SocketBytes)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s = &Server{
 		cfg:         cfg,
-		listener:    newListener(l.(*net.TCPListener)),
 		cancelCalls: cancel,
+		startedAt:   time.Now(),
 	}
+	s.connections.server = s
+	s.listener = newListener(l, s.newConnection)
 	s.http = &http.Server{
 		Handler:           http.HandlerFunc(s.serveHTTP),
 		ReadHeaderTimeout: cfg.HeaderTimeout,
 		IdleTimeout:       cfg.IdleTimeout,
 		MaxHeaderBytes:    cfg.MaxHeaderBytes,
 		ConnState:         s.connections.stateChanged,
+		ConnContext:       withConnection,
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 	}
 	return s, nil
@@ -94,5 +109,26 @@
 	if s.isStopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	s.calls.serve(s, w, r)
+	conn, ok := r.Context().Value(connectionKey{}).(*connection)
+	if !ok || r.ContentLength == 0 {
+		s.calls.serve(s, w, r)
+		return
+	}
+	s.serveBody(conn, w, r)
+}
+
+// connectionKey is the key of a call's connection in its context.
+type connectionKey struct{}
+
+func withConnection(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, conn)
+}
+
+func (s *Server) newConnection(tcp *net.TCPConn) *connection {
+	c := &connection{
+		TCPConn: tcp,
+		server:  s,
+	}
+	c.advance(time.Now())
+	return c
 }
