Bound frames and connections at the port of the system's own processes

A stranger who reached that port could send frames of 8 MiB that stop just short of their end, over any number of connections. An rpc.Server now charges incomplete frames to a budget, and closes the connection of one that does not fit or has to make room. A node serves with http1, which limits its connections: those that ping are the last to be closed. Without limits nothing changes, as in the program controller. The tests of rpc and controller/node pass with -race.

--- a/controller/node/config.go
+++ b/controller/node/config.go
@@ -6,6 +6,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/plantainladder/plantainladder/dispatch"
+	"github.com/plantainladder/plantainladder/http1"
+	"github.com/plantainladder/plantainladder/intake"
 )
 
 // A Config holds the settings of a Node.
@@ -57,10 +59,23 @@
 	// the result. It must not block. It is required if Dispatch.HasInventory is
 	// true.
 	ReadInventory func(done func(r dispatch.InventoryRead))
+	// Intake bounds what clients may send; its zero value has no bounds.
+	Intake IntakeConfig
 	// Logger is the logger of the controller's components.
 	Logger zerolog.Logger
 }
 
+// An IntakeConfig bounds what the clients of a Node may send, who are strangers if the cluster
+// has no token.
+type IntakeConfig struct {
+	// Limits bounds connections, and the time of bodies and answers.
+	Limits intake.Limits
+	// Frames bounds the bytes of incomplete frames, and Bodies those of bodies.
+	Frames, Bodies *intake.Budget
+	// CountRefusal counts a refusal; nil for none.
+	CountRefusal func(reason http1.Refusal)
+}
+
 // boundByDisk returns a bound in bytes, or the given part of the disk if that is smaller.
 func (cfg Config) boundByDisk(bound, part uint64) uint64 {
 	if cfg.DiskBytes <= 0 {
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"time"
 
@@ -22,6 +21,7 @@
 	"github.com/plantainladder/plantainladder/controller/replica"
 	"github.com/plantainladder/plantainladder/controller/worker"
 	"github.com/plantainladder/plantainladder/formation"
+	"github.com/plantainladder/plantainladder/http1"
 	"github.com/plantainladder/plantainladder/loop"
 	"github.com/plantainladder/plantainladder/member"
 	"github.com/plantainladder/plantainladder/rpc"
@@ -278,6 +278,7 @@
 	s := rpc.NewServer(rpc.ServerConfig{
 		Token:      n.cfg.ClusterToken,
 		MaxCalls:   maxConcurrentCalls,
+		Frames:     n.cfg.Intake.Frames,
 		CountBytes: n.meters.countBytes,
 	})
 	replica.Register(s, replica.ServerConfig{
@@ -327,16 +328,20 @@
 // controller first.
 func (n *Node) Run(ctx context.Context, stopping <-chan struct{}) (err error) {
 	defer util.Annotate(&err, "controller: run")
-	listener, err := net.Listen("tcp", n.cfg.Listen)
+	server, err := http1.Listen(n.cfg.Listen, http1.Config{
+		Handler:       n.handler(),
+		HeaderTimeout: shutdownTimeout,
+		Limits:        n.cfg.Intake.Limits,
+		Budget:        n.cfg.Intake.Bodies,
+		CountRefusal:  n.cfg.Intake.CountRefusal,
+		CountCalls:    func(http1.Outcome, int) {},
+		Logger:        n.logger,
+	})
 	if err != nil {
 		return err
 	}
-	server := &http.Server{
-		Handler:           n.handler(),
-		ReadHeaderTimeout: shutdownTimeout,
-	}
 	failed := make(chan error, 2)
-	go func() { failed <- server.Serve(listener) }()
+	go func() { failed <- server.Serve() }()
 	go func() {
 		defer close(n.written)
 		failed <- n.writer.Run(ctx)
@@ -358,7 +363,7 @@
 	if n.cfg.Voters > 0 {
 		go n.joiner().Run(ctx)
 	}
-	n.logger.Info().Str("address", listener.Addr().String()).Msg("Controller is listening.")
+	n.logger.Info().Str("address", server.Address()).Msg("Controller is listening.")
 	select {
 	case err = <-failed:
 		return err
--- a/rpc/server.go
+++ b/rpc/server.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/plantainladder/plantainladder/codec"
+	"github.com/plantainladder/plantainladder/intake"
 )
 
 // A ServerConfig configures a Server.
@@ -21,6 +22,9 @@
 	// MaxCalls is the number of calls of one connection that may run at the same
 	// time.
 	MaxCalls int
+	// Frames bounds the bytes of frames that have arrived in part; nil for no bound. The
+	// connection of a frame that does not fit is closed.
+	Frames *intake.Budget
 	// CountBytes is called with the number of bytes written and read; nil for
 	// none.
 	CountBytes func(written, read int)
@@ -133,7 +137,7 @@
 func (s *Server) serve(ctx context.Context, conn *websocket.Conn, l *link) {
 	running := make(chan struct{}, s.cfg.MaxCalls)
 	for {
-		f, n, err := readFrame(ctx, conn)
+		f, n, err := readBoundedFrame(ctx, conn, s.cfg.Frames)
 		if err != nil {
 			return
 		}
