--- a/gateway/main.go
+++ b/gateway/main.go
@@ -21,6 +21,7 @@
 	"github.com/plantainladder/plantainladder/gateway/operator"
 	"github.com/plantainladder/plantainladder/gateway/worker"
 	"github.com/plantainladder/plantainladder/http1"
+	"github.com/plantainladder/plantainladder/intake"
 	"github.com/plantainladder/plantainladder/loop"
 	"github.com/plantainladder/plantainladder/util"
 )
@@ -31,6 +32,14 @@
 	headerTimeout    = 5 * time.Second
 	idleTimeout      = 60 * time.Second
 	maxHeaderBytes   = 32 << 10
+	// A body of 1 MiB arrives within bodyTimeout at bodyRate.
+	bodyGrace   = 10 * time.Second
+	bodyRate    = 16 << 10
+	bodyTimeout = 75 * time.Second
+	// stallTimeout is how long a body or an answer may make no progress.
+	stallTimeout = 10 * time.Second
+	// socketBytes bounds what has arrived over a connection and is not read.
+	socketBytes = 64 << 10
 )
 
 // A server is one running gateway.
@@ -83,6 +92,7 @@
 	mux := http.NewServeMux()
 	createRefusalCounters()
 	createStopCounters()
+	createClientRefusalCounters()
 	caller.NewHandler(caller.Config{
 		Gateway:        s.cfg.name,
 		EffectRouter:   s.effectRouter,
@@ -140,8 +150,18 @@
 		HeaderTimeout:  headerTimeout,
 		IdleTimeout:    idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
-		CountCalls:     countStopCalls,
-		Logger:         s.logger,
+		Limits: intake.Limits{
+			MaxConnections: s.cfg.maxConnections,
+			BodyGrace:      bodyGrace,
+			BodyRate:       bodyRate,
+			BodyTimeout:    bodyTimeout,
+			StallTimeout:   stallTimeout,
+			SocketBytes:    socketBytes,
+		},
+		Budget:       intake.NewBudget(s.cfg.bodyBytes()),
+		CountRefusal: countRefusal,
+		CountCalls:   countStopCalls,
+		Logger:       s.logger,
 	})
 	if err != nil {
 		return err
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -39,6 +39,21 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("gateway_stop_calls_total{outcome=%q}", o)).Add(n)
 }
 
+// createClientRefusalCounters creates the counter of each refusal of what clients send.
+func createClientRefusalCounters() {
+	for _, r := range http1.Refusals() {
+		clientRefusals(r).Add(0)
+	}
+}
+
+func countRefusal(r http1.Refusal) {
+	clientRefusals(r).Inc()
+}
+
+func clientRefusals(r http1.Refusal) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf("gateway_client_refusals_total{reason=%q}", r))
+}
+
 func countBytes(written, read int) {
 	bytesWritten.Add(written)
 	bytesRead.Add(read)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -14,7 +14,11 @@
     --cluster-token s3cret --operator-token 0per --worker-token w0rk --minion-token m1n`
 
 const (
-	defaultMaxQueue    = 2000
+	defaultMaxQueue = 2000
+	// defaultMaxConnections leaves room for the requests that wait in the queue and as many others.
+	defaultMaxConnections = 4096
+	// minBodyMB is above the largest body of a request.
+	minBodyMB          = 2
 	defaultDrainNotice = 3 * time.Second
 	defaultDrainLimit  = 60 * time.Second
 )
@@ -33,8 +37,20 @@
 	logLevel      string
 	memoryMB      int
 	maxQueue      int
-	drainNotice   time.Duration
-	drainLimit    time.Duration
+	// maxConnections and bodyMB bound what clients may send.
+	maxConnections int
+	bodyMB         int
+	drainNotice    time.Duration
+	drainLimit     time.Duration
+}
+
+// bodyBytes returns the budget of the bodies of requests, in bytes.
+func (cfg settings) bodyBytes() int64 {
+	mb := cfg.bodyMB
+	if mb == 0 {
+		mb = cfg.memoryMB / 2
+	}
+	return int64(mb) << 20
 }
 
 func loadSettings() settings {
@@ -52,6 +68,8 @@
 	s.Flags.IntVar(&cfg.memoryMB, "memory-mb", util.DefaultMemoryMB, "soft memory limit of the Go runtime, in megabytes")
 	s.Flags.StringVar(&cfg.logLevel, "log-level", "info", "log level: debug, info, warn or error")
 	s.Flags.IntVar(&cfg.maxQueue, "max-queue", defaultMaxQueue, "maximum number of queued requests")
+	s.Flags.IntVar(&cfg.maxConnections, "max-connections", defaultMaxConnections, "maximum number of open connections of clients")
+	s.Flags.IntVar(&cfg.bodyMB, "body-mb", 0, "budget of the bodies of requests, in megabytes; 0 for half of memory-mb")
 	s.Flags.DurationVar(&cfg.drainNotice, "drain-notice", defaultDrainNotice, "time to go on serving while not ready before the shutdown")
 	s.Flags.DurationVar(&cfg.drainLimit, "drain-limit", defaultDrainLimit, "longest time to wait for running requests at the shutdown")
 	s.MustLoad(func() {
@@ -74,6 +92,8 @@
 			s.Require(token != "" || cfg.insecure, "%s: must be set unless insecure-no-tokens is given", name)
 		}
 		s.Require(cfg.maxQueue > 0, "max-queue: must be above 0")
+		s.Require(cfg.maxConnections > cfg.maxQueue, "max-connections: must be above max-queue")
+		s.Require(cfg.bodyMB == 0 || cfg.bodyMB >= minBodyMB, "body-mb: must be 0 or at least %d", minBodyMB)
 		s.Require(cfg.drainNotice >= 0, "drain-notice: must not be negative")
 		s.Require(cfg.drainLimit > 0, "drain-limit: must be above 0")
 	})
