--- a/gateway/main.go
+++ b/gateway/main.go
@@ -151,7 +151,7 @@
 		IdleTimeout:    idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
 		Limits: intake.Limits{
-			MaxConnections: s.cfg.maxConnections,
+			MaxConnections: s.cfg.connectionLimit(),
 			BodyGrace:      bodyGrace,
 			BodyRate:       bodyRate,
 			BodyTimeout:    bodyTimeout,
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -15,8 +15,9 @@
 
 const (
 	defaultMaxQueue = 2000
-	// defaultMaxConnections leaves room for the requests that wait in the queue and as many others.
-	defaultMaxConnections = 4096
+	// minDefaultConnections leaves room for the requests that wait in the default queue and as
+	// many others.
+	minDefaultConnections = 4096
 	// minBodyMB is above the largest body of a request.
 	minBodyMB          = 2
 	defaultDrainNotice = 3 * time.Second
@@ -44,6 +45,14 @@
 	drainLimit     time.Duration
 }
 
+// connectionLimit returns the maximum number of open connections of clients.
+func (cfg settings) connectionLimit() int {
+	if cfg.maxConnections == 0 {
+		return max(2*cfg.maxQueue, minDefaultConnections)
+	}
+	return cfg.maxConnections
+}
+
 // bodyBytes returns the budget of the bodies of requests, in bytes.
 func (cfg settings) bodyBytes() int64 {
 	mb := cfg.bodyMB
@@ -68,7 +77,7 @@
 	s.Flags.IntVar(&cfg.memoryMB, "memory-mb", util.DefaultMemoryMB, "soft memory limit of the Go runtime, in megabytes")
 	s.Flags.StringVar(&cfg.logLevel, "log-level", "info", "log level: debug, info, warn or error")
 	s.Flags.IntVar(&cfg.maxQueue, "max-queue", defaultMaxQueue, "maximum number of queued requests")
-	s.Flags.IntVar(&cfg.maxConnections, "max-connections", defaultMaxConnections, "maximum number of open connections of clients")
+	s.Flags.IntVar(&cfg.maxConnections, "max-connections", 0, "maximum number of open connections of clients; 0 for twice max-queue, at least 4096")
 	s.Flags.IntVar(&cfg.bodyMB, "body-mb", 0, "budget of the bodies of requests, in megabytes; 0 for half of memory-mb")
 	s.Flags.DurationVar(&cfg.drainNotice, "drain-notice", defaultDrainNotice, "time to go on serving while not ready before the shutdown")
 	s.Flags.DurationVar(&cfg.drainLimit, "drain-limit", defaultDrainLimit, "longest time to wait for running requests at the shutdown")
@@ -92,7 +101,7 @@
 			s.Require(token != "" || cfg.insecure, "%s: must be set unless insecure-no-tokens is given", name)
 		}
 		s.Require(cfg.maxQueue > 0, "max-queue: must be above 0")
-		s.Require(cfg.maxConnections > cfg.maxQueue, "max-connections: must be above max-queue")
+		s.Require(cfg.maxConnections == 0 || cfg.maxConnections > cfg.maxQueue, "max-connections: must be 0 or above max-queue")
 		s.Require(cfg.bodyMB == 0 || cfg.bodyMB >= minBodyMB, "body-mb: must be 0 or at least %d", minBodyMB)
 		s.Require(cfg.drainNotice >= 0, "drain-notice: must not be negative")
 		s.Require(cfg.drainLimit > 0, "drain-limit: must be above 0")
