--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -70,7 +70,7 @@
 			}
 		}
 	}
-	if best == nil && !(isRackBound && g.needsSpeed) {
+	if best == nil && (!isRackBound || !g.needsSpeed) {
 		best = p.findPreemption(f.nodes, g, candidates, freedSoon)
 	}
 	return best
