Let starved work go before headroom for urgent work

A workflow without runs that has waited for 2 s, and for which there is room twice over, may place one task, or a gang, without regard to the headroom. The test failed before: nothing was placed after 2.5 s. The change decides nothing about crashes.

--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -285,3 +285,31 @@
 	g.waiting = g.waiting[:most]
 	return g
 }
+
+// isStarved reports whether a task group has waited for long without any run of its workflow,
+// although there is room for it twice over. It is not held back for urgent work, which may
+// never leave the headroom that it wants while it has many long runs.
+func (p *placer) isStarved(f *fleet, g taskGroup) bool {
+	if p.s.now.Sub(g.since()) < maxReservationWait || slices.ContainsFunc(g.wf.Occurrences, workflow.Occurrence.HasPlacedTask) {
+		return false
+	}
+	needed := 2
+	if g.step.IsGang {
+		needed = 2 * len(g.waiting)
+	}
+	for _, n := range f.nodes {
+		if needed -= g.fitCount(n, p.available(n, g), needed); needed <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// withFirstWaiting returns g with the least of its waiting tasks that may be placed: the first,
+// or all of a gang.
+func (g taskGroup) withFirstWaiting() taskGroup {
+	if !g.step.IsGang {
+		g.waiting = g.waiting[:1]
+	}
+	return g
+}
--- a/dispatch/headroom_internal_test.go
+++ b/dispatch/headroom_internal_test.go
@@ -4,9 +4,12 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/plantainladder/plantainladder/workflow"
 )
 
 // recounted returns how many tasks of a group leave enough accelerators free for urgent
@@ -41,6 +44,34 @@
 // Placements and preemptions of a pass change what is free, but not its runs. Counts that
 // were kept for longer than they hold would place too much beside urgent work, or nothing.
 var _ = Describe("The headroom for urgent work", func() {
+	// Jobs had nothing running for over 3 s beside free workers: urgent runs took many times
+	// as long as estimated and held more accelerators than were free.
+	DescribeTable("keeps work of other workflows waiting for 2 s only, if there is room for it twice over", func(step workflow.Step, wait time.Duration, want int) {
+		var ids []string
+		for i := range 10 {
+			ids = append(ids, fmt.Sprintf("w%d", i))
+		}
+		c := newCluster(newWorkers(ids...))
+		for i := range c.machines {
+			c.machines[i].Capacity.Accelerators = 8
+		}
+		c.commit()
+		c.stepFor(time.Second)
+		urgent := newGang(6, 1)
+		urgent.PerTask.Accelerators = 8
+		c.submit(newWorkflow("urgent", 0, urgent))
+		c.stepFor(time.Second)
+		step.PerTask.Accelerators = 1
+		c.submit(newWorkflow("other", 1, step))
+		c.stepFor(wait)
+		Expect(c.placedAt("other")).To(HaveLen(want))
+	},
+		Entry("not before", newStep(4, 1, time.Minute), 1500*time.Millisecond, 0),
+		Entry("one task after that", newStep(4, 1, time.Minute), 2500*time.Millisecond, 1),
+		Entry("a gang as a whole", newGang(4, 1), 2500*time.Millisecond, 4),
+		Entry("not without that room", newGang(20, 1), 2500*time.Millisecond, 0),
+	)
+
 	for seed := range uint64(20) {
 		It(fmt.Sprintf("is that of all runs while a pass places tasks, seed %d", seed), func() {
 			rng := rand.New(rand.NewPCG(seed, 2))
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -106,6 +106,9 @@
 	whole := g
 	if reserves {
 		g = f.withinHeadroom(g)
+		if len(g.waiting) == 0 && p.isStarved(f, whole) {
+			g = whole.withFirstWaiting()
+		}
 	}
 	if len(g.waiting) == 0 {
 		p.wait(whole, waitsForHeadroom)
