--- a/control/dispatch.go
+++ b/control/dispatch.go
@@ -132,3 +132,12 @@
 	}
 	return c.leadership.dispatcher.Interference()
 }
+
+// UnevenPools returns what dispatch.Dispatcher's UnevenPools does; nothing if this controller
+// does not lead.
+func (c Core) UnevenPools() (pools, workers int) {
+	if c.leadership == nil {
+		return 0, 0
+	}
+	return c.leadership.dispatcher.UnevenPools()
+}
--- a/controller/node/meters.go
+++ b/controller/node/meters.go
@@ -165,6 +165,7 @@
 	for _, e := range pairs {
 		slowdown = max(slowdown, e.Slowdown)
 	}
+	unevenPools, knownSpeeds := c.UnevenPools()
 	for name, v := range map[string]float64{
 		"controller_is_leader":                leader,
 		"controller_tolerated_losses":         tolerated,
@@ -184,6 +185,8 @@
 		"controller_workflows":                float64(counts.Workflows),
 		"controller_unsettled":                float64(counts.ActiveWorkflows),
 		"controller_pool_workers":             float64(counts.PoolWorkers),
+		"controller_uneven_pools":             float64(unevenPools),
+		"controller_known_speeds":             float64(knownSpeeds),
 		"controller_interference_pairs":       float64(len(pairs)),
 		"controller_interference_slowdown":    slowdown,
 	} {
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -230,3 +230,22 @@
 		incarnation: t.Incarnation,
 	}
 }
+
+// UnevenPools returns the number of pools whose workers differ in speed beyond doubt, and how
+// many workers of these have a known speed.
+func (d Dispatcher) UnevenPools() (pools, workers int) {
+	for _, spread := range d.spreads {
+		if spread.IsUneven() {
+			pools++
+		}
+	}
+	if pools == 0 {
+		return 0, 0
+	}
+	for itr := d.views.Iterator(); !itr.Done(); {
+		if _, v, _ := itr.Next(); v.speed.HasSamples() && d.spreads[v.worker.Pool].IsUneven() {
+			workers++
+		}
+	}
+	return pools, workers
+}
--- a/dispatch/speed_internal_test.go
+++ b/dispatch/speed_internal_test.go
@@ -92,6 +92,8 @@
 			id:          "w00",
 			incarnation: 1,
 		})
+		pools, workers := c.dispatcher.UnevenPools()
+		Expect([]int{pools, workers}).To(Equal([]int{1, 30}))
 		Expect(atSpeed(4*time.Second, belief.Mean)).To(BeNumerically("~", 6700*time.Millisecond, 700*time.Millisecond))
 	})
 
