Limit a task only by the resources that it needs

Callers saw: an organisation with 8 accelerators in use whose limit was lowered to 4 got no work placed that needs only cores, until the runs had ended. The same while a gang had a reservation of accelerators within the limit. Urgent work without accelerators stopped runs that use them.

Cause: FitCount returns 0 if any component of the room is negative, also one of which the tasks need nothing.

Change: ResourceVector.RoomFor leaves resources unlimited of which a task needs nothing; fitWithin uses it for placements, room held, starts and reclaimLimit. The overage for a gang or task that exceeds the limit by itself still needs that the organisation uses nothing at all of any resource, which is the cautious reading of the rule.

--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -110,9 +110,9 @@
 
 // fitWithin returns how many of a number of tasks may be added to what an organisation uses,
 // either none or at least the given number. Tasks that exceed the limit by themselves may
-// exceed it by the overage if nothing else is used.
+// exceed it by the overage if nothing else is used. Only resources that the tasks need count.
 func fitWithin(limit pool.ResourceVector, overage float64, used, perTask pool.ResourceVector, least, most int) int {
-	if n := perTask.FitCount(limit.Room(used), most); n >= least {
+	if n := perTask.FitCount(limit.RoomFor(perTask, used), most); n >= least {
 		return n
 	}
 	if used.IsZero() && limit.WithOverage(overage).CanEverFit(perTask, least) {
--- a/pool/limit.go
+++ b/pool/limit.go
@@ -31,6 +31,21 @@
 	}
 }
 
+// RoomFor returns the room for copies of each within the limit r in addition to used. A
+// resource of which each needs nothing is not limited, also where more is used already.
+func (r ResourceVector) RoomFor(each, used ResourceVector) ResourceVector {
+	if each.MilliCores == 0 {
+		r.MilliCores = 0
+	}
+	if each.MemoryMB == 0 {
+		r.MemoryMB = 0
+	}
+	if each.Accelerators == 0 {
+		r.Accelerators = 0
+	}
+	return r.Room(used)
+}
+
 func room(limit, used int) int {
 	if limit == 0 {
 		return unlimited
--- a/pool/limit_test.go
+++ b/pool/limit_test.go
@@ -30,6 +30,13 @@
 		Entry("up to its largest amount", newVector(0, 0, pool.MaxLimitAmount), newVector(0, 0, 5), 100),
 	)
 
+	// Work without accelerators was held up while more accelerators were in use than allowed.
+	It("bounds only work that needs the resource", func() {
+		limit, used := newVector(4000, 0, 4), newVector(1000, 50, 8)
+		Expect(newVector(1000, 10, 0).FitCount(limit.RoomFor(newVector(1000, 10, 0), used), 100)).To(Equal(3))
+		Expect(newVector(1000, 10, 1).FitCount(limit.RoomFor(newVector(1000, 10, 1), used), 100)).To(BeZero())
+	})
+
 	DescribeTable("is raised by a share of itself", func(share float64, accelerators int) {
 		Expect(newVector(0, 0, 25).WithOverage(share)).To(Equal(newVector(0, 0, accelerators)))
 	},
