Reserve room within a limit for a single large task

Callers saw: a task of 4 cores, the limit of its organisation, did not start while tasks of 1 core and 1 s arrived every 200 ms.

Cause: only gangs got a reservation, so that smaller work took each core that became free.

Change: a group of which not even one task fits gets a reservation for one task. It is kept apart from that of a gang, so that neither takes the place of the other. A task and a gang can now both hold back smaller work.

Result: 'is not starved by smaller work' failed before (no start in 20 s) and passes now, with all tests of dispatch. In another trial (a task of 8 cores and a gang of 8 cores of 1 s each, limit 8, 1-core tasks of 1 s every 100 ms) the gang had started within 12 s before this change and had not after it: it waits for the task, and is late by then.

--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -19,16 +19,17 @@
 	placed map[string]pool.ResourceVector
 	// held holds what is kept for urgent work that waits for runs which are being stopped.
 	held map[string]pool.ResourceVector
-	// reserved holds what is kept for gangs that wait for the limit.
-	reserved map[string]limitReservation
+	// reserved holds what is kept for work that waits for the limit: for each organisation at
+	// most one gang, and one task that is not in a gang.
+	reserved map[string][]limitReservation
 }
 
-// A limitReservation is what is kept for a gang that is expected to fit within the limit of
-// its organisation at a time.
+// A limitReservation is what is kept for a gang or task that is expected to fit within the
+// limit of its organisation at a time.
 type limitReservation struct {
-	gang taskGroup
-	use  pool.ResourceVector
-	at   time.Time
+	taskGroup taskGroup
+	use       pool.ResourceVector
+	at        time.Time
 }
 
 func newOrganisationLimits(state ClusterState, overage float64, used map[string]pool.ResourceVector) *organisationLimits {
@@ -38,7 +39,7 @@
 		limits:   map[string]pool.ResourceVector{},
 		placed:   maps.Clone(used),
 		held:     map[string]pool.ResourceVector{},
-		reserved: map[string]limitReservation{},
+		reserved: map[string][]limitReservation{},
 	}
 }
 
@@ -93,8 +94,10 @@
 		return within, beyond
 	}
 	used := l.placed[org].Plus(l.held[org])
-	if r, ok := l.reserved[org]; ok && !ignoresReservations && r.isBefore(now, g) {
-		used = used.Plus(r.use)
+	for _, r := range l.reserved[org] {
+		if !ignoresReservations && r.isBefore(now, g) {
+			used = used.Plus(r.use)
+		}
 	}
 	n := fitWithin(limit, l.overage, used, g.step.PerTask, g.leastTasks(), len(g.waiting))
 	within.waiting, beyond.waiting = g.waiting[:n], g.waiting[n:]
@@ -102,10 +105,10 @@
 }
 
 // isBefore reports whether a task group has to leave what is reserved: it began to wait after
-// the gang and would not end in time.
+// the one that it is for and would not end in time.
 func (r limitReservation) isBefore(now time.Time, g taskGroup) bool {
 	// DeclaredRunTime holds the predicted run time.
-	return !g.since().Before(r.gang.since()) && now.Add(g.step.DeclaredRunTime).After(r.at)
+	return !g.since().Before(r.taskGroup.since()) && now.Add(g.step.DeclaredRunTime).After(r.at)
 }
 
 // fitWithin returns how many of a number of tasks may be added to what an organisation uses,
@@ -155,7 +158,7 @@
 		p.limits.hold(g, unplaced)
 	case unplaced > 0 || len(beyond.waiting) == 0:
 	default:
-		p.waitForLimit(f, beyond)
+		p.waitForLimit(f, beyond, len(within.waiting) > 0)
 	}
 }
 
--- a/dispatch/limit_preempt.go
+++ b/dispatch/limit_preempt.go
@@ -102,9 +102,9 @@
 }
 
 // waitForLimit handles the tasks of a group that do not fit within the limit of its
-// organisation. Urgent ones under a guarantee stop less urgent runs of the organisation; a
-// gang that cannot do that gets a reservation.
-func (p *placer) waitForLimit(f *fleet, g taskGroup) {
+// organisation. Urgent ones under a guarantee stop less urgent runs of the organisation. A
+// gang that cannot do that gets a reservation, and so does a task if none of its group fits.
+func (p *placer) waitForLimit(f *fleet, g taskGroup, fitsPartly bool) {
 	p.wait(g, waitsForLimit)
 	if mayPreempt(p.s.dispatcher.cfg.Policy, g) && g.isGuaranteed {
 		if n := p.reclaimLimit(f, g); n > 0 {
@@ -113,7 +113,7 @@
 			return
 		}
 	}
-	if reservesCapacity(p.s.dispatcher.cfg.Policy) && g.step.IsGang {
+	if reservesCapacity(p.s.dispatcher.cfg.Policy) && !fitsPartly {
 		p.reserveLimit(g)
 	}
 }
@@ -246,15 +246,19 @@
 	})
 }
 
-// reserveLimit keeps room within the limit for a gang at the time at which enough runs of its
-// organisation are expected to have ended, unless another gang has a reservation. Without
-// it, smaller work of the organisation would take all that becomes free.
+// reserveLimit keeps room within the limit for a gang, or one task of another group, at the
+// time at which enough runs of its organisation are expected to have ended, unless another
+// gang or task has a reservation. Without it, smaller work of the organisation would take all
+// that becomes free.
 func (p *placer) reserveLimit(g taskGroup) {
 	org := g.wf.Spec.Organisation
-	if _, isTaken := p.limits.reserved[org]; isTaken || !p.limits.canEverFit(g) {
+	isTaken := slices.ContainsFunc(p.limits.reserved[org], func(r limitReservation) bool {
+		return r.taskGroup.step.IsGang == g.step.IsGang
+	})
+	if isTaken || !p.limits.canEverFit(g) {
 		return
 	}
-	limit, n := p.limits.limitOf(org), len(g.waiting)
+	limit, n := p.limits.limitOf(org), g.leastTasks()
 	used := p.limits.placed[org].Plus(p.limits.held[org])
 	ends := p.runsOf(org).ends
 	slices.SortStableFunc(ends, func(a, b expectedRelease) int {
@@ -263,11 +267,11 @@
 	for _, e := range ends {
 		used = used.Minus(e.use)
 		if fitWithin(limit, p.limits.overage, used, g.step.PerTask, n, n) == n {
-			p.limits.reserved[org] = limitReservation{
-				gang: g,
-				use:  g.step.PerTask.Times(n),
-				at:   e.at,
-			}
+			p.limits.reserved[org] = append(p.limits.reserved[org], limitReservation{
+				taskGroup: g,
+				use:       g.step.PerTask.Times(n),
+				at:        e.at,
+			})
 			return
 		}
 	}
--- a/dispatch/limit_resource_internal_test.go
+++ b/dispatch/limit_resource_internal_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -64,3 +65,44 @@
 		Expect(c.preempted()).To(BeEmpty())
 	})
 })
+
+var _ = Describe("A large task at the limit of its organisation", func() {
+	// Smaller work that came later took each core that became free; only gangs had room
+	// reserved.
+	It("is not starved by smaller work", func() {
+		c := newCluster(newWorkers("a", "b", "c", "d"))
+		c.setLimits(map[string]int{
+			"mill": 4,
+		})
+		for i := range 100 {
+			if i == 5 {
+				c.submit(of("mill", newWorkflow("large", 1, newStep(1, 4, time.Second))))
+			}
+			c.submit(of("mill", newWorkflow(fmt.Sprint("small-", i), 1, newStep(1, 1, time.Second))))
+			c.stepFor(200 * time.Millisecond)
+		}
+		Expect(c.startsSent["large"]).To(Equal(1))
+	})
+
+	// With one reservation for an organisation, that of a task would take the place of the gang's.
+	It("leaves a gang its reservation", func() {
+		c := newCluster(newWorkers("a", "b", "c", "d"))
+		c.setLimits(map[string]int{
+			"mill": 8,
+		})
+		for i := range 8 {
+			c.submit(of("mill", newWorkflow(fmt.Sprint("first-", i), 1, newStep(1, 1, 4*time.Second))))
+			c.stepFor(400 * time.Millisecond)
+		}
+		c.submit(of("mill", newWorkflow("large", 1, newStep(1, 4, time.Second))))
+		gang := newGang(4, 2)
+		gang.DeclaredRunTime = 2 * time.Second
+		c.submit(of("mill", newWorkflow("gang", 1, gang)))
+		for i := range 12 {
+			c.submit(of("mill", newWorkflow(fmt.Sprint("small-", i), 1, newStep(1, 1, 20*time.Second))))
+			c.stepFor(500 * time.Millisecond)
+		}
+		Expect(c.startsSent["large"]).To(Equal(1))
+		Expect(c.startsSent["gang"]).To(Equal(4))
+	})
+})
