Order by weight within a pool, and keep the shares

Callers saw: with 5,000 waiting task groups of 34 organisations the order alone took longer than a placement pass may. Where pools differ, an organisation with few accelerators came after one with more, since its cores in another pool were compared with their accelerators.

Cause: pop computed the share of each organisation for each group. The unit followed from the pool of the head group of each organisation.

Change: there is a queue for each organisation and pool, which keeps the share; only the shares of the organisation tried last are computed again. The pool of the first group in the order of the policy is next; organisations are compared within it. Both faults are in pop, so this is one commit.

--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -4,8 +4,9 @@
 
 // A groupOrder yields the task groups of a placement pass in the order in which they are
 // tried. Where no organisation has a weight that is the order of the policy. Otherwise, among
-// those of one priority that are not under a guarantee, the organisation that uses the
-// smallest part of its share is next, also counting what this pass has placed.
+// those of one priority that are not under a guarantee, the pool of the first group in the
+// order of the policy is next, and in it the organisation that uses the smallest part of its
+// share, also counting what this pass has placed.
 type groupOrder struct {
 	groups []taskGroup
 	// next is the index of the first group that neither was yielded nor is in queues.
@@ -14,12 +15,19 @@
 	weights map[string]float64
 	// queues holds the groups of the priority that is tried.
 	queues []organisationQueue
+	// last is the organisation whose group was yielded last from queues; its use may have
+	// changed since.
+	last string
 }
 
-// An organisationQueue is the groups of one organisation by index, in the order of the policy.
+// An organisationQueue is the groups of one organisation in one pool by index, in the order of
+// the policy.
 type organisationQueue struct {
 	organisation string
+	pool         string
 	indexes      []int
+	// share is what the organisation uses, divided by its weight.
+	share float64
 }
 
 func newGroupOrder(groups []taskGroup, p Policy, weightOf func(organisation string) float64) *groupOrder {
@@ -71,40 +79,73 @@
 			return o.groups[o.next-1], true
 		}
 		o.fillQueues()
-	}
-	best, least := 0, 0.0
-	for i, q := range o.queues {
-		share := use(o.groups[q.indexes[0]]) / o.weights[q.organisation]
-		isEarlier := share == least && q.indexes[0] < o.queues[best].indexes[0]
-		if i == 0 || share < least || isEarlier {
-			best, least = i, share
+		for i := range o.queues {
+			o.updateShare(&o.queues[i], use)
+		}
+	} else {
+		for i := range o.queues {
+			if q := &o.queues[i]; q.organisation == o.last {
+				o.updateShare(q, use)
+			}
 		}
 	}
+	best := o.nextQueue()
 	q := &o.queues[best]
-	g = o.groups[q.indexes[0]]
+	g, o.last = o.groups[q.indexes[0]], q.organisation
 	if q.indexes = q.indexes[1:]; len(q.indexes) == 0 {
 		o.queues = append(o.queues[:best], o.queues[best+1:]...)
 	}
 	return g, true
 }
 
+func (o *groupOrder) updateShare(q *organisationQueue, use func(g taskGroup) float64) {
+	q.share = use(o.groups[q.indexes[0]]) / o.weights[q.organisation]
+}
+
+// nextQueue returns the index of the queue with the smallest share in the pool of the first
+// group. Shares in different pools are not compared, since their units may differ.
+func (o *groupOrder) nextQueue() int {
+	best := 0
+	for i := range o.queues {
+		if o.queues[i].indexes[0] < o.queues[best].indexes[0] {
+			best = i
+		}
+	}
+	first := &o.queues[best]
+	for i := range o.queues {
+		q, least := &o.queues[i], &o.queues[best]
+		isEarlier := q.share == least.share && q.indexes[0] < least.indexes[0]
+		if (q.share < least.share || isEarlier) && q.pool == first.pool {
+			best = i
+		}
+	}
+	return best
+}
+
 // fillQueues sorts the groups of the next priority that are not under a guarantee by
-// organisation.
+// organisation and pool.
 func (o *groupOrder) fillQueues() {
-	positions := map[string]int{}
+	type queueKey struct {
+		organisation, pool string
+	}
+	positions := map[queueKey]int{}
 	first := o.groups[o.next]
 	for ; o.next < len(o.groups); o.next++ {
 		g := o.groups[o.next]
 		if g.isGuaranteed || g.wf.QueueSettings.Priority != first.wf.QueueSettings.Priority {
 			return
 		}
-		org := g.wf.Spec.Organisation
-		at, ok := positions[org]
+		k := queueKey{
+			organisation: g.wf.Spec.Organisation,
+			pool:         g.wf.QueueSettings.Pool,
+		}
+		at, ok := positions[k]
 		if !ok {
 			at = len(o.queues)
-			positions[org] = at
+			positions[k] = at
 			o.queues = append(o.queues, organisationQueue{
-				organisation: org,
+				organisation: k.organisation,
+				pool:         k.pool,
 			})
 		}
 		o.queues[at].indexes = append(o.queues[at].indexes, o.next)
--- a/dispatch/share_internal_test.go
+++ b/dispatch/share_internal_test.go
@@ -84,6 +84,50 @@
 		Expect(accelerators(c, "mill")).To(Equal(6))
 	})
 
+	newGroup := func(organisation, poolName string) taskGroup {
+		w := of(organisation, newWorkflow(organisation+"-"+poolName, 1, newStep(1, 1, time.Second)))
+		w.QueueSettings.Pool = poolName
+		return taskGroup{
+			wf: w,
+		}
+	}
+
+	// The share of all organisations was computed for each group, which took longer than a
+	// whole pass may.
+	It("computes the share of an organisation only after a group of it was tried", func() {
+		var groups []taskGroup
+		for i := range 5000 {
+			groups = append(groups, newGroup(fmt.Sprint(i%34), "pool"))
+		}
+		o := newGroupOrder(groups, GuaranteeAware{}, func(string) float64 { return 1 })
+		computed := 0
+		for ok := true; ok; {
+			_, ok = o.pop(func(taskGroup) float64 {
+				computed++
+				return float64(computed)
+			})
+		}
+		Expect(computed).To(BeNumerically("<=", 5000+34))
+	})
+
+	// The cores of one organisation were compared with the accelerators of another.
+	It("compares organisations only within a pool", func() {
+		uses := map[string]float64{"mill-cpu": 100, "farm-cpu": 2, "mill-gpu": 1, "farm-gpu": 2}
+		o := newGroupOrder([]taskGroup{
+			newGroup("mill", "cpu"),
+			newGroup("mill", "gpu"),
+			newGroup("farm", "gpu"),
+			newGroup("farm", "cpu"),
+		}, GuaranteeAware{}, func(string) float64 { return 1 })
+		var order []string
+		for range uses {
+			g, ok := o.pop(func(g taskGroup) float64 { return uses[g.wf.Spec.ID] })
+			Expect(ok).To(BeTrue())
+			order = append(order, g.wf.Spec.ID)
+		}
+		Expect(order).To(Equal([]string{"farm-cpu", "mill-cpu", "mill-gpu", "farm-gpu"}))
+	})
+
 	for seed := range uint64(10) {
 		It(fmt.Sprintf("yields each group once, by priority, seed %d", seed), func() {
 			rng := rand.New(rand.NewPCG(seed, 5))
@@ -153,6 +197,23 @@
 	}
 }
 
+// BenchmarkGroupOrder is the order alone of 5,000 task groups of 34 organisations.
+func BenchmarkGroupOrder(b *testing.B) {
+	var groups []taskGroup
+	for i := range 5000 {
+		groups = append(groups, taskGroup{
+			wf: of(fmt.Sprint(i%34), newWorkflow("f", 1, newStep(1, 1, time.Second))),
+		})
+	}
+	used := map[string]float64{}
+	for b.Loop() {
+		o := newGroupOrder(groups, GuaranteeAware{}, func(string) float64 { return 1 })
+		for ok := true; ok; {
+			_, ok = o.pop(func(g taskGroup) float64 { return used[g.wf.Spec.Organisation] })
+		}
+	}
+}
+
 func benchmarkIDs(n int) (ids []string) {
 	for i := range n {
 		ids = append(ids, fmt.Sprintf("w-%03d", i))
