--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -58,7 +58,10 @@
 	diskQueueLength    = 4096
 	maxConcurrentCalls = 256
 	shutdownTimeout    = 3 * time.Second
-	reserveBytes       = 2 << 20
+	// maxHeaderBytes is above the few hundred bytes that processes and readers of metrics
+	// send. The default of net/http is 1 MiB for each connection.
+	maxHeaderBytes = 16 << 10
+	reserveBytes   = 2 << 20
 )
 
 // A Node is one running controller.
@@ -330,13 +333,14 @@
 func (n *Node) Run(ctx context.Context, stopping <-chan struct{}) (err error) {
 	defer util.Annotate(&err, "controller: run")
 	server, err := http1.Listen(n.cfg.Listen, http1.Config{
-		Handler:       n.handler(),
-		HeaderTimeout: shutdownTimeout,
-		Limits:        n.cfg.Intake.Limits,
-		Budget:        n.cfg.Intake.Bodies,
-		CountRefusal:  n.cfg.Intake.CountRefusal,
-		CountCalls:    func(http1.Outcome, int) {},
-		Logger:        n.logger,
+		Handler:        n.handler(),
+		HeaderTimeout:  shutdownTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+		Limits:         n.cfg.Intake.Limits,
+		Budget:         n.cfg.Intake.Bodies,
+		CountRefusal:   n.cfg.Intake.CountRefusal,
+		CountCalls:     func(http1.Outcome, int) {},
+		Logger:         n.logger,
 	})
 	if err != nil {
 		return err
