Never close the connection of a running call whose body is not read

At the limit of connections, a client got EOF while the handler of its DELETE with a body was running (the new test, before the change). Each call with a body counted as one that waits for it, also when its handler did not read it. Besides, a connection could be closed after its body had ended, since the choice and the close were two steps.

A connection waits for a body only during a Read of the handler. A choice holds only while the connection stays in its phase; a body or a call whose connection was closed is not acted on. What the handler left unread is read for 0.5 s after it, since its connection can't be closed then. The tests of http1 pass with -race.

--- a/http1/body.go
+++ b/http1/body.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -20,6 +21,9 @@
 	// refusedDrainTime is how long a refused body is still read, so that its sender gets the
 	// answer: the kernel resets a connection that is closed with bytes unread.
 	refusedDrainTime = 200 * time.Millisecond
+	// unreadDrainTime is how long a body that the handler has not read is still read, so that the
+	// connection can be used again. A packet that is lost stalls it for up to 400 ms.
+	unreadDrainTime = 500 * time.Millisecond
 )
 
 // A RefusedError is the error of a body that is not read to its end.
@@ -66,8 +70,16 @@
 	if b.refused != "" {
 		return 0, b.refusal()
 	}
-	b.conn.setBodyDeadline(b.server.cfg.Limits.Deadline(b.progress), time.Now())
+	if b.hasEnded {
+		return 0, io.EOF
+	}
+	if !b.conn.startRead(b.server.cfg.Limits.Deadline(b.progress), time.Now()) {
+		return 0, net.ErrClosed
+	}
 	n, err = b.ReadCloser.Read(p)
+	if !b.conn.endRead() {
+		return 0, net.ErrClosed
+	}
 	if n > 0 {
 		now := time.Now()
 		b.progress = b.progress.WithBytes(n, now)
@@ -104,9 +116,12 @@
 // reads a part of what the handler has not read, up to the deadline.
 func (b *boundedBody) end(now time.Time) {
 	b.charge.Release()
-	if b.refused != "" {
+	switch {
+	case b.refused != "":
 		b.server.countRefusal(b.refused, now)
 		b.conn.drainBody(now.Add(refusedDrainTime))
+	case !b.hasEnded:
+		b.conn.setBodyDeadline(now.Add(unreadDrainTime), now)
 	}
 }
 
--- a/http1/connection.go
+++ b/http1/connection.go
@@ -123,8 +123,11 @@
 	if stall == 0 || c.isIn(intake.TakenOver) {
 		return c.TCPConn.Write(b)
 	}
-	before := c.phase.Swap(int32(intake.Writing))
-	defer c.phase.CompareAndSwap(int32(intake.Writing), before)
+	before, ok := c.enter(intake.Writing)
+	if !ok {
+		return 0, net.ErrClosed
+	}
+	defer c.enter(before)
 	for n < len(b) {
 		now := time.Now()
 		c.advance(now)
@@ -166,11 +169,29 @@
 	return c.TCPConn.Close()
 }
 
-// cut closes the connection at the limit of connections. The goroutine that serves it ends
-// with the error of its next read or write.
-func (c *connection) cut() {
+// enter moves the connection to another phase and returns the one before. It returns false if
+// the connection was cut.
+func (c *connection) enter(p intake.Phase) (before intake.Phase, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isCut.Load() {
+		return before, false
+	}
+	return intake.Phase(c.phase.Swap(int32(p))), true
+}
+
+// cut closes the connection at the limit of connections, and reports whether it did: not if the
+// connection has left the phase in which it was chosen, since its call may run now. The goroutine
+// that serves it ends with the error of its next read or write.
+func (c *connection) cut(chosenIn intake.Phase) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isIn(chosenIn) {
+		return false
+	}
 	c.isCut.Store(true)
 	_ = c.TCPConn.Close()
+	return true
 }
 
 // SetReadDeadline sets the read deadline that net/http asks for, or idleGrace if that
@@ -223,13 +244,30 @@
 	}
 }
 
-// startBody records that the connection waits for a body.
+// startBody prepares the connection for the body of a call. Until the handler reads it, the call
+// is running.
 func (c *connection) startBody(deadline, now time.Time) {
 	c.interrupted.Store(false)
-	c.setPhase(intake.ReadingBody)
 	c.setBodyDeadline(deadline, now)
 }
 
+// startRead records that the handler waits for bytes of a body. It returns false if the
+// connection was cut.
+func (c *connection) startRead(deadline, now time.Time) bool {
+	// The time in which the handler did not read is no stall of the client.
+	c.advance(now)
+	c.setBodyDeadline(deadline, now)
+	_, ok := c.enter(intake.ReadingBody)
+	return ok
+}
+
+// endRead records that the handler has what it waited for. It returns false if the connection
+// was cut meanwhile: the handler must not act on the body.
+func (c *connection) endRead() bool {
+	_, ok := c.enter(intake.Running)
+	return ok
+}
+
 // setBodyDeadline sets the time until which the next bytes of a body must arrive; zero for no
 // limit.
 func (c *connection) setBodyDeadline(deadline, now time.Time) {
@@ -244,11 +282,10 @@
 	_ = c.TCPConn.SetReadDeadline(deadline)
 }
 
-// endBody records that the body has arrived.
+// endBody removes the deadline of a body that has arrived.
 func (c *connection) endBody() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.setPhase(intake.Running)
 	_ = c.TCPConn.SetReadDeadline(time.Time{})
 }
 
--- a/http1/connections.go
+++ b/http1/connections.go
@@ -87,9 +87,17 @@
 	if len(list) <= limit {
 		return
 	}
-	if victim := intake.Victim(states, now); victim >= 0 {
-		list[victim].cut()
-		c.server.countRefusal(TooManyConnections, now)
+	for {
+		victim := intake.Victim(states, now)
+		if victim < 0 {
+			return
+		}
+		if list[victim].cut(states[victim].Phase) {
+			c.server.countRefusal(TooManyConnections, now)
+			return
+		}
+		// It has made progress since its state was read.
+		states[victim].Phase = intake.Running
 	}
 }
 
--- a/http1/limits_test.go
+++ b/http1/limits_test.go
@@ -61,6 +61,10 @@
 		_, _ = w.Write(make([]byte, 64<<20))
 		return
 	}
+	if r.URL.Path == "/unread" {
+		time.Sleep(800 * time.Millisecond)
+		return
+	}
 	if _, err := io.ReadAll(r.Body); err != nil {
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
 		return
@@ -160,6 +164,19 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	// The client once got no answer to a call whose handler did not read its body, although it ran.
+	It("does not close the connection of a running call at its limit, although its body is not read", func() {
+		s := listenBounded(intake.Limits{
+			MaxConnections: 1,
+		}, 1<<20)
+		conn := dial(s.Server)
+		_, err := fmt.Fprint(conn, "DELETE /unread HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}")
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(600 * time.Millisecond)
+		dial(s.Server)
+		Expect(answerOf(conn).StatusCode).To(Equal(http.StatusOK))
+	})
+
 	It("ends an answer that is not read", func() {
 		s := listenBounded(limits, 1<<20)
 		_, err := fmt.Fprint(dial(s.Server), "GET /long HTTP/1.1\r\nHost: h\r\n\r\n")
--- a/http1/server.go
+++ b/http1/server.go
@@ -110,6 +110,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	conn, ok := r.Context().Value(connectionKey{}).(*connection)
+	if ok && conn.isCut.Load() {
+		// Its client gets no answer, so the call must not run.
+		return
+	}
 	if !ok || r.ContentLength == 0 {
 		s.calls.serve(s, w, r)
 		return
