Refuse bodies on the ports that take none, and count bodies that trickle as stalled

Few strangers blocked the health checks: their port has 64 connections, a body of one byte every 200 ms counted as progress, and so the new health check was the connection to be closed. The new tests of http1 and intake failed with each of the two changes taken out.

On the other ports a body that is older than 1 s and below the minimum rate so far is closed like one that has stalled. The budget of bodies of the processes' own port has no use any more and is removed.

--- a/controller/node/config.go
+++ b/controller/node/config.go
@@ -70,8 +70,8 @@
 type IntakeConfig struct {
 	// Limits bounds connections, and the time of bodies and answers.
 	Limits intake.Limits
-	// Frames bounds the bytes of incomplete frames, and Bodies those of bodies.
-	Frames, Bodies *intake.Budget
+	// Frames bounds the bytes of incomplete frames.
+	Frames *intake.Budget
 	// CountRefusal counts a refusal; nil for none.
 	CountRefusal func(reason http1.Refusal)
 }
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -337,7 +337,7 @@
 		HeaderTimeout:  shutdownTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
 		Limits:         n.cfg.Intake.Limits,
-		Budget:         n.cfg.Intake.Bodies,
+		RefusesBodies:  true,
 		CountRefusal:   n.cfg.Intake.CountRefusal,
 		CountCalls:     func(http1.Outcome, int) {},
 		Logger:         n.logger,
--- a/http1/body.go
+++ b/http1/body.go
@@ -73,7 +73,7 @@
 	if b.hasEnded {
 		return 0, io.EOF
 	}
-	if !b.conn.startRead(b.server.cfg.Limits.Deadline(b.progress), time.Now()) {
+	if !b.conn.startRead(b.progress, time.Now()) {
 		return 0, net.ErrClosed
 	}
 	n, err = b.ReadCloser.Read(p)
--- a/http1/connection.go
+++ b/http1/connection.go
@@ -33,6 +33,8 @@
 	// since the start of the server.
 	phase  atomic.Int32
 	lastAt atomic.Int64
+	// body is the progress of the body that the handler waits for; it holds in ReadingBody.
+	body atomic.Pointer[intake.Progress]
 	// isCut is true once the connection was closed at the limit of connections.
 	isCut atomic.Bool
 	// interrupted is true once the body under way was given up for another one.
@@ -44,10 +46,12 @@
 	hasBegun bool
 }
 
-func (c *connection) state() intake.Connection {
+func (c *connection) state(now time.Time) intake.Connection {
+	body := c.body.Load()
 	return intake.Connection{
 		Phase:  intake.Phase(c.phase.Load()),
 		LastAt: c.server.startedAt.Add(time.Duration(c.lastAt.Load())),
+		IsSlow: body != nil && c.server.cfg.Limits.IsSlow(*body, now),
 	}
 }
 
@@ -253,10 +257,11 @@
 
 // startRead records that the handler waits for bytes of a body. It returns false if the
 // connection was cut.
-func (c *connection) startRead(deadline, now time.Time) bool {
+func (c *connection) startRead(p intake.Progress, now time.Time) bool {
 	// The time in which the handler did not read is no stall of the client.
 	c.advance(now)
-	c.setBodyDeadline(deadline, now)
+	c.body.Store(&p)
+	c.setBodyDeadline(c.server.cfg.Limits.Deadline(p), now)
 	_, ok := c.enter(intake.ReadingBody)
 	return ok
 }
--- a/http1/connections.go
+++ b/http1/connections.go
@@ -82,7 +82,7 @@
 			continue
 		}
 		list = append(list, conn)
-		states = append(states, conn.state())
+		states = append(states, conn.state(now))
 	}
 	if len(list) <= limit {
 		return
@@ -106,7 +106,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn := range c.open {
-		if conn.state().Phase == intake.Waiting {
+		if conn.isIn(intake.Waiting) {
 			idle++
 		}
 	}
--- a/http1/limits_test.go
+++ b/http1/limits_test.go
@@ -29,6 +29,12 @@
 const bodyBytes = 100 << 10
 
 func listenBounded(limits intake.Limits, budget int64) *boundedServer {
+	return listenBoundedWith(http1.Config{
+		Limits: limits,
+	}, budget)
+}
+
+func listenBoundedWith(cfg http1.Config, budget int64) *boundedServer {
 	s := &boundedServer{
 		budget: intake.NewBudget(budget),
 		report: &report{
@@ -36,17 +42,10 @@
 		},
 	}
 	var err error
-	s.Server, err = http1.Listen("127.0.0.1:0", http1.Config{
-		Handler:       s,
-		HeaderTimeout: time.Second,
-		Limits:        limits,
-		Budget:        s.budget,
-		CountRefusal: func(r http1.Refusal) {
-			s.report.add(http1.Outcome(r), 1)
-		},
-		CountCalls: s.report.add,
-		Logger:     zerolog.New(s.report),
-	})
+	cfg.Handler, cfg.HeaderTimeout, cfg.Budget = s, time.Second, s.budget
+	cfg.CountRefusal = func(r http1.Refusal) { s.report.add(http1.Outcome(r), 1) }
+	cfg.CountCalls, cfg.Logger = s.report.add, zerolog.New(s.report)
+	s.Server, err = http1.Listen("127.0.0.1:0", cfg)
 	Expect(err).NotTo(HaveOccurred())
 	go func() {
 		defer GinkgoRecover()
@@ -177,6 +176,45 @@
 		Expect(answerOf(conn).StatusCode).To(Equal(http.StatusOK))
 	})
 
+	// Strangers that sent bodies slowly to the port of the health checks once kept those out.
+	It("answers calls at its limit although others send bodies slowly, if it takes none", func() {
+		s := listenBoundedWith(http1.Config{
+			RefusesBodies: true,
+			Limits: intake.Limits{
+				MaxConnections: 2,
+				StallTimeout:   time.Hour,
+			},
+		}, 1<<20)
+		for range 8 {
+			// The answer could be lost if the connection were closed with bytes unread.
+			resp := answerOf(s.sendBody("/", bodyBytes))
+			Expect(resp.StatusCode).To(Equal(http.StatusRequestEntityTooLarge))
+			Expect(resp.Close).To(BeTrue())
+		}
+		conn := dial(s.Server)
+		_, err := call(conn, bufio.NewReader(conn))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.count(http1.UnexpectedBody)).To(Equal(8))
+	})
+
+	It("closes the connection of a body that trickles, for a new one", func() {
+		s := listenBounded(intake.Limits{
+			MaxConnections: 1,
+			BodyGrace:      time.Hour,
+			BodyRate:       64 << 10,
+		}, 1<<20)
+		slow := s.sendBody("/", bodyBytes)
+		for range 6 {
+			time.Sleep(200 * time.Millisecond)
+			_, err := slow.Write([]byte(" "))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		conn := dial(s.Server)
+		_, err := call(conn, bufio.NewReader(conn))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.whole.Load()).To(BeEquivalentTo(1))
+	})
+
 	It("ends an answer that is not read", func() {
 		s := listenBounded(limits, 1<<20)
 		_, err := fmt.Fprint(dial(s.Server), "GET /long HTTP/1.1\r\nHost: h\r\n\r\n")
--- a/http1/refusal.go
+++ b/http1/refusal.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"net/http"
 	"sync"
 	"time"
 )
@@ -21,11 +22,13 @@
 	SlowAnswer Refusal = "slow-answer"
 	// TooManyConnections is the end of a connection at the limit of connections.
 	TooManyConnections Refusal = "connections"
+	// UnexpectedBody is the refusal of any body by a server that takes none.
+	UnexpectedBody Refusal = "unexpected-body"
 )
 
 // Refusals returns all refusals.
 func Refusals() []Refusal {
-	return []Refusal{NoRoom, SlowBody, SlowHeader, SlowAnswer, TooManyConnections}
+	return []Refusal{NoRoom, SlowBody, SlowHeader, SlowAnswer, TooManyConnections, UnexpectedBody}
 }
 
 // refusalLogPeriod is the shortest time between two lines about the same refusal.
@@ -74,3 +77,15 @@
 			Msg("Clients were refused or their connections closed.")
 	}
 }
+
+// refuseBody answers a call with a body and closes its connection, without reading the body:
+// a client that sends it slowly would keep the connection.
+func (s *Server) refuseBody(conn *connection, w http.ResponseWriter) {
+	now := time.Now()
+	s.countRefusal(UnexpectedBody, now)
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(http.StatusRequestEntityTooLarge)
+	_ = http.NewResponseController(w).Flush()
+	conn.drainBody(now)
+	panic(http.ErrAbortHandler)
+}
--- a/http1/server.go
+++ b/http1/server.go
@@ -34,6 +34,9 @@
 	// A handler must read a body to its end before it does anything: a call whose body does not
 	// fit or arrives too slowly is answered with 503 whatever the handler answers.
 	Budget *intake.Budget
+	// RefusesBodies is true if no call has a body. One with a body is answered with 413, and its
+	// connection closed, without the handler.
+	RefusesBodies bool
 	// CountRefusal counts a refusal; nil for none.
 	CountRefusal func(reason Refusal)
 	// CountCalls counts n calls with an outcome.
@@ -118,6 +121,9 @@
 		s.calls.serve(s, w, r)
 		return
 	}
+	if s.cfg.RefusesBodies {
+		s.refuseBody(conn, w)
+	}
 	s.serveBody(conn, w, r)
 }
 
--- a/intake/intake_suite_test.go
+++ b/intake/intake_suite_test.go
@@ -53,6 +53,26 @@
 	})
 })
 
+// Bodies of one byte every 200 ms once kept all other clients out at the limit of connections.
+var _ = Describe("A body that trickles", func() {
+	limits := Limits{
+		BodyRate: 64 << 10,
+	}
+
+	DescribeTable("is slow", func(received, nowMs int, want bool) {
+		p := NewProgress(start).WithBytes(received, after(nowMs))
+		Expect(limits.IsSlow(p, after(nowMs))).To(Equal(want))
+	},
+		Entry("not as long as a lost packet may be the reason", 1, 900, false),
+		Entry("then, although it has just made progress", 6, 1200, true),
+		Entry("not at the lowest rate", 128<<10, 2000, false),
+	)
+
+	It("is not slow without a lowest rate", func() {
+		Expect(Limits{}.IsSlow(NewProgress(start), after(5000))).To(BeFalse())
+	})
+})
+
 var _ = Describe("Room for a body", func() {
 	holders := []holder{
 		{
@@ -101,6 +121,11 @@
 		Entry("an answer that is not read rather than the one just accepted", 0, connection(Writing, 100), connection(Waiting, 10_000)),
 		Entry("the one just accepted if the others make progress", 2, connection(ReadingBody, 9900), connection(Writing, 9900), connection(Waiting, 10_000)),
 		Entry("never one that is running", 1, connection(Running, 0), connection(Waiting, 10_000)),
+		Entry("a body below the lowest rate rather than the one just accepted", 0, Connection{
+			Phase:  ReadingBody,
+			LastAt: after(9900),
+			IsSlow: true,
+		}, connection(Waiting, 10_000)),
 		Entry("none if all are running", -1, connection(Running, 0), connection(Running, 0)),
 	)
 })
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -12,6 +12,10 @@
 // quantum is the unit of charges. A body that grows is charged before its buffer is full.
 const quantum = 16 << 10
 
+// minRatedTime is the age from which the rate of a body counts. On a link of 1.5 Mbit/s, three
+// times the lowest rate, a packet that is lost takes 0.4 s of the first second.
+const minRatedTime = time.Second
+
 // Limits holds the limits of one server. A zero value of a field means no limit.
 type Limits struct {
 	// MaxConnections is the largest number of open connections.
@@ -78,6 +82,13 @@
 	return deadline
 }
 
+// IsSlow reports whether a body has arrived below the lowest rate so far. The deadline allows
+// this for as long as BodyGrace, if there is room for the body's connection.
+func (l Limits) IsSlow(p Progress, now time.Time) bool {
+	age := now.Sub(p.startedAt)
+	return age >= minRatedTime && float64(p.received) < age.Seconds()*float64(l.BodyRate)
+}
+
 // earlier returns the earlier one of two times, of which a may be zero for none.
 func earlier(a, b time.Time) time.Time {
 	if a.IsZero() || b.Before(a) {
--- a/intake/room.go
+++ b/intake/room.go
@@ -87,12 +87,14 @@
 	Phase Phase
 	// LastAt is the time of the last progress.
 	LastAt time.Time
+	// IsSlow is true for a body that has arrived below the lowest rate so far.
+	IsSlow bool
 }
 
 // Victim returns the index of the connection to be closed when there are too many: of those
 // without progress for some time the one that has been longest without it in the first phase,
-// and otherwise the one that has waited longest for a request. A body or an answer that makes
-// progress is not cut off. It returns -1 if there is none.
+// and otherwise the one that has waited longest for a request. A slow body counts as one without
+// progress; another one or an answer that makes progress is not cut off. It returns -1 if there is none.
 func Victim(list []Connection, now time.Time) int {
 	victim := -1
 	for i, c := range list {
@@ -104,7 +106,7 @@
 }
 
 func (c Connection) hasStalled(now time.Time) bool {
-	return now.Sub(c.LastAt) >= minStall
+	return c.Phase == ReadingBody && c.IsSlow || now.Sub(c.LastAt) >= minStall
 }
 
 func (c Connection) mayBeClosed(now time.Time) bool {
