Charge calls between processes until they are answered

A call is charged to a budget of its own until it is answered. One that does not fit is answered with an error and not run, and its connection stays open. Messages without a reply stay with the budget of arriving frames until they are handled, so that calls that wait do not keep out consensus.

--- a/controller/node/config.go
+++ b/controller/node/config.go
@@ -70,8 +70,8 @@
 type IntakeConfig struct {
 	// Limits bounds connections, and the time of bodies and answers.
 	Limits intake.Limits
-	// Frames bounds the bytes of incomplete frames.
-	Frames *intake.Budget
+	// Frames bounds the bytes of frames that arrive, and Calls those of calls that run.
+	Frames, Calls *intake.Budget
 	// CountRefusal counts a refusal; nil for none.
 	CountRefusal func(reason http1.Refusal)
 }
--- a/controller/node/node.go
+++ b/controller/node/node.go
@@ -282,6 +282,7 @@
 		Token:      n.cfg.ClusterToken,
 		MaxCalls:   maxConcurrentCalls,
 		Frames:     n.cfg.Intake.Frames,
+		Calls:      n.cfg.Intake.Calls,
 		CountBytes: n.meters.countBytes,
 	})
 	replica.Register(s, replica.ServerConfig{
--- a/rpc/server.go
+++ b/rpc/server.go
@@ -22,9 +22,12 @@
 	// MaxCalls is the number of calls of one connection that may run at the same
 	// time.
 	MaxCalls int
-	// Frames bounds the bytes of frames that have arrived in part; nil for no bound. The
-	// connection of a frame that does not fit is closed.
+	// Frames bounds the bytes of frames until they are whole and, for those without a reply,
+	// handled; nil for no bound. The connection of a frame that does not fit is closed.
 	Frames *intake.Budget
+	// Calls bounds the bytes of calls until they are answered; nil for no bound. A call that
+	// does not fit is answered with an error and not run.
+	Calls *intake.Budget
 	// CountBytes is called with the number of bytes written and read; nil for
 	// none.
 	CountBytes func(written, read int)
@@ -137,18 +140,29 @@
 func (s *Server) serve(ctx context.Context, conn *websocket.Conn, l *link) {
 	running := make(chan struct{}, s.cfg.MaxCalls)
 	for {
-		f, n, err := readBoundedFrame(ctx, conn, s.cfg.Frames)
+		h, err := readBoundedFrame(ctx, conn, s.cfg.Frames)
 		if err != nil {
 			return
 		}
-		s.count(0, n)
+		s.count(0, h.size)
 		*l = l.WithRead(time.Now())
 		if l.wasCut {
+			h.charge.Release()
 			return
 		}
-		if f.ID == 0 {
+		if h.ID == 0 {
 			// Messages without a reply are handled in the order in which they arrive.
-			s.answer(ctx, conn, f)
+			s.handleMessage(ctx, h)
+			*l = l.WithReader(time.Now())
+			continue
+		}
+		charge, ok := h.moveTo(s.cfg.Calls)
+		if !ok {
+			s.reply(ctx, conn, frame{
+				ID:        h.ID,
+				Reply:     true,
+				ErrorText: "no room for the call",
+			})
 			*l = l.WithReader(time.Now())
 			continue
 		}
@@ -156,12 +170,19 @@
 		*l = l.WithReader(time.Now())
 		go func() {
 			defer func() { <-running }()
-			s.answer(ctx, conn, f)
+			defer charge.Release()
+			s.reply(ctx, conn, s.run(ctx, h.frame))
 		}()
 	}
 }
 
-func (s *Server) answer(ctx context.Context, conn *websocket.Conn, f frame) {
+func (s *Server) handleMessage(ctx context.Context, h heldFrame) {
+	defer h.charge.Release()
+	s.run(ctx, h.frame)
+}
+
+// run runs a call and returns its reply.
+func (s *Server) run(ctx context.Context, f frame) frame {
 	reply := frame{
 		ID:    f.ID,
 		Reply: true,
@@ -174,9 +195,11 @@
 	} else {
 		reply.Body = body
 	}
-	if f.ID == 0 {
-		return
-	}
+	return reply
+}
+
+// reply sends a reply. It closes the connection if that fails.
+func (s *Server) reply(ctx context.Context, conn *websocket.Conn, reply frame) {
 	n, err := writeFrame(ctx, conn, reply)
 	s.count(n, 0)
 	if err != nil {
