--- a/http1/limits_test.go
+++ b/http1/limits_test.go
@@ -163,6 +163,27 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	// Each worker keeps a connection open between its pings, and a core may have more workers than connections.
+	It("serves more clients that keep connections open than its limit", func() {
+		s := listenBounded(intake.Limits{
+			MaxConnections: 4,
+		}, 1<<20)
+		clients := make([]http.Client, 12)
+		for i := range clients {
+			t := &http.Transport{}
+			DeferCleanup(t.CloseIdleConnections)
+			clients[i].Transport = t
+		}
+		for range 3 {
+			for i := range clients {
+				resp, err := clients[i].Get("http://" + s.Address())
+				Expect(err).NotTo(HaveOccurred())
+				Expect(resp.Body.Close()).To(Succeed())
+			}
+		}
+		Expect(s.whole.Load()).To(BeEquivalentTo(36))
+	})
+
 	// The client once got no answer to a call whose handler did not read its body, although it ran.
 	It("does not close the connection of a running call at its limit, although its body is not read", func() {
 		s := listenBounded(intake.Limits{
