--- a/http1/connection.go
+++ b/http1/connection.go
@@ -33,6 +33,8 @@
 	// since the start of the server.
 	phase  atomic.Int32
 	lastAt atomic.Int64
+	// body is the progress of the body that the handler waits for; it holds in ReadingBody.
+	body atomic.Pointer[intake.Progress]
 	// isCut is true once the connection was closed at the limit of connections.
 	isCut atomic.Bool
 	// interrupted is true once the body under way was given up for another one.
@@ -44,10 +46,12 @@
 	hasBegun bool
 }
 
-func (c *connection) state() intake.Connection {
+func (c *connection) state(now time.Time) intake.Connection {
+	body := c.body.Load()
 	return intake.Connection{
 		Phase:  intake.Phase(c.phase.Load()),
 		LastAt: c.server.startedAt.Add(time.Duration(c.lastAt.Load())),
+		IsSlow: body != nil && c.server.cfg.Limits.IsSlow(*body, now),
 	}
 }
 
@@ -123,8 +127,11 @@
 	if stall == 0 || c.isIn(intake.TakenOver) {
 		return c.TCPConn.Write(b)
 	}
-	before := c.phase.Swap(int32(intake.Writing))
-	defer c.phase.CompareAndSwap(int32(intake.Writing), before)
+	before, ok := c.enter(intake.Writing)
+	if !ok {
+		return 0, net.ErrClosed
+	}
+	defer c.enter(before)
 	for n < len(b) {
 		now := time.Now()
 		c.advance(now)
@@ -166,11 +173,29 @@
 	return c.TCPConn.Close()
 }
 
-// cut closes the connection at the limit of connections. The goroutine that serves it ends
-// with the error of its next read or write.
-func (c *connection) cut() {
+// enter moves the connection to another phase and returns the one before. It returns false if
+// the connection was cut.
+func (c *connection) enter(p intake.Phase) (before intake.Phase, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isCut.Load() {
+		return before, false
+	}
+	return intake.Phase(c.phase.Swap(int32(p))), true
+}
+
+// cut closes the connection at the limit of connections, and reports whether it did: not if the
+// connection has left the phase in which it was chosen, since its call may run now. The goroutine
+// that serves it ends with the error of its next read or write.
+func (c *connection) cut(chosenIn intake.Phase) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isIn(chosenIn) {
+		return false
+	}
 	c.isCut.Store(true)
 	_ = c.TCPConn.Close()
+	return true
 }
 
 // SetReadDeadline sets the read deadline that net/http asks for, or idleGrace if that
@@ -223,13 +248,31 @@
 	}
 }
 
-// startBody records that the connection waits for a body.
+// startBody prepares the connection for the body of a call. Until the handler reads it, the call
+// is running.
 func (c *connection) startBody(deadline, now time.Time) {
 	c.interrupted.Store(false)
-	c.setPhase(intake.ReadingBody)
 	c.setBodyDeadline(deadline, now)
 }
 
+// startRead records that the handler waits for bytes of a body. It returns false if the
+// connection was cut.
+func (c *connection) startRead(p intake.Progress, now time.Time) bool {
+	// The time in which the handler did not read is no stall of the client.
+	c.advance(now)
+	c.body.Store(&p)
+	c.setBodyDeadline(c.server.cfg.Limits.Deadline(p), now)
+	_, ok := c.enter(intake.ReadingBody)
+	return ok
+}
+
+// endRead records that the handler has what it waited for. It returns false if the connection
+// was cut meanwhile: the handler must not act on the body.
+func (c *connection) endRead() bool {
+	_, ok := c.enter(intake.Running)
+	return ok
+}
+
 // setBodyDeadline sets the time until which the next bytes of a body must arrive; zero for no
 // limit.
 func (c *connection) setBodyDeadline(deadline, now time.Time) {
@@ -244,11 +287,10 @@
 	_ = c.TCPConn.SetReadDeadline(deadline)
 }
 
-// endBody records that the body has arrived.
+// endBody removes the deadline of a body that has arrived.
 func (c *connection) endBody() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.setPhase(intake.Running)
 	_ = c.TCPConn.SetReadDeadline(time.Time{})
 }
 
--- a/http1/connections.go
+++ b/http1/connections.go
@@ -82,14 +82,22 @@
 			continue
 		}
 		list = append(list, conn)
-		states = append(states, conn.state())
+		states = append(states, conn.state(now))
 	}
 	if len(list) <= limit {
 		return
 	}
-	if victim := intake.Victim(states, now); victim >= 0 {
-		list[victim].cut()
-		c.server.countRefusal(TooManyConnections, now)
+	for {
+		victim := intake.Victim(states, now)
+		if victim < 0 {
+			return
+		}
+		if list[victim].cut(states[victim].Phase) {
+			c.server.countRefusal(TooManyConnections, now)
+			return
+		}
+		// It has made progress since its state was read.
+		states[victim].Phase = intake.Running
 	}
 }
 
@@ -98,7 +106,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn := range c.open {
-		if conn.state().Phase == intake.Waiting {
+		if conn.isIn(intake.Waiting) {
 			idle++
 		}
 	}
