Bound the work and the memory of learning interference

What callers saw: placement stood still while the leader learned from steps beside many images.

Cause: each step had a median for each kind seen beside its runs, each past run of a worker kept all of them, and an evaluation took all new runs. Each observation copied and sorted the clusters of its pair.

Change: interference.Batch bounds the work of an evaluation by counts; the rest is taken at the next ones, in turn. Of a step the 8 kinds that most runs were beside are judged, from run times sorted once. A worker's past keeps excesses by digests of kinds. Evidence is copied once an evaluation, and known effects are found by binary search.

--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -38,9 +38,12 @@
 	// steps holds the observed steps by stepName.
 	steps     *immutable.Map[string, interference.Step]
 	learnedAt time.Time
-	knowledge interference.Knowledge
-	kinds     map[interference.Kind]kindSet
-	avoided   map[interference.Kind]kindSet
+	// learnedLast is the name of the last step that was evaluated. The next evaluation begins
+	// after it.
+	learnedLast string
+	knowledge   interference.Knowledge
+	kinds       map[interference.Kind]kindSet
+	avoided     map[interference.Kind]kindSet
 }
 
 func newKindInterference() kindInterference {
@@ -141,13 +144,14 @@
 			x.steps = x.steps.Delete(name)
 		case compared.isCompared && step.Learned < len(step.Runs):
 			steps = append(steps, step)
-			step.Learned = len(step.Runs)
-			x.steps = x.steps.Set(name, step)
 		}
 	}
-	slices.SortFunc(steps, func(a, b interference.Step) int {
-		return strings.Compare(a.Name, b.Name)
-	})
+	steps, x.learnedLast = interference.Batch(steps, x.learnedLast)
+	for _, evaluated := range steps {
+		step, _ := x.steps.Get(evaluated.Name)
+		step.Learned = len(evaluated.Runs)
+		x.steps = x.steps.Set(step.Name, step)
+	}
 	var changes []interference.Change
 	x.knowledge, changes = x.knowledge.With(s.now, steps)
 	if len(changes) > 0 {
--- a/interference/builder.go
+++ b/interference/builder.go
@@ -9,8 +9,10 @@
 
 // A builder is the mutable working state of a With.
 type builder struct {
-	now     time.Time
-	pairs   map[Pair]evidence
+	now   time.Time
+	pairs map[Pair]evidence
+	// cloned holds the pairs whose evidence is not shared with the Knowledge before.
+	cloned  map[Pair]bool
 	workers map[string]workerHistory
 	known   Knowledge
 	changes []Change
@@ -23,21 +25,20 @@
 	refs := b.references(step)
 	for _, run := range step.Runs[step.Learned:] {
 		for _, by := range run.Beside {
-			b.learnPair(step, run, by, refs.without(by))
+			if without, isJudged := refs.find(by); isJudged {
+				b.learnPair(step, run, without)
+			}
 		}
 	}
 	for _, run := range step.Runs[step.Learned:] {
-		b.addHistory(pastRun{
-			run:        run,
-			logTime:    b.known.Cleared(step.Kind, run),
-			references: refs,
-		})
+		b.addHistory(run.Worker, newPastRun(run, b.known.Cleared(step.Kind, run), refs))
 	}
 }
 
 // learnPair adds what a run beside a kind tells about the kind.
-func (b *builder) learnPair(step Step, run Run, by Kind, without reference) {
-	slowness, slownessVariance, ok := b.workers[run.Worker].ownSlowness(by)
+func (b *builder) learnPair(step Step, run Run, refs kindReference) {
+	by, without := refs.kind, refs.reference
+	slowness, slownessVariance, ok := b.workers[run.Worker].ownSlowness(refs.digest)
 	if !ok || without.runs < minReference {
 		return
 	}
@@ -50,7 +51,11 @@
 	if !isKnown && len(b.pairs) >= MaxPairs && !b.evictPairs() {
 		return
 	}
-	after := before.with(b.now, observation{
+	after := before
+	if !b.cloned[pair] {
+		after, b.cloned[pair] = before.clone(), true
+	}
+	after.add(b.now, observation{
 		excess:            bounded(excess),
 		variance:          run.Variance,
 		worker:            run.Worker,
@@ -68,15 +73,15 @@
 	}
 }
 
-func (b *builder) addHistory(past pastRun) {
-	h, isKnown := b.workers[past.run.Worker]
+func (b *builder) addHistory(worker string, past pastRun) {
+	h, isKnown := b.workers[worker]
 	if !isKnown && len(b.workers) >= MaxWorkers {
 		return
 	}
 	first := max(len(h.runs)+1-maxHistory, 0)
 	h.runs = append(slices.Clone(h.runs[first:]), past)
 	h.seen = b.now
-	b.workers[past.run.Worker] = h
+	b.workers[worker] = h
 }
 
 // evictPairs drops those pairs without an effect that were not seen for the longest time, and
--- a/interference/evidence.go
+++ b/interference/evidence.go
@@ -45,10 +45,9 @@
 // clusters are the clusters of a pair, by workers or by steps.
 type clusters []cluster
 
-// with returns c with the error of an observation. If there are too many clusters, the
-// least two count as one, which overstates their error.
-func (c clusters) with(name string, deviation float64) clusters {
-	c = slices.Clone(c)
+// add adds the error of an observation, and returns c like append. If there are too many clusters,
+// the least two count as one, which overstates their error.
+func (c clusters) add(name string, deviation float64) clusters {
 	i := slices.IndexFunc(c, func(known cluster) bool { return known.name == name })
 	if i >= 0 {
 		c[i].deviation += deviation
@@ -61,26 +60,30 @@
 	if len(c) <= maxClusters {
 		return c
 	}
-	slices.SortStableFunc(c, func(a, b cluster) int {
-		switch {
-		case a.deviation > b.deviation:
-			return -1
-		case a.deviation < b.deviation:
-			return 1
-		}
-		return 0
-	})
+	c.sort()
 	c[maxClusters-1].deviation += c[maxClusters].deviation
 	return c[:maxClusters]
 }
 
-// scaled returns c with observations of a lower weight.
-func (c clusters) scaled(factor float64) clusters {
-	c = slices.Clone(c)
-	largest := 0.0
+// sort sorts c by falling deviation. It is sorted but for few clusters each time, so that
+// insertion takes the fewest comparisons.
+func (c clusters) sort() {
+	for i := range c {
+		for j := i; j > 0 && c[j].deviation > c[j-1].deviation; j-- {
+			c[j], c[j-1] = c[j-1], c[j]
+		}
+	}
+}
+
+// scale lowers the weight of the observations, and returns c like append.
+func (c clusters) scale(factor float64) clusters {
+	largest, least := 0.0, math.Inf(1)
 	for i := range c {
 		c[i].deviation *= factor
-		largest = max(largest, c[i].deviation)
+		largest, least = max(largest, c[i].deviation), min(least, c[i].deviation)
+	}
+	if least >= minClusterShare*largest {
+		return c
 	}
 	return slices.DeleteFunc(c, func(known cluster) bool { return known.deviation < minClusterShare*largest })
 }
@@ -108,10 +111,16 @@
 	isEffect bool
 }
 
-// with returns e after an observation.
-func (e evidence) with(now time.Time, o observation) evidence {
+// clone returns a copy of e that can be added to.
+func (e evidence) clone() evidence {
+	e.workers, e.steps = slices.Clone(e.workers), slices.Clone(e.steps)
+	return e
+}
+
+// add adds an observation.
+func (e *evidence) add(now time.Time, o observation) {
 	if e.runs >= maxRuns {
-		e = e.scaled(maxRuns / (e.runs + 1))
+		e.scale(maxRuns / (e.runs + 1))
 	}
 	weight := 1 / (o.variance + o.workerVariance)
 	e.weight += weight
@@ -120,23 +129,21 @@
 	e.excessSquares += weight * o.excess * o.excess
 	e.noise += weight * weight * o.variance
 	e.runs++
-	e.workers = e.workers.with(o.worker, weight*math.Sqrt(o.workerVariance))
-	e.steps = e.steps.with(o.step, weight*math.Sqrt(o.referenceVariance))
+	e.workers = e.workers.add(o.worker, weight*math.Sqrt(o.workerVariance))
+	e.steps = e.steps.add(o.step, weight*math.Sqrt(o.referenceVariance))
 	e.seen = now
 	e.isEffect = e.judged()
-	return e
 }
 
-// scaled returns e with a lower weight of the past.
-func (e evidence) scaled(factor float64) evidence {
+// scale lowers the weight of the past.
+func (e *evidence) scale(factor float64) {
 	e.weight *= factor
 	e.weightSquares *= factor * factor
 	e.excess *= factor
 	e.excessSquares *= factor
 	e.noise *= factor * factor
 	e.runs *= factor
-	e.workers, e.steps = e.workers.scaled(factor), e.steps.scaled(factor)
-	return e
+	e.workers, e.steps = e.workers.scale(factor), e.steps.scale(factor)
 }
 
 // slowdown returns the mean excess and its standard error. The greater of the expected and
--- a/interference/interference.go
+++ b/interference/interference.go
@@ -96,6 +96,12 @@
 	Retention = 30 * time.Minute
 	// maxHistory bounds the runs that are kept of a worker.
 	maxHistory = 8
+	// maxStepKinds bounds the kinds that are judged from one step: those that most runs were
+	// beside. Callers choose images and may choose a new one for each job.
+	maxStepKinds = 8
+	// minLeftOutRatio is the least ratio of a step's runs to those beside a kind that is not judged
+	// at which the median of all counts as that without the kind: a few runs hardly move it.
+	minLeftOutRatio = 8
 	// minReference is the number of runs without a kind that are needed for a comparison.
 	minReference = 3
 	// minControls is the number of runs of a worker without a kind that are needed to tell the
@@ -134,10 +140,16 @@
 // clearedExcept is Cleared, with the slow-down by one kind left in unless that is nil.
 func (k Knowledge) clearedExcept(slowed Kind, run Run, except *Kind) float64 {
 	t := run.LogTime
-	for _, e := range k.effects {
-		isCleared := except == nil || e.Pair.By != *except
-		if e.Pair.Slowed == slowed && isCleared && run.isBeside(e.Pair.By) {
-			t -= math.Log(e.Slowdown)
+	for _, by := range run.Beside {
+		if except != nil && by == *except {
+			continue
+		}
+		i, isEffect := slices.BinarySearchFunc(k.effects, Pair{
+			Slowed: slowed,
+			By:     by,
+		}, func(e Effect, pair Pair) int { return e.Pair.compare(pair) })
+		if isEffect {
+			t -= math.Log(k.effects[i].Slowdown)
 		}
 	}
 	return t
@@ -151,6 +163,7 @@
 	b := builder{
 		now:     now,
 		pairs:   maps.Clone(k.pairs),
+		cloned:  map[Pair]bool{},
 		workers: maps.Clone(k.workers),
 		known:   k,
 	}
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -216,6 +216,11 @@
 	sorted := slices.SortedFunc(slices.Values(list), func(a, b Weighted) int {
 		return cmp.Compare(a.Value, b.Value)
 	})
+	return MedianOfSorted(sorted)
+}
+
+// MedianOfSorted returns the weighted median of a list that is sorted by value.
+func MedianOfSorted(sorted []Weighted) float64 {
 	total := 0.0
 	for _, w := range sorted {
 		total += w.Weight
