Judge a pair by its mean before its standard error

Cause: each observation summed up the squares of up to 128 clusters, also where the mean alone decides. Change: the standard error is computed only where it decides.

--- a/interference/evidence.go
+++ b/interference/evidence.go
@@ -158,12 +158,13 @@
 // judged reports whether the slow-down counts. It begins to once it is beyond doubt, and ends
 // to once the mean is below the least one, so that chance does not switch it.
 func (e evidence) judged() bool {
-	mean, standardError := e.slowdown()
-	if e.isEffect {
-		return mean >= math.Log(minSlowdown)
-	}
+	isAbove := e.excess/e.weight >= math.Log(minSlowdown)
 	isEnough := e.runs >= minRuns && len(e.workers) >= minWorkers
-	return isEnough && mean-significance*standardError >= math.Log(minSlowdown)
+	if e.isEffect || !isAbove || !isEnough {
+		return e.isEffect && isAbove
+	}
+	mean, standardError := e.slowdown()
+	return mean-significance*standardError >= math.Log(minSlowdown)
 }
 
 func (e evidence) effect(pair Pair) Effect {
