--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -113,6 +113,8 @@
 	mediansUpdatedAt time.Time
 	// hasAdoptedSpeeds is true once the speeds were taken over that earlier leaders learned.
 	hasAdoptedSpeeds bool
+	// speedsComparedAt is when the speeds were last compared with the replicated ones.
+	speedsComparedAt time.Time
 	// interference is what is known about kinds of task that slow each other down.
 	interference kindInterference
 	// isDirty is true if something has changed since the last Reconcile.
--- a/dispatch/speed_replication.go
+++ b/dispatch/speed_replication.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"time"
 
 	plantainladder "github.com/plantainladder/plantainladder"
 	"github.com/plantainladder/plantainladder/pool"
@@ -15,12 +16,19 @@
 	minReplicatedChange = 0.1
 	// maxReplicatedSpeeds bounds the speeds of one round.
 	maxReplicatedSpeeds = 64
+	// replicationInterval is the time between two comparisons of all speeds with the
+	// replicated ones. Rounds are far more frequent.
+	replicationInterval = 250 * time.Millisecond
 )
 
 // changedSpeeds returns the speeds that differ from the replicated ones, so that the next
 // leader knows them: those of the workers of uneven pools, and none for pools that have become
 // equal.
 func (s *reconciliation) changedSpeeds() (list []plantainladder.WorkerSpeed) {
+	if s.now.Sub(s.dispatcher.speedsComparedAt) < replicationInterval {
+		return nil
+	}
+	s.dispatcher.speedsComparedAt = s.now
 	for _, w := range s.state.Workers {
 		learned, ok := s.learnedSpeed(w)
 		isCloser := learned.Precision >= 2*w.SpeedPrecision && learned.Precision > 0
