Determine what the order of nodes and the ends of gangs depend on once in a placement pass

The expected end of each running member of a gang looked up the speeds of all members, so a pass took time that grows with the square of a gang's width; and the sort of nodes computed the rank of a node, with an error function and a logarithm, at each comparison. Both are determined once in a pass now, with the same results.

--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -75,6 +75,7 @@
 
 // fleets returns the schedulable workers as nodes, by pool.
 func (s *reconciliation) fleets(state ClusterState, x *stateIndex) map[string]*fleet {
+	s.slowestMembers = map[gangRun]float64{}
 	nodes := map[string][]*node{}
 	for _, w := range state.Workers {
 		v, ok := s.dispatcher.workerView(w.ID)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -169,28 +169,46 @@
 	return p.fleets[g.wf.QueueSettings.Pool].isMostlyFree && p.s.now.Sub(g.since()) >= maxReservationWait
 }
 
+// A rankedNode is a node on which a task group fits, with what the order of nodes depends on.
+type rankedNode struct {
+	node       *node
+	available  pool.ResourceVector
+	speedRank  int
+	interferes bool
+}
+
+func (n rankedNode) compare(other rankedNode) int {
+	return cmp.Or(
+		cmp.Compare(n.speedRank, other.speedRank),
+		compareBool(n.interferes, other.interferes),
+		cmp.Compare(n.available.Accelerators, other.available.Accelerators),
+		cmp.Compare(n.available.MilliCores, other.available.MilliCores),
+	)
+}
+
 // assignments assigns a number of a task group's tasks to nodes and returns nil
 // if they do not all fit. It takes nodes of the best speed rank, of these first the ones on
 // which no kind of task interferes, and fills the fullest of them first, so that whole nodes
-// stay free, unless the task group uses first fit. A suspect gets the emptiest nodes, where a crash does the least damage.
+// stay free, unless the task group uses first fit. A suspect gets the emptiest nodes, where a
+// crash does the least damage.
 func assignments(nodes []*node, g taskGroup, tasks int, available func(n *node) pool.ResourceVector) []assignment {
-	var order []*node
+	var order []rankedNode
 	for _, n := range nodes {
-		if g.fitCount(n, available(n), 1) > 0 {
-			order = append(order, n)
+		if free := available(n); g.fitCount(n, free, 1) > 0 {
+			order = append(order, rankedNode{
+				node:       n,
+				available:  free,
+				speedRank:  g.speedRank(n),
+				interferes: g.interferesOn(n),
+			})
 		}
 	}
 	if !g.isFirstFit {
-		slices.SortStableFunc(order, func(a, b *node) int {
+		slices.SortStableFunc(order, func(a, b rankedNode) int {
 			if g.isSuspect {
 				a, b = b, a
 			}
-			return cmp.Or(
-				cmp.Compare(g.speedRank(a), g.speedRank(b)),
-				compareBool(g.interferesOn(a), g.interferesOn(b)),
-				cmp.Compare(available(a).Accelerators, available(b).Accelerators),
-				cmp.Compare(available(a).MilliCores, available(b).MilliCores),
-			)
+			return a.compare(b)
 		})
 	}
 	var list []assignment
@@ -198,9 +216,9 @@
 		if tasks == 0 {
 			break
 		}
-		if fit := g.fitCount(n, available(n), tasks); fit > 0 {
+		if fit := g.fitCount(n.node, n.available, tasks); fit > 0 {
 			list = append(list, assignment{
-				node:  n,
+				node:  n.node,
 				tasks: fit,
 			})
 			tasks -= fit
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -62,6 +62,9 @@
 	doomed []gangRun
 	// newSamples holds the evidence of workers' speeds that was found in this pass.
 	newSamples []newSample
+	// slowestMembers holds the results of slowestMember during placement, which asks for each
+	// member of a gang; nil before, since the views of workers may still change.
+	slowestMembers map[gangRun]float64
 	// running is what the organisations may have running; nil until a limit asks for it.
 	running *runningUse
 }
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -217,13 +217,27 @@
 	}
 	logSpeed := s.dispatcher.belief(incarnationOf(t)).Mean
 	if t.StepSpec.IsGang {
-		for _, member := range s.index.gangMembers[gangRunOf(t)] {
-			logSpeed = min(logSpeed, s.dispatcher.belief(incarnationOf(member)).Mean)
-		}
+		logSpeed = min(logSpeed, s.slowestMember(gangRunOf(t)))
 	}
 	return logSpeed
 }
 
+// slowestMember returns the least logarithm of the speeds of the workers of a gang's committed
+// members.
+func (s *reconciliation) slowestMember(k gangRun) float64 {
+	if slowest, isKnown := s.slowestMembers[k]; isKnown {
+		return slowest
+	}
+	slowest := math.Inf(1)
+	for _, member := range s.index.gangMembers[k] {
+		slowest = min(slowest, s.dispatcher.belief(incarnationOf(member)).Mean)
+	}
+	if s.slowestMembers != nil {
+		s.slowestMembers[k] = slowest
+	}
+	return slowest
+}
+
 func incarnationOf(t workflow.PlacedTask) workerIncarnation {
 	return workerIncarnation{
 		id:          t.Worker,
--- a/dispatch/speed_internal_test.go
+++ b/dispatch/speed_internal_test.go
@@ -277,6 +277,21 @@
 	}
 }
 
+// The expected end of each member of a gang depends on its slowest worker, which took time that
+// grows with the square of the gang's width.
+func BenchmarkPlaceBesideGang(b *testing.B) {
+	c := newBusyUneven(b)
+	c.submit(newWorkflow("wide", 1, newGang(256, 4)))
+	c.stepFor(time.Second)
+	c.submit(newWorkflow("more", 1, newStep(540, 64, time.Minute)))
+	b.ResetTimer()
+	for range b.N {
+		d := c.dispatcher
+		d.placedVersion = 0
+		d.Reconcile(c.now, c.state, c.after)
+	}
+}
+
 // newBusyUneven returns a cluster of 540 workers, whose different speeds a leader before has
 // learned, with 1,296 runs.
 func newBusyUneven(b *testing.B) *cluster {
