Let one piece of code serve where the new parts repeat each other

The comparison of a step's samples had a function with the same list twice as its argument, and each sample copied the spreads of all pools although most change none.

--- a/apply_claim.go
+++ b/apply_claim.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/plantainladder/plantainladder/claim"
+	"github.com/plantainladder/plantainladder/util"
 )
 
 func (s State) applyMakeClaim(now time.Time, c MakeClaim) (State, Outcome) {
@@ -96,15 +97,7 @@
 	s = s.withExpiry(Expiry{
 		Kind: expireClaim,
 		Key:  c.Key.String(),
-		At:   laterOf(current.Expires, now),
+		At:   util.Later(current.Expires, now),
 	})
 	return s, Outcome{}
 }
-
-// laterOf returns the later of two times.
-func laterOf(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/controller/node/limit_meters.go
+++ b/controller/node/limit_meters.go
@@ -24,19 +24,10 @@
 		metrics.GetOrCreateGauge(full, nil).Set(float64(v))
 		exported[full] = true
 	}
-	for _, u := range list {
-		for _, r := range []struct {
-			name        string
-			limit, used int
-		}{
-			{"milli-cores", u.Limit.MilliCores, u.Used.MilliCores},
-			{"memory-mb", u.Limit.MemoryMB, u.Used.MemoryMB},
-			{"accelerators", u.Limit.Accelerators, u.Used.Accelerators},
-		} {
-			if r.limit > 0 {
-				set(limitGauge, u.Organisation, r.name, r.limit)
-				set(useGauge, u.Organisation, r.name, r.used)
-			}
+	for _, o := range list {
+		for _, u := range o.Limit.LimitedUses(o.Used) {
+			set(limitGauge, o.Organisation, u.Resource, u.Limit)
+			set(useGauge, o.Organisation, u.Resource, u.Used)
 		}
 	}
 	for _, name := range metrics.ListMetricNames() {
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/plantainladder/plantainladder/util"
 	"github.com/plantainladder/plantainladder/workflow"
 )
 
@@ -129,7 +130,7 @@
 	}
 	v.unanswered = 0
 	v.lastAnsweredAt, v.lastContact = now, now
-	v.aliveAt = later(v.aliveAt, a.SentAt)
+	v.aliveAt = util.Later(v.aliveAt, a.SentAt)
 	fence := targetOf(a.Order).Fence
 	isFirst := hasAcceptedFence(a.Result) && fence > v.answeredFence
 	if isFirst {
@@ -276,11 +277,3 @@
 	}
 	return v.withRun(listed.RunKey, r)
 }
-
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/plantainladder/plantainladder/pool"
+	"github.com/plantainladder/plantainladder/util"
 	"github.com/plantainladder/plantainladder/workflow"
 )
 
@@ -27,8 +28,8 @@
 // missesAnnouncements reports whether this leader has led for long enough to know the
 // worker's capacity, but does not.
 func (s *reconciliation) missesAnnouncements(v workerView) bool {
-	since := later(v.announcedAt, s.dispatcher.termStartedAt)
-	return s.now.Sub(later(since, v.firstSeenAt)) >= maxMissedAnnouncements*s.dispatcher.cfg.AnnounceInterval
+	since := util.Later(v.announcedAt, s.dispatcher.termStartedAt)
+	return s.now.Sub(util.Later(since, v.firstSeenAt)) >= maxMissedAnnouncements*s.dispatcher.cfg.AnnounceInterval
 }
 
 // mayHoldCapacity reports whether a placed run may have been started on the worker
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/plantainladder/plantainladder/pool"
+	"github.com/plantainladder/plantainladder/util"
 	"github.com/plantainladder/plantainladder/workflow"
 )
 
@@ -109,7 +110,7 @@
 // hasAnsweredSince reports whether the worker has answered an order that was sent
 // after a run was placed on it, and after the last start for the run.
 func (v workerView) hasAnsweredSince(r runState) bool {
-	return !v.aliveAt.Before(later(r.placedAt, r.lastStartAt))
+	return !v.aliveAt.Before(util.Later(r.placedAt, r.lastStartAt))
 }
 
 // isAlive reports whether the worker has answered just before it is told to start a
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -166,17 +166,8 @@
 func (l *organisationLimits) describe(organisation string) string {
 	limit, used := l.limitOf(organisation), l.placed[organisation]
 	text := organisation
-	for _, r := range []struct {
-		name        string
-		used, limit int
-	}{
-		{"milli-cores", used.MilliCores, limit.MilliCores},
-		{"memory-mb", used.MemoryMB, limit.MemoryMB},
-		{"accelerators", used.Accelerators, limit.Accelerators},
-	} {
-		if r.limit > 0 {
-			text += fmt.Sprintf(" %s=%d/%d", r.name, r.used, r.limit)
-		}
+	for _, u := range limit.LimitedUses(used) {
+		text += fmt.Sprintf(" %s=%d/%d", u.Resource, u.Used, u.Limit)
 	}
 	return text
 }
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/plantainladder/plantainladder/pool"
+	"github.com/plantainladder/plantainladder/util"
 )
 
 // A preemptionCandidate is a set of runs that have to be stopped together: the
@@ -119,7 +120,7 @@
 			c.members = append(c.members, alloc)
 			c.loss += alloc.loss
 			c.isMeasured = alloc.isMeasured && (c.isMeasured || !known)
-			c.endsAt = later(c.endsAt, alloc.endsAt)
+			c.endsAt = util.Later(c.endsAt, alloc.endsAt)
 			c.isProtected = alloc.priority <= priority
 			m[k] = c
 		}
--- a/dispatch/renew.go
+++ b/dispatch/renew.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"github.com/plantainladder/plantainladder/util"
 	"github.com/plantainladder/plantainladder/workflow"
 )
 
@@ -98,7 +99,7 @@
 // arrive from a worker that no order reaches.
 func (v workerView) lastAnswerAt(since time.Time) time.Time {
 	if v.lastAnsweredAt.IsZero() {
-		return later(v.firstSeenAt, since)
+		return util.Later(v.firstSeenAt, since)
 	}
 	return v.lastAnsweredAt
 }
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/plantainladder/plantainladder/util"
 	"github.com/plantainladder/plantainladder/workflow"
 )
 
@@ -49,7 +50,7 @@
 // started under its lease. If no answer of the worker had its clock, the longest
 // lease that an earlier leader can have granted is the bound.
 func (s *reconciliation) isLeaseExpired(v workerView, t workflow.PlacedTask) bool {
-	known := s.now.Sub(later(v.firstSeenAt, s.dispatcher.termStartedAt))
+	known := s.now.Sub(util.Later(v.firstSeenAt, s.dispatcher.termStartedAt))
 	bound := s.maxInheritedLease()
 	if v.worker.Incarnation != t.Incarnation {
 		// A start for the earlier incarnation may still reach this one, and the
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -71,17 +71,12 @@
 	if len(step.samples) < minStepSamples {
 		return
 	}
-	s.compare(step, step.samples)
-	step.isCompared = true
-	s.dispatcher.samples.byStep = s.dispatcher.samples.byStep.Set(name, step)
-}
-
-// compare updates the estimates of workers after samples of a step.
-func (s *reconciliation) compare(step sampledStep, samples []stepSample) {
 	work := s.stepWork(step.samples)
-	for _, sample := range samples {
+	for _, sample := range step.samples {
 		s.learnSpeed(sample.worker, work.sample(sample.logTime, step.variance/float64(sample.tasks)), true)
 	}
+	step.isCompared = true
+	s.dispatcher.samples.byStep = s.dispatcher.samples.byStep.Set(name, step)
 }
 
 // medianInterval is the time between two comparisons of old steps and updates of the median
@@ -160,13 +155,10 @@
 	}
 	return stepWork{
 		logTime:  speed.Median(works),
-		variance: medianInefficiency / total,
+		variance: speed.MedianVariance(total),
 	}
 }
 
-// medianInefficiency is the variance of a median divided by that of a mean.
-const medianInefficiency = math.Pi / 2
-
 // learnSpeed updates the estimate of a worker after runs of a step, if its incarnation is
 // still the current one. Only its first sample of a step tells how alike successive samples
 // are.
@@ -175,14 +167,14 @@
 	if !ok || v.worker.Incarnation != worker.incarnation {
 		return
 	}
-	sample.Speed = min(max(sample.Speed, -speed.MaxDeviation), speed.MaxDeviation)
+	sample.Speed = speed.Bounded(sample.Speed)
 	before := s.dispatcher.spreads[v.worker.Pool]
 	after := before
 	if isFirst {
 		after = before.WithPair(v.speed, sample)
+		s.dispatcher.spreads = maps.Clone(s.dispatcher.spreads)
+		s.dispatcher.spreads[v.worker.Pool] = after
 	}
-	s.dispatcher.spreads = maps.Clone(s.dispatcher.spreads)
-	s.dispatcher.spreads[v.worker.Pool] = after
 	v.speed = v.speed.WithSample(sample)
 	s.dispatcher = s.dispatcher.withView(v)
 	if before.IsUneven() == after.IsUneven() {
--- a/dispatch/speed_sample.go
+++ b/dispatch/speed_sample.go
@@ -8,6 +8,7 @@
 
 	"github.com/benbjohnson/immutable"
 
+	"github.com/plantainladder/plantainladder/util"
 	"github.com/plantainladder/plantainladder/workflow"
 )
 
@@ -114,7 +115,7 @@
 			if startedAt.IsZero() {
 				return at, 0, false
 			}
-			at = later(at, startedAt)
+			at = util.Later(at, startedAt)
 		}
 	}
 	return at, 0, !at.IsZero()
--- a/dispatch/stall.go
+++ b/dispatch/stall.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/plantainladder/plantainladder/util"
 	"github.com/plantainladder/plantainladder/workflow"
 )
 
@@ -69,7 +70,7 @@
 	v = v.withRunEnding(s.now, workflow.EndedFailed)
 	if !t.StepSpec.IsGang {
 		backoff := stallBackoff << min(v.consecutiveFailures, maxBackoffShift)
-		v.backoffUntil = later(v.backoffUntil, s.now.Add(backoff))
+		v.backoffUntil = util.Later(v.backoffUntil, s.now.Add(backoff))
 	}
 	return v
 }
--- a/dispatch/verdict.go
+++ b/dispatch/verdict.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/plantainladder/plantainladder/util"
 	"github.com/plantainladder/plantainladder/workflow"
 )
 
@@ -62,7 +63,7 @@
 	if l.At.After(s.now) {
 		return s.dispatcher.termStartedAt
 	}
-	return later(l.At, s.dispatcher.termStartedAt)
+	return util.Later(l.At, s.dispatcher.termStartedAt)
 }
 
 // awaitsVerdict reports whether an answer of the worker is needed for the verdict on a
--- a/dispatch/waits.go
+++ b/dispatch/waits.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/plantainladder/plantainladder/util"
 	"github.com/plantainladder/plantainladder/workflow"
 )
 
@@ -79,7 +80,7 @@
 // since returns from when a task group counts as waiting: its due time, or the
 // submission of its workflow.
 func (g taskGroup) since() time.Time {
-	return later(g.wf.Spec.DueAt(g.occurrence), g.wf.Submitted)
+	return util.Later(g.wf.Spec.DueAt(g.occurrence), g.wf.Submitted)
 }
 
 // reportWaits logs task groups that wait although they fit on the workers in
--- a/gateway/controller/contact.go
+++ b/gateway/controller/contact.go
@@ -7,6 +7,8 @@
 	"slices"
 	"syscall"
 	"time"
+
+	"github.com/plantainladder/plantainladder/util"
 )
 
 const (
@@ -110,23 +112,16 @@
 		c.leaderAt, c.lostAt = now, time.Time{}
 	default:
 		if c.lostAt.IsZero() {
-			c.lostAt = later(call.startedAt, c.leaderAt)
+			c.lostAt = util.Later(call.startedAt, c.leaderAt)
 		}
 	}
 	return c
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // leaderExpectedBy returns when an election has usually ended that began when the leader
 // was lost, or when the controllers came back.
 func (c contact) leaderExpectedBy() time.Time {
-	return later(c.lostAt, c.electorsSince).Add(usualElection)
+	return util.Later(c.lostAt, c.electorsSince).Add(usualElection)
 }
 
 // isAvoided reports whether a controller has just been found not to respond.
--- a/interference/builder.go
+++ b/interference/builder.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/plantainladder/plantainladder/speed"
 )
 
 // A builder is the mutable working state of a With.
@@ -56,7 +58,7 @@
 		after, b.cloned[pair] = before.clone(), true
 	}
 	after.add(b.now, observation{
-		excess:            bounded(excess),
+		excess:            speed.Bounded(excess),
 		variance:          run.Variance,
 		worker:            run.Worker,
 		workerVariance:    slownessVariance,
--- a/interference/interference.go
+++ b/interference/interference.go
@@ -107,8 +107,6 @@
 	// minControls is the number of runs of a worker without a kind that are needed to tell the
 	// kind from a slow worker. Kinds may run only on workers of one sort.
 	minControls = 2
-	// medianInefficiency is the variance of a median divided by that of a mean.
-	medianInefficiency = math.Pi / 2
 )
 
 // Knowledge is what is known about kinds that slow each other down. It is immutable; its zero
--- a/interference/reference.go
+++ b/interference/reference.go
@@ -99,11 +99,6 @@
 	return slowness / precision, 1 / precision, true
 }
 
-// bounded returns what one run may say at most.
-func bounded(excess float64) float64 {
-	return min(max(excess, -speed.MaxDeviation), speed.MaxDeviation)
-}
-
 // A reference is the run time of a step's tasks that were not beside a kind.
 type reference struct {
 	// logTime is its logarithm, and variance the variance of that.
@@ -116,7 +111,7 @@
 	if r.runs < minReference {
 		return math.NaN()
 	}
-	return bounded(logTime - r.logTime)
+	return speed.Bounded(logTime - r.logTime)
 }
 
 // A kindReference is the run time of a step's tasks that were not beside a kind.
@@ -234,7 +229,7 @@
 	}
 	return reference{
 		logTime:  speed.MedianOfSorted(list),
-		variance: medianInefficiency / precision,
+		variance: speed.MedianVariance(precision),
 		runs:     len(list),
 	}
 }
--- a/pool/limit.go
+++ b/pool/limit.go
@@ -1,6 +1,9 @@
 package pool
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // The methods in this file take a vector as a limit, in which a component of 0 means that
 // the resource is not limited.
@@ -53,6 +56,21 @@
 	return limit - used
 }
 
+// A LimitedUse is what is used of a resource that is limited.
+type LimitedUse struct {
+	Resource    string
+	Used, Limit int
+}
+
+// LimitedUses returns what is used of each resource that the limit r limits.
+func (r ResourceVector) LimitedUses(used ResourceVector) []LimitedUse {
+	return slices.DeleteFunc([]LimitedUse{
+		{"milli-cores", used.MilliCores, r.MilliCores},
+		{"memory-mb", used.MemoryMB, r.MemoryMB},
+		{"accelerators", used.Accelerators, r.Accelerators},
+	}, func(u LimitedUse) bool { return u.Limit <= 0 })
+}
+
 // WithOverage returns the limit r raised by a share of itself.
 func (r ResourceVector) WithOverage(share float64) ResourceVector {
 	if share <= 0 || math.IsNaN(share) {
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -18,6 +18,11 @@
 	maxPrecision = 1 / (0.08 * 0.08)
 )
 
+// Bounded returns the part of a deviation that one run may suggest.
+func Bounded(deviation float64) float64 {
+	return min(max(deviation, -MaxDeviation), MaxDeviation)
+}
+
 // A Sample is a speed that runs of a worker suggest.
 type Sample struct {
 	// Speed is what they suggest.
@@ -237,3 +242,12 @@
 	}
 	return 0
 }
+
+// medianInefficiency is the variance of a median divided by that of a mean.
+const medianInefficiency = math.Pi / 2
+
+// MedianVariance returns the variance of a weighted median of values whose weights are the
+// inverses of their variances and have the given sum.
+func MedianVariance(precision float64) float64 {
+	return medianInefficiency / precision
+}
