Simplify the path after a step and the least tasks of a group

The path after a step was found for each step again, with a map; PathsAfter finds those of all steps in one pass, once for a workflow. The starvation check and the least tasks to place repeated leastTasks, and the interruption of a body repeated its drain.

--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -294,10 +294,7 @@
 	if p.s.now.Sub(g.since()) < maxReservationWait || slices.ContainsFunc(g.wf.Occurrences, workflow.Occurrence.HasPlacedTask) {
 		return false
 	}
-	needed := 2
-	if g.step.IsGang {
-		needed = 2 * len(g.waiting)
-	}
+	needed := 2 * g.leastTasks()
 	for _, n := range f.nodes {
 		if needed -= g.fitCount(n, p.available(n, g), needed); needed <= 0 {
 			return true
@@ -309,8 +306,6 @@
 // withFirstWaiting returns g with the least of its waiting tasks that may be placed: the first,
 // or all of a gang.
 func (g taskGroup) withFirstWaiting() taskGroup {
-	if !g.step.IsGang {
-		g.waiting = g.waiting[:1]
-	}
+	g.waiting = g.waiting[:g.leastTasks()]
 	return g
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -299,8 +299,8 @@
 }
 
 // bestRack returns assignments in the rack with the best speed rank, of those with the fewest
-// nodes on which a kind of task interferes, and of those with the least free capacity, among the racks that hold the whole task group. If the task group
-// has a data rack, only that one is tried.
+// nodes on which a kind of task interferes, and of those with the least free capacity, among the
+// racks that hold the whole task group. If the task group has a data rack, only that one is tried.
 func bestRack(f *fleet, g taskGroup, available func(n *node) pool.ResourceVector) (best []assignment) {
 	least, bestRank, fewest := 0, 0, 0
 	for _, r := range f.racks {
--- a/dispatch/speed_preempt.go
+++ b/dispatch/speed_preempt.go
@@ -44,7 +44,7 @@
 func (e *preemption) frees(freedSoon map[string]pool.ResourceVector) bool {
 	for _, a := range e.assignments {
 		soon := a.node.releasing.Plus(freedSoon[a.node.worker.ID])
-		if soon != (pool.ResourceVector{}) {
+		if !soon.IsZero() {
 			return true
 		}
 	}
--- a/dispatch/taskgroup.go
+++ b/dispatch/taskgroup.go
@@ -81,6 +81,8 @@
 	predicted := func(declared time.Duration) time.Duration {
 		return s.dispatcher.runTimes.predict(w.Spec.Queue, declared)
 	}
+	isUneven := s.dispatcher.spreads[w.QueueSettings.Pool].IsUneven()
+	var pathsAfter []time.Duration
 	for i, step := range w.Spec.Steps {
 		r := o.Steps[i]
 		if r.HasSucceeded(step) || !o.IsReady(w.Spec, i) || step.IsGang && r.HasPlacedTask() {
@@ -103,8 +105,11 @@
 			}
 		}
 		g.isLate = s.now.Add(step.DeclaredRunTime).After(g.targetCompletion)
-		if s.dispatcher.spreads[w.QueueSettings.Pool].IsUneven() {
-			g.stepTarget = g.targetCompletion.Add(-w.Spec.PathAfter(i, predicted))
+		if isUneven {
+			if pathsAfter == nil {
+				pathsAfter = w.Spec.PathsAfter(predicted)
+			}
+			g.stepTarget = g.targetCompletion.Add(-pathsAfter[i])
 			g.neededSpeed = neededSpeed(s.now, step.DeclaredRunTime, g.stepTarget)
 		}
 		g.kind, g.avoided = s.dispatcher.interference.kindAndAvoided(kindOf(w, step))
--- a/http1/connection.go
+++ b/http1/connection.go
@@ -296,10 +296,7 @@
 
 // interruptBody ends the reading of the body under way.
 func (c *connection) interruptBody() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.interrupted.Store(true)
-	_ = c.TCPConn.SetReadDeadline(time.Now())
+	c.drainBody(time.Now())
 }
 
 // drainBody lets the rest of a refused body be read until a deadline.
--- a/workflow/spec.go
+++ b/workflow/spec.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/plantainladder/plantainladder/pool"
@@ -120,27 +121,20 @@
 	return longest
 }
 
-// PathAfter returns the sum of the run times along the longest chain of steps that depend on
-// a step, which is not included. For correct see CriticalPath.
-func (s Spec) PathAfter(step int, correct func(declared time.Duration) time.Duration) time.Duration {
-	longest := time.Duration(0)
-	paths := make(map[int]time.Duration, len(s.Steps))
-	paths[step] = 0
-	for i := step + 1; i < len(s.Steps); i++ {
-		for _, dependency := range s.Steps[i].Dependencies {
-			before, isAfter := paths[dependency]
-			if !isAfter {
-				continue
-			}
-			runTime := s.Steps[i].DeclaredRunTime
-			if correct != nil {
-				runTime = correct(runTime)
-			}
-			paths[i] = max(paths[i], before+runTime)
-			longest = max(longest, paths[i])
+// PathsAfter returns, for each step, the sum of the run times along the longest chain of steps
+// that depend on it, which is not included. For correct see CriticalPath.
+func (s Spec) PathsAfter(correct func(declared time.Duration) time.Duration) []time.Duration {
+	after := make([]time.Duration, len(s.Steps))
+	for i, step := range slices.Backward(s.Steps) {
+		runTime := step.DeclaredRunTime
+		if correct != nil {
+			runTime = correct(runTime)
+		}
+		for _, dependency := range step.Dependencies {
+			after[dependency] = max(after[dependency], runTime+after[i])
 		}
 	}
-	return longest
+	return after
 }
 
 // Accelerators returns the maximum, over all steps, of the accelerators that
