--- a/review/standin-4/deployment.go
+++ b/review/standin-4/deployment.go
@@ -1,18 +1,15 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -204,7 +201,9 @@
 	cmd := exec.Command(p.program, p.role)
 	cmd.Env = []string{"PLANTAINLADDER_BOOT=" + filepath.Join(p.folder, "settings.conf")}
 	cmd.Stdout, cmd.Stderr = out, out
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	cmd.SysProcAttr = &syscall.SysProcAttr{
+		Pdeathsig: syscall.SIGKILL,
+	}
 	if err = cmd.Start(); err != nil {
 		return err
 	}
@@ -278,132 +277,3 @@
 	d.minions = append(d.minions, m)
 	return m, nil
 }
-
-const (
-	routeHost = "jobs.example"
-	prefix    = "/queue/"
-	apiKey    = "key-of-tenant-a"
-)
-
-func (d *deployment) config(version int) []byte {
-	b, _ := json.Marshal(map[string]any{
-		"version": version,
-		"routes": []any{
-			map[string]any{
-				"name": "r-jobs", "host": routeHost, "pathPrefix": prefix, "type": "unsafe", "timeoutMs": 3000, "targetCompletionMs": 3000,
-				"priority": 1, "service": "svc", "maxAttempts": 3, "stretch": 3.0, "public": false,
-			},
-		},
-		"services": []any{
-			map[string]any{
-				"name": "svc", "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": false, "coldStartS": 0.0, "coldPerS": 0.0,
-				"enforcesCapacity": false, "standby": false,
-			},
-		},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": "tenant-a", "apiKeys": []string{apiKey}, "priority": 1, "guaranteedGpus": map[string]int{"gpu": 0}}},
-	})
-	return b
-}
-
-// putConfig sends the next desired state until it is acknowledged.
-func (d *deployment) putConfig(within time.Duration) error {
-	d.version++
-	body := d.config(d.version)
-	until := time.Now().Add(within)
-	for i := 0; time.Now().Before(until); i++ {
-		status, _ := d.call(time.Second, http.MethodPut, d.control(i%len(d.cores)), "", "/plantainladder/config", body)
-		if status == http.StatusOK {
-			return nil
-		}
-		time.Sleep(200 * time.Millisecond)
-	}
-	return fmt.Errorf("no acknowledgement of the desired state within %v", within)
-}
-
-// call sends a request and returns its status, 0 without an answer, and the body.
-func (d *deployment) call(timeout time.Duration, method, address, host, path string, body []byte) (status int, answer string) {
-	return call(d.rec, timeout, method, address, host, path, body)
-}
-
-// job returns the body of a job with one step.
-func job(step map[string]any) []byte {
-	b, _ := json.Marshal(map[string]any{
-		"taskSpec": "spec", "steps": []any{step},
-	})
-	return b
-}
-
-func jobID(n int) string { return fmt.Sprintf("%016x", 0x5c0e7a21d94b0000+uint64(n)) }
-
-// submit hands a job in as a consumer does, until it is accepted.
-func (d *deployment) submit(id string, body []byte) bool {
-	for i := range 8 {
-		status, _ := d.call(3*time.Second, http.MethodPost, d.front(i%len(d.fronts)), routeHost, prefix+id, body)
-		if status >= 200 && status < 300 {
-			return true
-		}
-		time.Sleep(500 * time.Millisecond)
-	}
-	return false
-}
-
-// state returns the state of a job.
-func (d *deployment) state(id string) (status int, state string) {
-	status, answer := d.call(3*time.Second, http.MethodGet, d.front(0), routeHost, prefix+id, nil)
-	var m struct {
-		State string `json:"state"`
-	}
-	_ = json.Unmarshal([]byte(answer), &m)
-	return status, m.State
-}
-
-// A cloud is a stand-in for the platform's list of machines.
-type cloud struct {
-	address  string
-	server   *http.Server
-	mu       sync.Mutex
-	machines map[string]map[string]any
-	order    []string
-}
-
-func newCloud(address string) (*cloud, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	c := &cloud{
-		address:  address,
-		machines: map[string]map[string]any{},
-	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /plantainladder/machines", func(w http.ResponseWriter, _ *http.Request) {
-		c.mu.Lock()
-		list := []any{}
-		for _, id := range c.order {
-			list = append(list, c.machines[id])
-		}
-		b, _ := json.Marshal(map[string]any{"machines": list, "nextToken": ""})
-		c.mu.Unlock()
-		w.Header().Set("Content-Type", "application/json")
-		_, _ = w.Write(b)
-	})
-	c.server = &http.Server{Handler: mux}
-	go func() { _ = c.server.Serve(l) }()
-	return c, nil
-}
-
-// set records the state of a machine and of its minion.
-func (c *cloud) set(cfg minionConfig, state, minionID string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.machines[cfg.machine] == nil {
-		c.order = append(c.order, cfg.machine)
-	}
-	c.machines[cfg.machine] = map[string]any{
-		"machineId": cfg.machine, "pool": "svc", "state": state, "zone": "za", "labels": cfg.labels(),
-		"capacity": cfg.capacity(), "id": minionID,
-	}
-}
-
-func (c *cloud) close() { _ = c.server.Close() }
--- a/review/standin-4/main.go
+++ b/review/standin-4/main.go
@@ -17,7 +17,7 @@
 	"crowd":    playCrowd,
 	"limit":    playLimit,
 	"replaced": playReplaced,
-	"pending":  playPending,
+	"wide":     playWide,
 }
 
 // longestRun is how long a case may take.
--- a/review/standin-4/minion.go
+++ b/review/standin-4/minion.go
@@ -30,6 +30,8 @@
 	// onStart is called for each start that arrives; it may tell that the order gets no
 	// answer and is carried out after a time.
 	onStart func(m *minion, o order) (late time.Duration)
+	// isQuiet is true if orders and runs are not recorded.
+	isQuiet bool
 	// onOrder is called for each order that arrives.
 	onOrder func()
 	// onRun is called when a run begins or has ended.
@@ -92,10 +94,6 @@
 	sequence    uint64
 	changed     chan struct{}
 	seq         int
-	// isCut is true while the minion is cut off: it sends and answers nothing.
-	isCut bool
-	// isDraining is true once it says that it leaves.
-	isDraining bool
 }
 
 func (l *life) clock(now time.Time) int64 {
@@ -168,8 +166,15 @@
 	_ = l.server.Close()
 }
 
+// note records what happens to orders and runs, unless the minion is quiet.
+func (m *minion) note(format string, args ...any) {
+	if !m.cfg.isQuiet {
+		m.cfg.rec.note(format, args...)
+	}
+}
+
 func (m *minion) event(task string, number int, what string) {
-	m.cfg.rec.note("%s: run %d of %s %s", m.cfg.id, number, task, what)
+	m.note("%s: run %d of %s %s", m.cfg.id, number, task, what)
 	if m.cfg.onRun != nil {
 		m.cfg.onRun(m, task, number, what)
 	}
@@ -216,246 +221,19 @@
 	l.changed = make(chan struct{})
 }
 
-// serve carries out an order, or hangs while the minion is cut off.
-func (m *minion) serve(l *life, w http.ResponseWriter, r *http.Request, name string, f func(l *life, now time.Time, o order) string) {
-	o, ok := m.read(l, w, r)
-	if !ok {
-		return
-	}
-	if name == "run-start" && m.cfg.onStart != nil {
-		if late := m.cfg.onStart(m, o); late > 0 {
-			m.cfg.rec.note("%s: start of run %d of %s gets no answer; it is carried out %v later", m.cfg.id, o.Run, o.Task, late)
-			time.AfterFunc(late, func() { m.carryOutLate(o) })
-			hang(l, r)
-			return
-		}
-	}
-	m.mu.Lock()
-	now := time.Now()
-	reason := f(l, now, o)
-	clock := l.clock(now)
-	m.mu.Unlock()
-	m.cfg.rec.note("%s: %s of run %d of %s with token %d, deadline %d: %s", m.cfg.id, name, o.Run, o.Task, o.FencingToken, o.DeadlineMs, describe(reason))
-	answer(w, reason, clock, l)
-}
-
-func describe(reason string) string {
-	if reason == "" {
-		return "200"
-	}
-	return "409 " + reason
-}
-
-// hang keeps a request without an answer until its sender gives up or the boot ends.
-func hang(l *life, r *http.Request) {
-	select {
-	case <-r.Context().Done():
-	case <-l.ctx.Done():
-	case <-time.After(30 * time.Second):
-	}
-	panic(http.ErrAbortHandler)
-}
-
-// carryOutLate carries out a start that got no answer, by the boot that is there then.
-func (m *minion) carryOutLate(o order) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	l := m.life
-	if l.ctx.Err() != nil || m.closed {
-		m.cfg.rec.note("%s: late start of run %d of %s finds nobody", m.cfg.id, o.Run, o.Task)
-		return
-	}
-	reason := m.start(l, time.Now(), o)
-	m.cfg.rec.note("%s: late start of run %d of %s with token %d, deadline %d: %s", m.cfg.id, o.Run, o.Task, o.FencingToken, o.DeadlineMs, describe(reason))
-}
-
-func (m *minion) read(l *life, w http.ResponseWriter, r *http.Request) (o order, ok bool) {
-	b, err := io.ReadAll(r.Body)
-	m.mu.Lock()
-	isCut := l.isCut
-	m.mu.Unlock()
-	if isCut {
-		hang(l, r)
-	}
-	if m.cfg.onOrder != nil {
-		m.cfg.onOrder()
-	}
-	if r.Header.Get("X-Expect-Instance") != m.cfg.id {
-		m.cfg.rec.note("%s: an order for %s: 421", m.cfg.id, r.Header.Get("X-Expect-Instance"))
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return o, false
-	}
-	if err == nil {
-		err = json.Unmarshal(b, &o)
-	}
-	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return o, false
-	}
-	return o, true
-}
-
-func answer(w http.ResponseWriter, reason string, clock int64, l *life) {
-	w.Header().Set("Content-Type", "application/json")
-	body := map[string]any{"clockMs": clock, "born": l.bootedAt.UnixMilli()}
-	if reason != "" {
-		body["reason"] = reason
-		w.WriteHeader(http.StatusConflict)
-	}
-	_ = json.NewEncoder(w).Encode(body)
-}
-
-// checkToken returns why an order is rejected, if its token is lower than one seen.
-func (l *life) checkToken(o order) string {
-	if o.FencingToken < l.token {
-		return "fence"
-	}
-	l.token = o.FencingToken
-	return ""
-}
-
-func (m *minion) extendLease(l *life, now time.Time, o order) {
-	m.endDue(l, now)
-	l.leaseUntil = max(l.leaseUntil, min(o.DeadlineMs, l.clock(now)+holdMax.Milliseconds()))
-}
-
-func (m *minion) start(l *life, now time.Time, o order) string {
-	if reason := l.checkToken(o); reason != "" {
-		return reason
-	}
-	if o.DeadlineMs < l.clock(now) {
-		return "late"
-	}
-	m.extendLease(l, now, o)
-	if r := l.running[o.Task]; r != nil && r.number == o.Run {
-		return ""
-	}
-	if o.Run <= l.closedRuns[o.Task] {
-		return "old"
-	}
-	l.running[o.Task] = &run{
-		task:      o.Task,
-		number:    o.Run,
-		startedAt: now,
-	}
-	m.event(o.Task, o.Run, "starts")
-	return ""
-}
-
-func (m *minion) stop(l *life, now time.Time, o order) string {
-	if reason := l.checkToken(o); reason != "" {
-		return reason
-	}
-	l.closedRuns[o.Task] = max(l.closedRuns[o.Task], o.Run)
-	if r := l.running[o.Task]; r != nil && r.number == o.Run && r.stopAt.IsZero() {
-		r.stopAt = now.Add(stopTime / 2)
-	}
-	return ""
-}
-
-// hold renews the lease and answers with both lists, at once if there are ends.
-func (m *minion) hold(l *life, w http.ResponseWriter, r *http.Request) {
-	o, ok := m.read(l, w, r)
-	if !ok {
-		return
-	}
-	m.mu.Lock()
-	now := time.Now()
-	reason := l.checkToken(o)
-	if reason == "" {
-		m.extendLease(l, now, o)
-		var rest []ended
-		for _, f := range l.finished {
-			if f.sequence > o.AckCursor {
-				rest = append(rest, f)
-			}
-		}
-		l.finished = rest
-	}
-	clock := l.clock(now)
-	m.mu.Unlock()
-	m.cfg.rec.note("%s: hold with token %d, deadline %d, cursor %d: %s", m.cfg.id, o.FencingToken, o.DeadlineMs, o.AckCursor, describe(reason))
-	if reason != "" {
-		answer(w, reason, clock, l)
-		return
-	}
-	deadline := time.After(time.Duration(o.WaitMs) * time.Millisecond)
-	for isOver := false; ; {
-		m.mu.Lock()
-		body, changed, hasEnds, isCut := m.lists(l), l.changed, len(l.finished) > 0, l.isCut
-		m.mu.Unlock()
-		if isCut {
-			hang(l, r)
-		}
-		if hasEnds || isOver || o.WaitMs == 0 {
-			w.Header().Set("Content-Type", "application/json")
-			_, _ = w.Write(body)
-			return
-		}
-		select {
-		case <-changed:
-		case <-deadline:
-			isOver = true
-		case <-r.Context().Done():
-			return
-		case <-l.ctx.Done():
-			panic(http.ErrAbortHandler)
-		}
-	}
-}
-
-func (m *minion) lists(l *life) []byte {
-	now := time.Now()
-	running, finished := [][]any{}, [][]any{}
-	for _, r := range l.running {
-		percent := int(100 * now.Sub(r.startedAt) / max(m.cfg.runTime(r.task), 1))
-		running = append(running, []any{r.task, r.number, "", min(percent, 99), 1000})
-	}
-	for _, f := range l.finished {
-		finished = append(finished, []any{f.sequence, f.task, f.run, f.how, ""})
-	}
-	b, _ := json.Marshal(map[string]any{
-		"clockMs": l.clock(now), "born": l.bootedAt.UnixMilli(), "running": running, "finished": finished,
-	})
-	return b
-}
-
-// setCut cuts the minion off from all machines, or ends that.
-func (m *minion) setCut(isCut bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.life.isCut = isCut
-	m.cfg.rec.note("%s is cut off: %v", m.cfg.id, isCut)
-}
-
-// runs returns the names of the tasks that run.
-func (m *minion) runs() (list []string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for task := range m.life.running {
-		list = append(list, task)
-	}
-	return list
-}
-
 // ping sends pings until the boot ends.
 func (m *minion) ping(l *life) {
 	for at := 0; l.ctx.Err() == nil; {
 		m.mu.Lock()
 		l.seq++
-		state := "ready"
-		if l.isDraining {
-			state = "draining"
-		}
-		isCut := l.isCut
 		body, _ := json.Marshal(map[string]any{
-			"service": "svc", "address": m.cfg.listen, "zone": "za", "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0,
+			"service": "svc", "address": m.cfg.listen, "zone": "za", "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
 			"capacity": m.cfg.capacity(), "labels": m.cfg.labels(), "clockMs": l.clock(time.Now()), "seq": l.seq, "born": l.bootedAt.UnixMilli(),
 			"machineId": m.cfg.machine,
 		})
 		m.mu.Unlock()
 		wait := pingInterval
-		if !isCut && !m.sendPing(l, m.cfg.controls[at%len(m.cfg.controls)], body) {
+		if !m.sendPing(l, m.cfg.controls[at%len(m.cfg.controls)], body) {
 			at++
 			wait = 100 * time.Millisecond
 		}
