--- a/review/standin-4/deployment.go
+++ b/review/standin-4/deployment.go
@@ -102,15 +102,11 @@
 	if d.cloud, err = newCloud(fmt.Sprintf("%s.200:%d", d.subnet, d.basePort+60)); err != nil {
 		return d, err
 	}
-	var seeds []string
-	for i := range min(cores, 3) {
-		seeds = append(seeds, d.control(i))
-	}
 	for i := range cores {
-		d.cores = append(d.cores, d.newProcess("core", i, d.coreIP(i), seeds, tolerated))
+		d.cores = append(d.cores, d.newProcess("core", i, d.coreIP(i), tolerated))
 	}
 	for i := range fronts {
-		d.fronts = append(d.fronts, d.newProcess("front", i, d.frontIP(i), seeds, tolerated))
+		d.fronts = append(d.fronts, d.newProcess("front", i, d.frontIP(i), tolerated))
 	}
 	return d, nil
 }
@@ -137,7 +133,12 @@
 	return true
 }
 
-func (d *deployment) newProcess(role string, i int, ip string, seeds []string, tolerated int) *process {
+// seeds returns the control addresses of the first three cores.
+func (d *deployment) seeds() []string {
+	return []string{d.control(0), d.control(1), d.control(2)}
+}
+
+func (d *deployment) newProcess(role string, i int, ip string, tolerated int) *process {
 	p := &process{
 		name:    fmt.Sprintf("%s-%d", role, i),
 		role:    role,
@@ -146,7 +147,7 @@
 		folder:  filepath.Join(d.folder, fmt.Sprintf("%s-%d", role, i)),
 	}
 	_ = os.MkdirAll(p.folder, 0o700)
-	d.writeSettings(p, seeds, tolerated, true)
+	d.writeSettings(p, d.seeds(), tolerated, true)
 	return p
 }
 
