Take a completed start off the open ones, whoever answered it

A job that was placed on a minion which is lost, and whose start another minion at the address answers with 421, stays running for good; nothing of it runs.

Cause: a run whose worker has ended waits for its starts on their way. The count was kept in the run's state by each path that handles an answer, and that of an answer by another worker did not.

A completed start is taken off before anything else is made of the answer, also one for an incarnation that is known no longer. The gang of a run that is held for a start is stopped at once. The log names the run and the start that are waited for.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -20,12 +20,20 @@
 	return Target{}
 }
 
-// withAnswer returns d after an order completed. Orders to an incarnation other
-// than the known one are ignored.
+// withAnswer returns d after an order completed. Of orders to an incarnation other
+// than the known one, it only takes the starts off those that are open.
 func (d Dispatcher) withAnswer(now time.Time, a OrderCompleted) Dispatcher {
 	t := targetOf(a.Order)
 	v, ok := d.workerView(t.Worker)
-	if !ok || v.worker.Incarnation != t.Incarnation {
+	if !ok {
+		return d
+	}
+	if o, isStart := a.Order.(Start); isStart {
+		v.openStarts = v.openStarts.withCompleted(o.RunKey)
+		d.isDirty = true
+		d = d.withView(v)
+	}
+	if v.worker.Incarnation != t.Incarnation {
 		return d
 	}
 	d.isDirty = true
@@ -80,13 +88,11 @@
 	}
 	o, isStart := a.Order.(Start)
 	r, ok := v.runs[o.RunKey]
-	if !isStart || !ok {
+	_, acknowledged := a.Result.(Acknowledged)
+	if !isStart || !ok || !acknowledged {
 		return d
 	}
-	r.startsInFlight--
-	if _, acknowledged := a.Result.(Acknowledged); acknowledged {
-		r.startedAfterEndAt = now
-	}
+	r.startedAfterEndAt = now
 	return d.withView(v.withRun(o.RunKey, r))
 }
 
@@ -157,7 +163,6 @@
 	if !ok {
 		return v
 	}
-	r.startsInFlight--
 	switch result := result.(type) {
 	case Acknowledged:
 		if r.startedAt.IsZero() {
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -145,6 +145,7 @@
 		hasLeft: v.worker.Leaving,
 		runs:    v.runs,
 	}
+	next.openStarts = v.openStarts
 	return next
 }
 
--- a/dispatch/former_incarnation_internal_test.go
+++ b/dispatch/former_incarnation_internal_test.go
@@ -10,11 +10,6 @@
 // A worker that is back under its identifier takes orders that were meant for its former
 // incarnation, seconds late, as its own.
 var _ = Describe("An incarnation of a worker that has restarted", func() {
-	isStart := func(o Order) bool {
-		_, ok := o.(Start)
-		return ok
-	}
-
 	It("gets orders with a higher fence than any incarnation before, from any leader", func() {
 		c := newCluster(newWorkers("w"), newSound("a"))
 		var fences []uint64
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -15,8 +15,8 @@
 	}
 	r := v.runs[t.RunKey]
 	if v.hasEnded {
-		if s.mayRunOnNext(r) {
-			return v
+		if s.mayRunOnNext(v, t, r) {
+			return s.holdRun(v, t, r)
 		}
 		s.endLost(v, t, r, string(reasonWorkerEnded), s.now.Sub(v.lastAnswerAt(s.dispatcher.termStartedAt)))
 		return v
@@ -41,9 +41,27 @@
 // mayRunOnNext reports whether the next incarnation of a worker that has ended may still
 // carry out a start of the run, or has done so and not announced itself yet. Once it has,
 // it is told to stop the run.
-func (s *reconciliation) mayRunOnNext(r runState) bool {
+func (s *reconciliation) mayRunOnNext(v workerView, t workflow.PlacedTask, r runState) bool {
 	isRunning := !r.startedAfterEndAt.IsZero() && s.now.Sub(r.startedAfterEndAt) <= s.maxInheritedLease()
-	return r.startsInFlight > 0 || isRunning
+	return v.openStarts[t.RunKey].count > 0 || isRunning
+}
+
+// holdRun keeps a run that its worker cannot have any more, but the next incarnation may
+// get. The other members of its gang do not wait for it.
+func (s *reconciliation) holdRun(v workerView, t workflow.PlacedTask, r runState) workerView {
+	s.doom(t)
+	if r.isHeld {
+		return v
+	}
+	r.isHeld = true
+	s.record(DecisionRecord{
+		Text:   "Run is not ended yet, since the next incarnation of its worker may carry out its start.",
+		RunKey: t.RunKey,
+		Worker: v.worker.ID,
+		Reason: string(reasonStartOpen),
+		Age:    s.now.Sub(v.openStarts[t.RunKey].sentAt),
+	})
+	return v.withRun(t.RunKey, r)
 }
 
 // isLeaseExpired reports whether the worker must have killed a run that was
@@ -144,7 +162,7 @@
 	r.wasWorkerAlive = s.isAlive(v, r)
 	r.lastStartAt = s.now
 	r.startsSent++
-	r.startsInFlight++
+	v.openStarts = v.openStarts.withSent(s.now, t.RunKey)
 	lease := v.clock.now(s.now) + s.dispatcher.cfg.LeaseDuration.Milliseconds()
 	v.maxLeaseUntilMS = max(v.maxLeaseUntilMS, lease)
 	w := s.index.workflows[t.Workflow]
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -73,6 +73,8 @@
 	// speed is what is known of how fast the worker runs tasks.
 	speed speed.Estimate
 	runs  map[workflow.RunKey]runState
+	// openStarts holds the starts that this incarnation or the next may still carry out.
+	openStarts openStarts
 	// isChanged is true in a working copy that differs from the stored view.
 	isChanged bool
 }
@@ -88,13 +90,13 @@
 	firstStartAt time.Time
 	lastStartAt  time.Time
 	startsSent   int
-	// startsInFlight counts the starts without an answer, startsUndelivered those
-	// that certainly did not reach the worker.
-	startsInFlight    int
+	// startsUndelivered counts the starts that certainly did not reach the worker.
 	startsUndelivered int
 	// startedAfterEndAt is when a start was acknowledged although the incarnation had
 	// ended, so that the next one has carried it out; the zero time for never.
 	startedAfterEndAt time.Time
+	// isHeld is true once it was logged that the run is not ended because of a start.
+	isHeld bool
 	// placedAt is when this leader learned that its placement was committed.
 	placedAt time.Time
 	// wasWorkerAlive is true if the worker was known to be alive when the last Start
@@ -154,6 +156,9 @@
 	reasonWorkerMissing     stopReason = "worker-missing"
 	reasonWorkerEnded       stopReason = "worker-ended"
 	reasonLeaseExpired      stopReason = "lease-over"
+	// reasonStartOpen is for a run that is not ended while a start for it may still be
+	// carried out.
+	reasonStartOpen stopReason = "start-open"
 )
 
 func newWorkerView(now time.Time, w pool.Worker) workerView {
--- a/dispatch/waits.go
+++ b/dispatch/waits.go
@@ -179,8 +179,28 @@
 	return "other"
 }
 
-// reportHeldRuns logs workers on which runs have to be waited for, because the
-// worker does not answer or the gang of a run is broken.
+// heldRun returns which run on a worker has to be waited for, and why: the worker does not
+// answer, the next incarnation may carry out a start, or the gang of the run is broken. It
+// returns -1 for none.
+func (s *reconciliation) heldRun(v workerView, tasks []workflow.PlacedTask, silence time.Duration) (held int, reason string) {
+	if v.hasEnded {
+		held = slices.IndexFunc(tasks, func(t workflow.PlacedTask) bool {
+			return v.openStarts[t.RunKey].count > 0
+		})
+		if held >= 0 {
+			return held, string(reasonStartOpen)
+		}
+	}
+	if v.unanswered > 0 && silence >= waitReportAge {
+		return 0, "unanswered"
+	}
+	held = slices.IndexFunc(tasks, func(t workflow.PlacedTask) bool {
+		return s.index.isGangBroken[t.RunKey] && s.now.Sub(t.At) >= waitReportAge
+	})
+	return held, string(reasonGangBroken)
+}
+
+// reportHeldRuns logs workers on which runs have to be waited for.
 func (s *reconciliation) reportHeldRuns() {
 	if s.now.Sub(s.dispatcher.heldReportedAt) < waitReportInterval {
 		return
@@ -191,15 +211,11 @@
 		v, ok := s.dispatcher.workerView(id)
 		tasks := s.index.placedByWorker[id]
 		silence := s.now.Sub(v.lastAnswerAt(s.dispatcher.termStartedAt))
-		broken := slices.IndexFunc(tasks, func(t workflow.PlacedTask) bool {
-			return s.index.isGangBroken[t.RunKey] && s.now.Sub(t.At) >= waitReportAge
-		})
 		held, reason := 0, "unanswered"
-		switch {
-		case !ok || v.unanswered > 0 && silence >= waitReportAge:
-		case broken >= 0:
-			held, reason = broken, string(reasonGangBroken)
-		default:
+		if ok {
+			held, reason = s.heldRun(v, tasks, silence)
+		}
+		if held < 0 {
 			continue
 		}
 		if n++; n > maxWaitRecords {
--- a/replay/reborn_test.go
+++ b/replay/reborn_test.go
@@ -37,6 +37,25 @@
 		Expect(sim.Record("a").Status).To(Equal(workflow.StatusCompleted))
 	})
 
+	// The start is the first order that meets the other worker, since a worker that has answered
+	// an order before needs no other one first.
+	It("completes after another worker has answered a member's start", func() {
+		sim := replay.NewSimulation(newConfig(1))
+		sim.Submit("before", newArrival(500*time.Millisecond, "normal", gang(16, 8, time.Second)))
+		sim.Submit("a", newArrival(submittedAt, "normal", gang(16, 8, 2*time.Second)))
+		sim.Run(2800 * time.Millisecond)
+		Expect(sim.Record("before").Status).To(Equal(workflow.StatusCompleted))
+		sim.InjectFault(sim.Workers()[5], replay.Fault{
+			From:          2900 * time.Millisecond,
+			Until:         2950 * time.Millisecond,
+			ReplacedAfter: 1400 * time.Millisecond,
+		})
+		sim.Run(12 * time.Second)
+		Expect(sim.Violations()).To(BeEmpty())
+		Expect(sim.EndedRuns(workflow.EndedGangIncomplete)).To(BeZero())
+		Expect(sim.Record("a").Status).To(Equal(workflow.StatusCompleted))
+	})
+
 	It("is not left waiting for a member whose worker does not answer", func() {
 		sim, id := newGang()
 		sim.InjectFault(id, replay.Fault{
