Keep a run until none of its starts can be carried out any more

The start of a task gets no answer, and its minion crashes; the task is started elsewhere, and the minion's next life carries out the late start beside it.

Cause: a start counted as on its way only until the client gave up, 0.7 s, and the next life of an idle minion got no order that raises its token.

A run with an open start is kept if its worker has ended by the list of machines, or is out of contact with its lease over. Idle workers get an order while starts for an earlier incarnation may reach them. What else ran on a lost worker is noted when the wait begins, and no longer counts tasks that were never started.

Tests that changed: "may carry out a start that is on its way" had an entry by which a start without an answer is not waited for; it now expects the wait, and the task to run once. "is never started on workers that answer no order" first lets them answer one, since workers that do not are given no tasks now. One test plays five steps in place of four, as the start goes a step later, and checks that it went.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -29,7 +29,7 @@
 		return d
 	}
 	if o, isStart := a.Order.(Start); isStart {
-		v.openStarts = v.openStarts.withCompleted(o.RunKey)
+		v.openStarts = v.openStarts.withCompleted(o.RunKey, a.Result)
 		d.isDirty = true
 		d = d.withView(v)
 	}
@@ -76,6 +76,8 @@
 		Age:    now.Sub(v.lastContact),
 	})
 	v.hasEnded = true
+	// What is late arrives at the address of the other worker, which rejects it.
+	v.openStarts = nil
 	return d.withView(v)
 }
 
--- a/dispatch/cluster_internal_test.go
+++ b/dispatch/cluster_internal_test.go
@@ -60,6 +60,7 @@
 		dispatcher: NewDispatcher(epoch, Config{
 			LeaseDuration:    10 * time.Second,
 			MaxLeaseDuration: 11500 * time.Millisecond,
+			MaxOrderDelay:    14 * time.Second,
 			AnnounceInterval: 500 * time.Millisecond,
 			MaxStopDuration:  900 * time.Millisecond,
 			CrossRackFactor:  3,
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -30,10 +30,20 @@
 	unanswered int
 }
 
+// newCrashScene returns the scene of the tasks on a worker, without those that it was certainly
+// not running.
 func newCrashScene(tasks []workflow.PlacedTask, runs map[workflow.RunKey]runState) (c crashScene) {
+	first := ""
 	for _, t := range tasks {
-		c.isShared = c.isShared || t.Workflow != tasks[0].Workflow
-		if r := runs[t.RunKey]; r.startedAt.IsZero() && r.mayHaveStarted() {
+		r := runs[t.RunKey]
+		if !r.mayHaveStarted() {
+			continue
+		}
+		if first == "" {
+			first = t.Workflow
+		}
+		c.isShared = c.isShared || t.Workflow != first
+		if r.startedAt.IsZero() {
 			c.unanswered++
 		}
 	}
@@ -202,18 +212,27 @@
 	case !r.mayHaveStarted():
 	case committed.Incarnation == t.Incarnation && committed.Leaving:
 	case isPredecessor && !v.predecessor.hasLeft:
-		scene := v.predecessor.scene
+		scene := r.sceneOr(v.predecessor.scene)
 		e = scene.crashEnd(t.RunKey, scene.evidenceOf(r, s.hasCrashHistory(t)))
 	case !isPredecessor && v.hasEnded && !v.worker.Leaving:
-		scene := newCrashScene(s.index.placedByWorker[v.worker.ID], v.runs)
+		scene := r.sceneOr(newCrashScene(s.index.placedByWorker[v.worker.ID], v.runs))
 		e = scene.crashEnd(t.RunKey, scene.evidenceOf(r, s.hasCrashHistory(t)))
 	case !isPredecessor && reason == string(reasonLeaseExpired) && !s.hasRecentContact(v):
-		scene := newCrashScene(s.index.placedByWorker[v.worker.ID], v.runs)
+		scene := r.sceneOr(newCrashScene(s.index.placedByWorker[v.worker.ID], v.runs))
 		e = scene.silentEnd(t.RunKey, scene.evidenceOf(r, s.hasCrashHistory(t)))
 	}
 	s.end(t, e, reason, age)
 }
 
+// sceneOr returns the scene of a run that was held when its worker was lost, since other runs
+// there have ended by now, and present for any other.
+func (r runState) sceneOr(present crashScene) crashScene {
+	if r.isHeld {
+		return r.scene
+	}
+	return present
+}
+
 // mayHaveStarted reports whether a worker may have started the run.
 func (r runState) mayHaveStarted() bool {
 	isUndelivered := r.startsSent == r.startsUndelivered
--- a/dispatch/crash_internal_test.go
+++ b/dispatch/crash_internal_test.go
@@ -173,7 +173,8 @@
 	DescribeTable("is a confirmed crash if no other workflow has runs there, even of several unanswered starts", func(end crash) {
 		c := newCluster(newWorkers("w"), withHistory(newWorkflow("a", 1, newStep(2, 1, time.Minute))))
 		c.answer = startsUnanswered("a")
-		c.stepFor(4 * stepInterval)
+		c.stepFor(5 * stepInterval)
+		Expect(c.startsSent["a"]).To(Equal(2))
 		Expect(c.startedAt).To(BeEmpty())
 		c.answer = acknowledge
 		end(c, "w")
@@ -296,6 +297,7 @@
 	It("is never started on workers that answer no order, and ends without a crash", func() {
 		w := withHistory(newSound("a"))
 		c := newCluster(newWorkers("w1", "w2", "w3"), w)
+		c.fence("w1", "w2", "w3")
 		c.answer = unanswered
 		ends := c.stepUntilEnds(3)
 		Expect(c.startsSent["a"]).To(BeZero())
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -20,6 +20,9 @@
 	// MaxLeaseDuration is the longest lease that workers grant. An order that is meant
 	// for an earlier incarnation may ask for any later time on the worker's clock.
 	MaxLeaseDuration time.Duration
+	// MaxOrderDelay is the longest time after which a worker may carry out an order that it
+	// leaves unanswered. It is at least MaxLeaseDuration.
+	MaxOrderDelay time.Duration
 	// AnnounceInterval is the period of the workers' announcements.
 	AnnounceInterval time.Duration
 	// MaxStopDuration is the longest time a worker takes to stop a run.
@@ -149,6 +152,7 @@
 		cfg.Policy = GuaranteeAware{}
 	}
 	cfg.MaxLeaseDuration = max(cfg.MaxLeaseDuration, cfg.LeaseDuration)
+	cfg.MaxOrderDelay = max(cfg.MaxOrderDelay, cfg.MaxLeaseDuration)
 	return Dispatcher{
 		cfg:           cfg,
 		term:          term,
--- a/dispatch/former_incarnation_internal_test.go
+++ b/dispatch/former_incarnation_internal_test.go
@@ -95,15 +95,10 @@
 		Expect(incarnations).To(HaveEach(c.machines[0].Incarnation))
 	})
 
-	DescribeTable("may carry out a start that is on its way when the former has ended", func(result Result, isRunning bool) {
+	DescribeTable("may carry out a start that is on its way when the former has ended", func(result Result, isHeld, isRunning bool) {
 		c := newCluster(newWorkers("w", "x"), newSound("a"))
-		c.fence("w", "x")
-		c.withholds = isStart
-		c.stepFor(3 * stepInterval)
-		Expect(c.inFlight).To(HaveLen(1))
-		start := c.inFlight[0]
-		c.withholds = nil
-		worker := targetOf(start).Worker
+		start := startOnItsWay(c)
+		worker := start.Target.Worker
 		isMissing(c, worker)
 		c.stepFor(3 * stepInterval)
 		Expect(c.ends).To(BeEmpty(), "the start is on its way")
@@ -113,18 +108,32 @@
 			Result: result,
 		})
 		c.stepFor(3 * stepInterval)
-		if !isRunning {
+		if !isHeld {
 			Expect(c.ends).To(HaveLen(1))
 			return
 		}
-		Expect(c.ends).To(BeEmpty(), "the next incarnation runs it")
+		Expect(c.ends).To(BeEmpty(), "the next incarnation runs it, or may do so")
 		c.answer = acknowledge
 		c.isSilent[worker] = false
 		c.restart(worker)
+		if isRunning {
+			c.startedAt[start.RunKey] = c.now
+		}
 		c.stepFor(time.Second)
 		Expect(c.ends).To(HaveLen(1))
+		Expect(c.startedAt).To(HaveLen(1), "the task runs once")
 	},
-		Entry("which it has acknowledged", Acknowledged{}, true),
-		Entry("which got no answer", Unanswered{}, false),
+		Entry("which it has acknowledged", Acknowledged{}, true, true),
+		Entry("which got no answer", Unanswered{}, true, false),
+		Entry("which got no answer and was carried out", Unanswered{}, true, true),
+		Entry("for which there was no connection", Unanswered{
+			IsUndelivered: true,
+		}, false, false),
+		Entry("whose connection broke at once", Unanswered{
+			BrokenAfter: maxPromptBreak,
+		}, false, false),
+		Entry("whose connection broke later", Unanswered{
+			BrokenAfter: maxPromptBreak + 1,
+		}, true, false),
 	)
 })
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -119,6 +119,9 @@
 	// IsUndelivered is true if the order certainly did not reach the worker, since
 	// there was no connection.
 	IsUndelivered bool
+	// BrokenAfter is how long after the order was sent its connection broke; zero if it did
+	// not.
+	BrokenAfter time.Duration
 }
 
 func (Acknowledged) result() {}
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -65,6 +65,8 @@
 	// slowestMembers holds the results of slowestMember during placement, which asks for each
 	// member of a gang; nil before, since the views of workers may still change.
 	slowestMembers map[gangRun]float64
+	// byAddress holds the IDs of the committed workers by address; nil until one is asked for.
+	byAddress map[string][]string
 	// running is what the organisations may have running; nil until a limit asks for it.
 	running *runningUse
 }
@@ -155,6 +157,10 @@
 	}
 }
 
+// maxIdleFences bounds the orders on their way to idle workers that need a fence. A new
+// leader sends one to each worker.
+const maxIdleFences = 32
+
 // activeWorkerIDs returns, sorted, the workers with placed tasks or with
 // anything left to tell them or to commit.
 func (s *reconciliation) activeWorkerIDs() []string {
@@ -162,11 +168,24 @@
 	for id := range s.index.placedByWorker {
 		ids[id] = true
 	}
+	var unfenced []string
+	fencing := 0
 	for itr := s.dispatcher.views.Iterator(); !itr.Done(); {
-		if id, v, _ := itr.Next(); !v.isIdle() || s.needsProbe(*v) {
+		id, v, _ := itr.Next()
+		switch {
+		case ids[id]:
+		case !v.isIdle() || s.needsProbe(*v):
 			ids[id] = true
+		case !s.needsFence(*v):
+		case v.renewsInFlight > 0:
+			fencing++
+		default:
+			unfenced = append(unfenced, id)
 		}
 	}
+	for _, id := range unfenced[:max(min(len(unfenced), maxIdleFences-fencing), 0)] {
+		ids[id] = true
+	}
 	return slices.Sorted(maps.Keys(ids))
 }
 
--- a/dispatch/renew.go
+++ b/dispatch/renew.go
@@ -8,7 +8,7 @@
 	"github.com/plantainladder/plantainladder/workflow"
 )
 
-// renewLease sends a Renew if one is due. An idle worker gets none.
+// renewLease sends a Renew if one is due. An idle worker gets none, unless it needsFence.
 func (s *reconciliation) renewLease(v workerView, tasks []workflow.PlacedTask) workerView {
 	needsListing := s.needsListing(v, tasks)
 	isUrgent := needsListing && v.renewsInFlight < 2
@@ -28,7 +28,7 @@
 		return s.sendRenew(v, 0)
 	case s.mayBeRunning(v, tasks):
 		return s.sendRenew(v, MaxRenewWait)
-	case v.ackedSequence < v.committedSequence, s.needsProbe(v):
+	case v.ackedSequence < v.committedSequence, s.needsProbe(v), s.needsFence(v):
 		return s.sendRenew(v, 0)
 	}
 	return v
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -22,11 +22,15 @@
 		return v
 	}
 	if r.mayHaveStarted() && s.isLeaseExpired(v, t) {
+		if !s.hasRecentContact(v) && s.mayStartLate(v, t.RunKey) {
+			return s.holdRun(v, t, r)
+		}
 		s.endLost(v, t, r, string(reasonLeaseExpired), s.now.Sub(v.lastAnswerAt(s.dispatcher.termStartedAt)))
 		// A renewal makes the lease valid again before the end is committed.
 		r.pendingStop = reasonLeaseExpired
 		return v.withRun(t.RunKey, r)
 	}
+	r.isHeld = false
 	r = s.sampleProgress(v, t, r)
 	if r.pendingStop == "" {
 		r = s.withStopReason(v, t, r)
@@ -43,17 +47,17 @@
 // it is told to stop the run.
 func (s *reconciliation) mayRunOnNext(v workerView, t workflow.PlacedTask, r runState) bool {
 	isRunning := !r.startedAfterEndAt.IsZero() && s.now.Sub(r.startedAfterEndAt) <= s.maxInheritedLease()
-	return v.openStarts[t.RunKey].count > 0 || isRunning
+	return s.mayStartLate(v, t.RunKey) || isRunning
 }
 
 // holdRun keeps a run that its worker cannot have any more, but the next incarnation may
-// get. The other members of its gang do not wait for it.
+// get, until that has answered a stop or the start is too old to be carried out. The other members of its gang do not wait for it.
 func (s *reconciliation) holdRun(v workerView, t workflow.PlacedTask, r runState) workerView {
 	s.doom(t)
 	if r.isHeld {
 		return v
 	}
-	r.isHeld = true
+	r.isHeld, r.scene = true, newCrashScene(s.index.placedByWorker[v.worker.ID], v.runs)
 	s.record(DecisionRecord{
 		Text:   "Run is not ended yet, since the next incarnation of its worker may carry out its start.",
 		RunKey: t.RunKey,
@@ -162,7 +166,7 @@
 	r.wasWorkerAlive = s.isAlive(v, r)
 	r.lastStartAt = s.now
 	r.startsSent++
-	v.openStarts = v.openStarts.withSent(s.now, t.RunKey)
+	v.openStarts = v.openStarts.withSent(s.now, s.dispatcher.cfg.MaxOrderDelay, t.RunKey)
 	lease := v.clock.now(s.now) + s.dispatcher.cfg.LeaseDuration.Milliseconds()
 	v.maxLeaseUntilMS = max(v.maxLeaseUntilMS, lease)
 	w := s.index.workflows[t.Workflow]
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -95,8 +95,10 @@
 	// startedAfterEndAt is when a start was acknowledged although the incarnation had
 	// ended, so that the next one has carried it out; the zero time for never.
 	startedAfterEndAt time.Time
-	// isHeld is true once it was logged that the run is not ended because of a start.
+	// isHeld is true while the run is not ended only because of an open start. scene is
+	// what was known then of the runs on the worker.
 	isHeld bool
+	scene  crashScene
 	// placedAt is when this leader learned that its placement was committed.
 	placedAt time.Time
 	// wasWorkerAlive is true if the worker was known to be alive when the last Start
--- a/dispatch/waits.go
+++ b/dispatch/waits.go
@@ -183,9 +183,9 @@
 // answer, the next incarnation may carry out a start, or the gang of the run is broken. It
 // returns -1 for none.
 func (s *reconciliation) heldRun(v workerView, tasks []workflow.PlacedTask, silence time.Duration) (held int, reason string) {
-	if v.hasEnded {
+	if v.hasEnded || !s.hasRecentContact(v) && v.isLeaseExpired(s.now) {
 		held = slices.IndexFunc(tasks, func(t workflow.PlacedTask) bool {
-			return v.openStarts[t.RunKey].count > 0
+			return s.mayStartLate(v, t.RunKey)
 		})
 		if held >= 0 {
 			return held, string(reasonStartOpen)
--- a/replay/crash.go
+++ b/replay/crash.go
@@ -132,7 +132,6 @@
 		return
 	}
 	w.loseRuns(now, cause)
-	w.crashes++
 	switch r := r.(type) {
 	case NextIncarnation:
 		w.isDown = true
--- a/replay/network.go
+++ b/replay/network.go
@@ -127,9 +127,9 @@
 		answer(sent+answerTimeout+wait, unanswered)
 	case fault.DelayedShare > 0 && sim.rng.Float64() < fault.DelayedShare:
 		answer(sent+answerTimeout+wait, unanswered)
-		crashes := s.crashes
+		// The worker's next incarnation takes the order as its own.
 		sim.scheduleAt(sim.delayedArrival(sent), func(now time.Duration) {
-			if s.isUp() && !s.activeFault(now).Partitioned && s.crashes == crashes {
+			if s.isUp() && !s.activeFault(now).Partitioned {
 				s.isDelayed = true
 				s.handleOrder(now, o)
 				s.isDelayed = false
@@ -141,6 +141,7 @@
 				worker:      s,
 				incarnation: s.announced.Incarnation,
 				order:       o,
+				sentAt:      sent,
 				until:       now + wait,
 				answer:      answer,
 			})
@@ -153,6 +154,7 @@
 	worker      *simWorker
 	incarnation int64
 	order       dispatch.Order
+	sentAt      time.Duration
 	until       time.Duration
 	answer      func(now time.Duration, a dispatch.OrderCompleted)
 }
@@ -167,9 +169,16 @@
 		a = s.handleOrder(now, d.order)
 	}
 	if !isReached || !s.isUp() {
-		d.answer(now+answerTimeout, dispatch.OrderCompleted{
-			Order:  d.order,
-			Result: dispatch.Unanswered{},
+		// The connection of a process that ends breaks at once, unless its machine lost power.
+		failedAt, broken := now+answerTimeout, time.Duration(0)
+		if fault := s.activeFault(now); s.isDown && !fault.IsSilent && !fault.Partitioned {
+			failedAt, broken = now, now+networkDelay-d.sentAt
+		}
+		d.answer(failedAt, dispatch.OrderCompleted{
+			Order: d.order,
+			Result: dispatch.Unanswered{
+				BrokenAfter: broken,
+			},
 		})
 		return
 	}
--- a/replay/simulation.go
+++ b/replay/simulation.go
@@ -209,6 +209,7 @@
 	return dispatch.NewDispatcher(sim.at(now), dispatch.Config{
 		LeaseDuration:    leaseDuration,
 		MaxLeaseDuration: maxLeaseDuration,
+		MaxOrderDelay:    maxOrderDelay + answerTimeout,
 		AnnounceInterval: announceInterval,
 		MaxStopDuration:  sim.cfg.MaxStopDuration,
 		CrossRackFactor:  sim.cfg.CrossRackFactor,
--- a/replay/worker.go
+++ b/replay/worker.go
@@ -41,10 +41,8 @@
 	ended            []dispatch.EndedRun
 	endedSequence    uint64
 	isShutDown       bool
-	// isDown is true from a crash until the worker is back. crashes counts the
-	// crashes; a delayed order is lost with the process that received it.
-	isDown  bool
-	crashes int
+	// isDown is true from a crash until the worker is back.
+	isDown bool
 	// isHidden is true if the inventory of machines lacks the worker.
 	isHidden bool
 	// isReplaced is true once another worker has this worker's address.
