Count runs that a worker lists and that are not placed there

A minion runs a task that is not placed there, by a late start. The leader stops it and starts another task of the minion's whole size beside it.

Cause: capacity and the limits of organisations were counted from the placed runs alone, and a listed run that is not placed was struck off when its stop was sent.

Change: such a run is an orphan of its worker (dispatch/orphan.go) until a listing lacks it or the lease is over. It counts as a run that is being stopped when work is placed and started: for capacity, for the most tasks of a step on a worker and for the limit of its organisation; its task is not started elsewhere. Its stop is sent until it is acknowledged. A leader starts nothing on a worker before it has a listing with the present fence.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -52,7 +52,7 @@
 	case Start:
 		v = v.withStartAnswer(now, o.RunKey, a.Result)
 	case Stop:
-		v = v.withStopAnswer(now, o.RunKey, a.Result)
+		v = v.withStopAnswer(now, o.RunKey, a.Result).withOrphanStopped(now, o.RunKey, a.Result)
 	case Renew:
 		v = v.withRenewAnswer(now, o, a)
 	}
@@ -226,7 +226,7 @@
 	for _, f := range v.uncommittedEnds[min(known, len(v.uncommittedEnds)):] {
 		v = v.withRunEnding(now, f.EndReason).withEndListed(now, f.RunKey)
 	}
-	v.listingSentAt, v.listingReceivedAt = a.SentAt, now
+	v.listingSentAt, v.listingReceivedAt, v.listingFence = a.SentAt, now, o.Fence
 	v.isListingPartial = a.Listing.HasMore
 	v.listed = make(map[workflow.RunKey]Running, len(a.Listing.Running))
 	for _, r := range a.Listing.Running {
--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -7,7 +7,8 @@
 )
 
 // hasCapacityFor reports whether a start of t certainly keeps the worker within its
-// capacity, which may have shrunk since t was placed. A start of a listed run changes
+// capacity, which may have shrunk since t was placed, beside runs that are not placed there,
+// and within the most tasks of the step that a worker may run. A start of a listed run changes
 // nothing.
 func (s *reconciliation) hasCapacityFor(v workerView, t workflow.PlacedTask) bool {
 	if _, isListed := v.listed[t.RunKey]; isListed {
@@ -16,11 +17,21 @@
 	if s.missesAnnouncements(v) {
 		return false
 	}
-	used := t.StepSpec.PerTask
+	used, ofStep := t.StepSpec.PerTask, 1+v.orphansOf(t.TaskKey)
 	for _, other := range s.index.placedByWorker[t.Worker] {
-		if other.RunKey != t.RunKey && v.mayHoldCapacity(other) {
-			used = used.Plus(other.StepSpec.PerTask)
+		if other.RunKey == t.RunKey || !v.mayHoldCapacity(other) {
+			continue
 		}
+		used = used.Plus(other.StepSpec.PerTask)
+		if other.Workflow == t.Workflow && other.Occurrence == t.Occurrence && other.Step == t.Step {
+			ofStep++
+		}
+	}
+	for _, o := range v.orphans {
+		used = used.Plus(o.needs)
+	}
+	if most := t.StepSpec.MaxPerWorker; most > 0 && ofStep > most {
+		return false
 	}
 	return used.FitsIn(v.capacity(s.index.workers[t.Worker]))
 }
--- a/dispatch/cluster_internal_test.go
+++ b/dispatch/cluster_internal_test.go
@@ -40,6 +40,8 @@
 	isHanging bool
 	// hasMore is true while the workers list only some of their ended runs.
 	hasMore bool
+	// strays holds runs that workers list although they are not placed there, by worker ID.
+	strays map[string][]workflow.RunKey
 	// startsSent counts the starts that were sent, by workflow.
 	startsSent map[string]int
 	// startedAt holds the runs in progress; ended holds the others by worker ID.
@@ -85,6 +87,7 @@
 		},
 		machines:   machines,
 		isSilent:   map[string]bool{},
+		strays:     map[string][]workflow.RunKey{},
 		answer:     acknowledge,
 		startsSent: map[string]int{},
 		startedAt:  map[workflow.RunKey]time.Time{},
@@ -169,6 +172,9 @@
 			c.startedAt[o.RunKey] = c.now
 		case Stop:
 			delete(c.startedAt, o.RunKey)
+			c.strays[o.Worker] = slices.DeleteFunc(slices.Clone(c.strays[o.Worker]), func(ref workflow.RunKey) bool {
+				return ref == o.RunKey
+			})
 		case Renew:
 			completed.Listing = c.listing(o)
 		}
@@ -178,6 +184,11 @@
 
 func (c *cluster) listing(o Renew) (list Listing) {
 	list.HasMore = c.hasMore
+	for _, ref := range c.strays[o.Worker] {
+		list.Running = append(list.Running, Running{
+			RunKey: ref,
+		})
+	}
 	for _, t := range c.placedOn(o.Worker) {
 		startedAt, isRunning := c.startedAt[t.RunKey]
 		percent := int(100 * c.workDone(t, startedAt) / t.StepSpec.DeclaredRunTime)
@@ -234,15 +245,17 @@
 	return list
 }
 
-// fence lets workers announce themselves and answer an order of the leader that is about
-// none of their runs.
+// fence lets workers announce themselves and answer a Renew of the leader.
 func (c *cluster) fence(workers ...string) {
 	c.announce()
 	for _, w := range c.machines {
 		if !slices.Contains(workers, w.ID) {
 			continue
 		}
-		c.deliver(Stop{
+		v, _ := c.dispatcher.workerView(w.ID)
+		v.renewsInFlight++
+		c.dispatcher = c.dispatcher.withView(v)
+		c.deliver(Renew{
 			Target: Target{
 				Worker:      w.ID,
 				Incarnation: w.Incarnation,
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -14,8 +14,9 @@
 type predecessor struct {
 	// hasLeft is true if it had announced that it would leave.
 	hasLeft bool
-	// runs is what it had been told about its runs.
-	runs map[workflow.RunKey]runState
+	// runs is what it had been told about its runs. hasOrphans is true if it ran others.
+	runs       map[workflow.RunKey]runState
+	hasOrphans bool
 	// isExamined is true once scene is known.
 	isExamined bool
 	// scene is what is known of its runs when it ended.
@@ -30,9 +31,15 @@
 	unanswered int
 }
 
+// crashScene returns the scene of the tasks on the known incarnation of a worker.
+func (s *reconciliation) crashScene(v workerView) crashScene {
+	return newCrashScene(s.index.placedByWorker[v.worker.ID], v.runs, len(v.orphans) > 0)
+}
+
 // newCrashScene returns the scene of the tasks on a worker, without those that it was certainly
 // not running.
-func newCrashScene(tasks []workflow.PlacedTask, runs map[workflow.RunKey]runState) (c crashScene) {
+func newCrashScene(tasks []workflow.PlacedTask, runs map[workflow.RunKey]runState, hasOrphans bool) (c crashScene) {
+	c.isShared = hasOrphans
 	first := ""
 	for _, t := range tasks {
 		r := runs[t.RunKey]
@@ -154,6 +161,8 @@
 	next.predecessor = predecessor{
 		hasLeft: v.worker.Leaving,
 		runs:    v.runs,
+
+		hasOrphans: len(v.orphans) > 0,
 	}
 	next.openStarts = v.openStarts
 	return next
@@ -187,7 +196,7 @@
 	if v.predecessor.isExamined || len(earlier) == 0 {
 		return v
 	}
-	v.predecessor.isExamined, v.predecessor.scene = true, newCrashScene(earlier, v.predecessor.runs)
+	v.predecessor.isExamined, v.predecessor.scene = true, newCrashScene(earlier, v.predecessor.runs, v.predecessor.hasOrphans)
 	if committed.Incarnation < v.worker.Incarnation {
 		v.predecessor.hasLeft = v.predecessor.hasLeft || committed.Leaving
 	}
@@ -215,10 +224,10 @@
 		scene := r.sceneOr(v.predecessor.scene)
 		e = scene.crashEnd(t.RunKey, scene.evidenceOf(r, s.hasCrashHistory(t)))
 	case !isPredecessor && v.hasEnded && !v.worker.Leaving:
-		scene := r.sceneOr(newCrashScene(s.index.placedByWorker[v.worker.ID], v.runs))
+		scene := r.sceneOr(s.crashScene(v))
 		e = scene.crashEnd(t.RunKey, scene.evidenceOf(r, s.hasCrashHistory(t)))
 	case !isPredecessor && reason == string(reasonLeaseExpired) && !s.hasRecentContact(v):
-		scene := r.sceneOr(newCrashScene(s.index.placedByWorker[v.worker.ID], v.runs))
+		scene := r.sceneOr(s.crashScene(v))
 		e = scene.silentEnd(t.RunKey, scene.evidenceOf(r, s.hasCrashHistory(t)))
 	}
 	s.end(t, e, reason, age)
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -86,7 +86,7 @@
 		n := &node{
 			worker:      w,
 			free:        w.Capacity,
-			allocations: s.allocations(x, w, v),
+			allocations: append(s.allocations(x, w, v), s.orphanAllocations(x, v)...),
 			tenancy:     tenancyOf(s.now, x, w.ID),
 			speed:       s.dispatcher.spreads[w.Pool].Belief(v.speed),
 		}
@@ -96,6 +96,9 @@
 				n.releasing = n.releasing.Plus(alloc.task.StepSpec.PerTask)
 			}
 		}
+		for ref := range v.orphans {
+			n.tenancy = n.tenancy.withRun(ref.Workflow, false)
+		}
 		n.excess = max(-n.free.Accelerators, 0)
 		n.kinds = s.dispatcher.interference.kindsOf(x, n.allocations)
 		nodes[w.Pool] = append(nodes[w.Pool], n)
--- a/dispatch/limit_start.go
+++ b/dispatch/limit_start.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"maps"
 	"slices"
 
 	"github.com/plantainladder/plantainladder/pool"
@@ -44,12 +43,12 @@
 	return true
 }
 
-// newRunningUse returns the use of the placed runs less those that have not been started or
+// newRunningUse returns the use of the orphans and of the placed runs less those that have not been started or
 // have ended, of which there are few. The runs of the worker that is being reconciled count as
 // they were before: its starts of this pass are added by isWithinLimit.
 func (s *reconciliation) newRunningUse() *runningUse {
 	u := &runningUse{
-		byOrganisation: maps.Clone(s.index.used),
+		byOrganisation: s.withOrphanUse(s.index.used),
 		excluded:       map[gangRun]bool{},
 	}
 	for itr := s.dispatcher.views.Iterator(); !itr.Done(); {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -60,7 +60,7 @@
 	p := &placer{
 		s:             s,
 		fleets:        s.fleets(state, x),
-		limits:        newOrganisationLimits(state, s.dispatcher.cfg.LimitOverage, x.used),
+		limits:        newOrganisationLimits(state, s.dispatcher.cfg.LimitOverage, s.withOrphanUse(x.used)),
 		blocked:       map[requirement]bool{},
 		waitsForRack:  map[requirement]bool{},
 		rackStarts:    map[rackStartKey]rackStart{},
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -65,6 +65,8 @@
 	// slowestMembers holds the results of slowestMember during placement, which asks for each
 	// member of a gang; nil before, since the views of workers may still change.
 	slowestMembers map[gangRun]float64
+	// orphaned holds the tasks of which a worker runs an orphan; nil until one is asked for.
+	orphaned map[workflow.TaskKey]bool
 	// byAddress holds the IDs of the committed workers by address; nil until one is asked for.
 	byAddress map[string][]string
 	// running is what the organisations may have running; nil until a limit asks for it.
@@ -207,6 +209,7 @@
 	v = v.withOnlyRuns(func(ref workflow.RunKey) bool {
 		return s.index.placedRuns[ref]
 	})
+	v = s.withOrphans(v)
 	for _, t := range tasks {
 		v = s.reconcileRun(v, t)
 	}
@@ -301,6 +304,12 @@
 	return v.answeredFence >= s.fenceOf(v)
 }
 
+// hasFencedListing reports whether the worker has answered a Renew with the present fence. No
+// order of an earlier leader or for an earlier incarnation can have started a run since.
+func (s *reconciliation) hasFencedListing(v workerView) bool {
+	return !v.listingSentAt.IsZero() && v.listingFence >= s.fenceOf(v)
+}
+
 func (s *reconciliation) send(o Order) {
 	s.plan.Orders = append(s.plan.Orders, o)
 }
--- a/dispatch/renew.go
+++ b/dispatch/renew.go
@@ -26,7 +26,7 @@
 		return s.sendRenew(v, 0)
 	case needsListing:
 		return s.sendRenew(v, 0)
-	case s.mayBeRunning(v, tasks):
+	case s.mayBeRunning(v, tasks), len(v.orphans) > 0:
 		return s.sendRenew(v, MaxRenewWait)
 	case v.ackedSequence < v.committedSequence, s.needsProbe(v), s.needsFence(v):
 		return s.sendRenew(v, 0)
@@ -44,13 +44,17 @@
 // needsListing reports whether a decision about some run waits for a newer
 // complete listing.
 func (s *reconciliation) needsListing(v workerView, tasks []workflow.PlacedTask) bool {
+	if v.awaitsOrphanListing() {
+		return true
+	}
 	for _, t := range tasks {
 		r := v.runs[t.RunKey]
 		isInherited := !r.isOwnPlacement && !v.hasListingAfter(time.Time{})
+		isUnlisted := r.startsSent == 0 && !s.hasFencedListing(v)
 		isStopped := !r.stopAckedAt.IsZero() && !v.hasListingAfter(r.stopAckedAt)
 		isOverdue := r.startsSent > 0 && r.startedAt.IsZero() && s.now.Sub(r.lastStartAt) >= startRetryInterval
 		isUnsure := isOverdue && !v.hasListingAfter(r.lastStartAt)
-		if isInherited || isStopped || isUnsure || !v.clock.isKnown() || s.awaitsAnswer(v, t, r) {
+		if isInherited || isUnlisted || isStopped || isUnsure || !v.clock.isKnown() || s.awaitsAnswer(v, t, r) {
 			return true
 		}
 	}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -57,7 +57,7 @@
 	if r.isHeld {
 		return v
 	}
-	r.isHeld, r.scene = true, newCrashScene(s.index.placedByWorker[v.worker.ID], v.runs)
+	r.isHeld, r.scene = true, s.crashScene(v)
 	s.record(DecisionRecord{
 		Text:   "Run is not ended yet, since the next incarnation of its worker may carry out its start.",
 		RunKey: t.RunKey,
@@ -139,14 +139,15 @@
 }
 
 // startRun sends a start until it is answered. It first asks the worker for a
-// listing if an earlier leader placed the run and may have started it, if an
-// unanswered start may have reached another incarnation, or if awaitsAnswer.
+// listing if there is none with the present fence, if an earlier leader placed the
+// run and may have started it, if an unanswered start may have reached another
+// incarnation, or if awaitsAnswer. It waits for an orphan of the same task.
 func (s *reconciliation) startRun(v workerView, t workflow.PlacedTask, r runState) workerView {
-	isListingFresh := r.isOwnPlacement || v.hasListingAfter(time.Time{})
+	isListingFresh := s.hasFencedListing(v) && (r.isOwnPlacement || v.hasListingAfter(time.Time{}))
 	if r.startsSent > 0 {
 		isListingFresh = v.hasListingAfter(r.lastStartAt)
 	}
-	if !r.startedAt.IsZero() || !isListingFresh || !v.clock.isKnown() || s.awaitsAnswer(v, t, r) {
+	if !r.startedAt.IsZero() || !isListingFresh || !v.clock.isKnown() || s.awaitsAnswer(v, t, r) || s.isOrphaned(v, t) {
 		return v.withRun(t.RunKey, r)
 	}
 	switch {
@@ -216,29 +217,3 @@
 	}
 	return v.withRun(ref, r)
 }
-
-// stopOrphans stops runs that a worker lists although they are not placed on
-// it.
-func (s *reconciliation) stopOrphans(v workerView) workerView {
-	if v.hasEnded {
-		return v
-	}
-	for ref := range v.listed {
-		if s.index.placedRuns[ref] || v.hasUncommittedEnd(ref) {
-			continue
-		}
-		s.send(Stop{
-			Target: s.target(v),
-			RunKey: ref,
-		})
-		s.record(DecisionRecord{
-			Text:   "Worker reported a run that is not placed on it.",
-			RunKey: ref,
-			Worker: v.worker.ID,
-			Reason: "stopped",
-			Age:    s.now.Sub(v.listingSentAt),
-		})
-		v = v.withoutListed(ref)
-	}
-	return v
-}
--- a/dispatch/taskgroup.go
+++ b/dispatch/taskgroup.go
@@ -18,7 +18,7 @@
 	step       workflow.Step
 	// waiting holds the indexes of the waiting tasks within the step.
 	waiting []int
-	// perWorker counts the step's placed tasks by worker ID, for MaxPerWorker.
+	// perWorker counts the step's placed tasks and orphans by worker ID, for MaxPerWorker.
 	perWorker map[string]int
 	// targetCompletion is the time by which the occurrence should complete.
 	targetCompletion time.Time
@@ -104,6 +104,13 @@
 				g.perWorker[p.Worker]++
 			}
 		}
+		if step.MaxPerWorker > 0 {
+			s.eachOrphan(func(v workerView, ref workflow.RunKey, _ orphan) {
+				if ref.Workflow == w.Spec.ID && ref.Occurrence == occurrence && ref.Step == i {
+					g.perWorker[v.worker.ID]++
+				}
+			})
+		}
 		g.isLate = s.now.Add(step.DeclaredRunTime).After(g.targetCompletion)
 		if isUneven {
 			if pathsAfter == nil {
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -38,6 +38,8 @@
 	// sent at listingSentAt.
 	listed        map[workflow.RunKey]Running
 	listingSentAt time.Time
+	// listingFence is the fence of that Renew.
+	listingFence uint64
 	// isListingPartial is true if that listing may lack ended runs, so that a run that
 	// is not in it may have ended.
 	isListingPartial bool
@@ -73,6 +75,8 @@
 	// speed is what is known of how fast the worker runs tasks.
 	speed speed.Estimate
 	runs  map[workflow.RunKey]runState
+	// orphans holds the runs in listed that are not placed on the worker.
+	orphans map[workflow.RunKey]orphan
 	// openStarts holds the starts that this incarnation or the next may still carry out.
 	openStarts openStarts
 	// isChanged is true in a working copy that differs from the stored view.
@@ -252,6 +256,6 @@
 
 // isIdle reports whether a worker without placed tasks needs no orders.
 func (v workerView) isIdle() bool {
-	isInformed := v.hasEnded || len(v.listed) == 0 && v.ackedSequence >= v.committedSequence
+	isInformed := v.hasEnded || len(v.listed) == 0 && len(v.orphans) == 0 && v.ackedSequence >= v.committedSequence
 	return len(v.runs) == 0 && len(v.uncommittedEnds) == 0 && isInformed
 }
--- a/dispatch/waits.go
+++ b/dispatch/waits.go
@@ -151,6 +151,9 @@
 		for _, t := range s.index.placedByWorker[w.ID] {
 			free = free.Minus(t.StepSpec.PerTask)
 		}
+		for _, o := range v.orphans {
+			free = free.Minus(o.needs)
+		}
 		nodes[w.Pool] = append(nodes[w.Pool], &node{
 			worker: w,
 			free:   free,
