--- a/dispatch/former_incarnation_internal_test.go
+++ b/dispatch/former_incarnation_internal_test.go
@@ -98,7 +98,7 @@
 	DescribeTable("may carry out a start that is on its way when the former has ended", func(result Result, isHeld, isRunning bool) {
 		c := newCluster(newWorkers("w", "x"), newSound("a"))
 		start := startOnItsWay(c)
-		worker := start.Target.Worker
+		worker := start.Worker
 		isMissing(c, worker)
 		c.stepFor(3 * stepInterval)
 		Expect(c.ends).To(BeEmpty(), "the start is on its way")
--- a/dispatch/open_start.go
+++ b/dispatch/open_start.go
@@ -107,14 +107,3 @@
 		return ok && id != v.worker.ID && other.lastContact.After(v.lastContact)
 	})
 }
-
-// needsFence reports whether a worker must answer an order although it may be idle: starts for
-// an earlier incarnation may reach the present one, which does not reject them before.
-func (s *reconciliation) needsFence(v workerView) bool {
-	w, isCommitted := s.index.workers[v.worker.ID]
-	if !isCommitted || w.Incarnation != v.worker.Incarnation || v.hasEnded || s.isFenced(v) || !s.hasRecentContact(v) {
-		return false
-	}
-	maxDelay := s.dispatcher.cfg.MaxOrderDelay
-	return s.now.Sub(s.dispatcher.termStartedAt) < maxDelay || v.openStarts.isAnyOpen(s.now, maxDelay)
-}
--- a/dispatch/open_start_internal_test.go
+++ b/dispatch/open_start_internal_test.go
@@ -56,7 +56,7 @@
 	It("does not keep its task from running elsewhere", func() {
 		c := newCluster(newWorkers("w", "x"), newSound("a"))
 		start := startOnItsWay(c)
-		lost := start.Target.Worker
+		lost := start.Worker
 		c.answer = replacedAt(lost)
 		c.isSilent[lost] = true
 		c.deliver(start)
@@ -86,7 +86,7 @@
 	// The leader did not log which start a run waited for.
 	It("names the run in the log while another start for it is on its way", func() {
 		c := newCluster(newWorkers("w", "x"), newSound("a"))
-		lost := startOnItsWay(c).Target.Worker
+		lost := startOnItsWay(c).Worker
 		isMissing(c, lost)
 		c.stepFor(3 * stepInterval)
 		isNamed := slices.ContainsFunc(c.records, func(r DecisionRecord) bool {
@@ -107,7 +107,7 @@
 	BeforeEach(func() {
 		c = newCluster(newWorkers("w", "x"), newSound("a"))
 		start = startOnItsWay(c)
-		lost = start.Target.Worker
+		lost = start.Worker
 	})
 	// expectHeldUntil expects that the run goes on up to a time and ends soon after it.
 	expectHeldUntil := func(at time.Time) {
--- a/dispatch/orphan_internal_test.go
+++ b/dispatch/orphan_internal_test.go
@@ -125,7 +125,7 @@
 	It("is gone once the lease of the worker is over", func() {
 		c := newStrayCluster(newWorkers("w"), newWorkflow("a", 1, newStep(1, 8, time.Minute)))
 		c.stepFor(time.Second)
-		c.answer = func(o Order) Result {
+		c.answer = func(Order) Result {
 			return Unanswered{}
 		}
 		c.stepFor(c.dispatcher.cfg.MaxLeaseDuration + 3*time.Second)
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -159,10 +159,6 @@
 	}
 }
 
-// maxIdleFences bounds the orders on their way to idle workers that need a fence. A new
-// leader sends one to each worker.
-const maxIdleFences = 32
-
 // activeWorkerIDs returns, sorted, the workers with placed tasks or with
 // anything left to tell them or to commit.
 func (s *reconciliation) activeWorkerIDs() []string {
@@ -170,22 +166,12 @@
 	for id := range s.index.placedByWorker {
 		ids[id] = true
 	}
-	var unfenced []string
-	fencing := 0
 	for itr := s.dispatcher.views.Iterator(); !itr.Done(); {
-		id, v, _ := itr.Next()
-		switch {
-		case ids[id]:
-		case !v.isIdle() || s.needsProbe(*v):
+		if id, v, _ := itr.Next(); !v.isIdle() || s.needsProbe(*v) {
 			ids[id] = true
-		case !s.needsFence(*v):
-		case v.renewsInFlight > 0:
-			fencing++
-		default:
-			unfenced = append(unfenced, id)
 		}
 	}
-	for _, id := range unfenced[:max(min(len(unfenced), maxIdleFences-fencing), 0)] {
+	for _, id := range s.idleToFence() {
 		ids[id] = true
 	}
 	return slices.Sorted(maps.Keys(ids))
@@ -291,25 +277,6 @@
 	}
 }
 
-// fenceOf returns the fence of orders to a worker. An incarnation that is not
-// committed yet gets that of the one before, so that each leader of a later term has a
-// higher fence.
-func (s *reconciliation) fenceOf(v workerView) uint64 {
-	return s.dispatcher.term + s.index.workers[v.worker.ID].Generation
-}
-
-// isFenced reports whether the worker's incarnation has answered an order with the
-// present fence, so that it takes no order for an earlier one any more.
-func (s *reconciliation) isFenced(v workerView) bool {
-	return v.answeredFence >= s.fenceOf(v)
-}
-
-// hasFencedListing reports whether the worker has answered a Renew with the present fence. No
-// order of an earlier leader or for an earlier incarnation can have started a run since.
-func (s *reconciliation) hasFencedListing(v workerView) bool {
-	return !v.listingSentAt.IsZero() && v.listingFence >= s.fenceOf(v)
-}
-
 func (s *reconciliation) send(o Order) {
 	s.plan.Orders = append(s.plan.Orders, o)
 }
