Settle a start by a broken connection only if its worker shows no sign of life after that

A start whose connection breaks within 50 ms was taken for one whose worker ended with it. By the protocol any call without an answer may be carried out late, also one whose connection broke while the worker goes on: so the project's own stand-in of a minion leaves orders for later. Such a start now stays open if the worker answers an order that was sent later, announces itself or keeps another connection for longer.

The new case of "A start that got no answer" (dispatch) fails without this.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -29,7 +29,7 @@
 		return d
 	}
 	if o, isStart := a.Order.(Start); isStart {
-		v.openStarts = v.openStarts.withCompleted(o.RunKey, a.Result)
+		v.openStarts = v.openStarts.withCompleted(now, o.RunKey, a.Result)
 		d.isDirty = true
 		d = d.withView(v)
 	}
@@ -132,8 +132,11 @@
 
 // withContact returns v after an order was answered or went unanswered.
 func (v workerView) withContact(now time.Time, cfg Config, a OrderCompleted) workerView {
-	if _, unanswered := a.Result.(Unanswered); unanswered {
+	if u, unanswered := a.Result.(Unanswered); unanswered {
 		v.unanswered++
+		if u.BrokenAfter > 0 {
+			v.lastBreakAt = now
+		}
 		return v
 	}
 	v.unanswered = 0
--- a/dispatch/fence.go
+++ b/dispatch/fence.go
@@ -27,7 +27,7 @@
 		return false
 	}
 	maxDelay := s.dispatcher.cfg.MaxOrderDelay
-	return s.now.Sub(s.dispatcher.termStartedAt) < maxDelay || v.openStarts.isAnyOpen(s.now, maxDelay)
+	return s.now.Sub(s.dispatcher.termStartedAt) < maxDelay || v.isAnyStartOpen(s.now, maxDelay)
 }
 
 // maxIdleFences bounds the orders on their way to idle workers that need a fence. A new
--- a/dispatch/open_start.go
+++ b/dispatch/open_start.go
@@ -20,48 +20,53 @@
 	count int
 	// sentAt is when the last of them was sent.
 	sentAt time.Time
+	// broken is how many of them had a connection that broke at once, the last at brokenAt.
+	// They are open only if the worker has lived on.
+	broken   int
+	brokenAt time.Time
 }
 
 // withSent returns s after a start was sent, without those that can no longer be carried out.
 func (s openStarts) withSent(now time.Time, maxDelay time.Duration, ref workflow.RunKey) openStarts {
-	next := openStarts{
-		ref: openStart{
-			count:  s[ref].count + 1,
-			sentAt: now,
-		},
-	}
-	for other := range s {
-		if other != ref && s.isOpen(now, maxDelay, other) {
-			next[other] = s[other]
-		}
+	next := maps.Clone(s)
+	if next == nil {
+		next = openStarts{}
 	}
+	maps.DeleteFunc(next, func(_ workflow.RunKey, o openStart) bool {
+		return now.Sub(o.sentAt) >= maxDelay
+	})
+	o := next[ref]
+	// A start is repeated only after the worker has answered another order.
+	o.broken = 0
+	o.count++
+	o.sentAt = now
+	next[ref] = o
 	return next
 }
 
-// maxPromptBreak is the longest time after which a connection that breaks shows that the worker
-// ended when the order came: several round trips. A worker that leaves an order for later keeps
-// the connection.
+// maxPromptBreak is the longest time after which the break of a connection counts as one at
+// once: several round trips.
 const maxPromptBreak = 50 * time.Millisecond
 
-// mayBeLate reports whether an order that completed may still be carried out.
-func mayBeLate(result Result) bool {
-	switch r := result.(type) {
-	case Unanswered:
-		isBroken := r.BrokenAfter > 0 && r.BrokenAfter <= maxPromptBreak
-		return !r.IsUndelivered && !isBroken
-	case Acknowledged, Rejected, Unhealthy, Replaced:
-	}
-	return false
-}
-
 // withCompleted returns s after a start was answered, or will get no answer any more.
-func (s openStarts) withCompleted(ref workflow.RunKey, result Result) openStarts {
+func (s openStarts) withCompleted(now time.Time, ref workflow.RunKey, result Result) openStarts {
 	o, ok := s[ref]
-	if !ok || mayBeLate(result) {
+	if !ok {
+		return s
+	}
+	unanswered, isUnanswered := result.(Unanswered)
+	switch {
+	case !isUnanswered || unanswered.IsUndelivered:
+		o.count--
+		o.broken = min(o.broken, o.count)
+	case unanswered.BrokenAfter > 0 && unanswered.BrokenAfter <= maxPromptBreak:
+		o.broken++
+		o.brokenAt = now
+	default:
 		return s
 	}
 	next := maps.Clone(s)
-	if o.count--; o.count > 0 {
+	if o.count > 0 {
 		next[ref] = o
 	} else {
 		delete(next, ref)
@@ -69,28 +74,38 @@
 	return next
 }
 
-// isOpen reports whether a start for the run may still be carried out.
-func (s openStarts) isOpen(now time.Time, maxDelay time.Duration, ref workflow.RunKey) bool {
-	o := s[ref]
-	return o.count > 0 && now.Sub(o.sentAt) < maxDelay
+// isStartOpen reports whether a start for the run may still be carried out. One whose
+// connection broke at once may not if the worker has shown no sign of life since: it ended
+// when the start came.
+func (v workerView) isStartOpen(now time.Time, maxDelay time.Duration, ref workflow.RunKey) bool {
+	o := v.openStarts[ref]
+	isKept := o.count > o.broken || o.broken > 0 && v.hasLivedAfter(o.brokenAt)
+	return isKept && now.Sub(o.sentAt) < maxDelay
 }
 
-// isAnyOpen reports whether a start for any run may still be carried out.
-func (s openStarts) isAnyOpen(now time.Time, maxDelay time.Duration) bool {
-	for ref := range s {
-		if s.isOpen(now, maxDelay, ref) {
+// isAnyStartOpen reports whether a start for any run may still be carried out.
+func (v workerView) isAnyStartOpen(now time.Time, maxDelay time.Duration) bool {
+	for ref := range v.openStarts {
+		if v.isStartOpen(now, maxDelay, ref) {
 			return true
 		}
 	}
 	return false
 }
 
+// hasLivedAfter reports whether the worker answered an order that was sent after a time, or
+// showed later that it was running: by a message, or by a connection that broke only then.
+func (v workerView) hasLivedAfter(t time.Time) bool {
+	end := t.Add(maxPromptBreak)
+	return v.aliveAt.After(t) || v.lastContact.After(end) || v.lastBreakAt.After(end)
+}
+
 // mayStartLate reports whether the next incarnation of a worker may carry out a start for a
 // run. Starts of earlier leaders are not known, and count as sent when the term began.
 func (s *reconciliation) mayStartLate(v workerView, ref workflow.RunKey) bool {
 	maxDelay := s.dispatcher.cfg.MaxOrderDelay
 	isInherited := !v.runs[ref].isOwnPlacement && s.now.Sub(s.dispatcher.termStartedAt) < maxDelay
-	return (isInherited || v.openStarts.isOpen(s.now, maxDelay, ref)) && !s.isAddressTaken(v)
+	return (isInherited || v.isStartOpen(s.now, maxDelay, ref)) && !s.isAddressTaken(v)
 }
 
 // isAddressTaken reports whether another worker has been heard from at the address of one
--- a/dispatch/open_start_internal_test.go
+++ b/dispatch/open_start_internal_test.go
@@ -151,6 +151,21 @@
 		expectHeldUntil(since.Add(c.dispatcher.cfg.MaxOrderDelay))
 	})
 
+	It("keeps its task from running elsewhere if its connection broke and the worker lived on", func() {
+		c.answer = func(o Order) Result {
+			if isStart(o) {
+				return Unanswered{
+					BrokenAfter: 1,
+				}
+			}
+			return Acknowledged{}
+		}
+		c.deliver(start)
+		c.stepFor(2 * stepInterval)
+		isMissing(c, lost)
+		expectHeldUntil(sentAt().Add(c.dispatcher.cfg.MaxOrderDelay))
+	})
+
 	It("keeps nothing waiting once another worker has the address", func() {
 		leaveUnanswered(c, start)
 		c.stepFor(4 * stepInterval)
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -57,6 +57,8 @@
 	// aliveAt is when the last of the answered orders was sent: the worker was alive
 	// then or later.
 	aliveAt time.Time
+	// lastBreakAt is when a connection on which the worker owed an answer last broke.
+	lastBreakAt time.Time
 	// hasEnded is true once this incarnation has certainly ended, with all of its
 	// runs: another worker has answered at its address, or the platform's
 	// inventory of machines lacks it. Nothing more is sent to it.
