--- a/util/settings.go
+++ b/util/settings.go
@@ -15,7 +15,7 @@
 )
 
 // Version is the version of all programs of this repository.
-const Version = "0.14.0"
+const Version = "0.15.0"
 
 // Exit codes of all programs.
 const (
