--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -159,9 +159,8 @@
 // withSuccessor returns the view of the next incarnation of a worker.
 func (v workerView) withSuccessor(next workerView) workerView {
 	next.predecessor = predecessor{
-		hasLeft: v.worker.Leaving,
-		runs:    v.runs,
-
+		hasLeft:    v.worker.Leaving,
+		runs:       v.runs,
 		hasOrphans: len(v.orphans) > 0,
 	}
 	next.openStarts = v.openStarts
--- a/dispatch/fence.go
+++ b/dispatch/fence.go
@@ -22,12 +22,13 @@
 // needsFence reports whether a worker must answer an order although it may be idle: starts for
 // an earlier incarnation may reach the present one, which does not reject them before.
 func (s *reconciliation) needsFence(v workerView) bool {
-	w, isCommitted := s.index.workers[v.worker.ID]
-	if !isCommitted || w.Incarnation != v.worker.Incarnation || v.hasEnded || s.isFenced(v) || !s.hasRecentContact(v) {
+	maxDelay := s.dispatcher.cfg.MaxOrderDelay
+	if s.now.Sub(s.dispatcher.termStartedAt) >= maxDelay && !v.isAnyStartOpen(s.now, maxDelay) {
 		return false
 	}
-	maxDelay := s.dispatcher.cfg.MaxOrderDelay
-	return s.now.Sub(s.dispatcher.termStartedAt) < maxDelay || v.isAnyStartOpen(s.now, maxDelay)
+	w, isCommitted := s.index.workers[v.worker.ID]
+	isCurrent := isCommitted && w.Incarnation == v.worker.Incarnation && !v.hasEnded
+	return isCurrent && !s.isFenced(v) && s.hasRecentContact(v)
 }
 
 // maxIdleFences bounds the orders on their way to idle workers that need a fence. A new
